Fix the layers' interfaces and the host core

Cause: every later part needs agreed events, actions and messages. Weighed: protocol above or below coordination. The core must name messages and failures but never codecs, so the message types stand below the core and the codecs in a module that the import rules keep out of it. Ruled out: plain data classes for configuration values, since the codec library refuses unions of more than one of them; they are frozen tagged structs.

--- /dev/null
+++ b/packages/figcrank-cli/src/figcrank/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The figcrankd and figcrankctl programs."""
--- /dev/null
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_core.py
@@ -0,0 +1,273 @@
+"""The host core: every decision of one host behind one method."""
+
+from collections.abc import Callable
+
+from figcrank.coordination import _events as events
+from figcrank.coordination._actions import Action, RespondOperator, RespondPeer, SetReady, Stop
+from figcrank.coordination._configuration import Configuration
+from figcrank.coordination._entry import Entry
+from figcrank.coordination._limits import Limiter
+from figcrank.coordination._membership import Membership
+from figcrank.coordination._owner import GroupOwner
+from figcrank.coordination._placement import Placement
+from figcrank.coordination._port import Port
+from figcrank.coordination._settings import CoreSettings
+from figcrank.protocol import (
+    Accepted,
+    Ack,
+    ConfigList,
+    ConfigPull,
+    ConfigPush,
+    DecisionList,
+    Digest,
+    DrainServer,
+    EditObject,
+    Explain,
+    Failure,
+    FailureKind,
+    FleetStatus,
+    GroupReport,
+    HostStatus,
+    ListConfig,
+    OperatorFailure,
+    OperatorReply,
+    OwnedAnswer,
+    OwnedFailure,
+    OwnedRequest,
+    Ping,
+    PingRequest,
+    SwitchPrimary,
+    TransactionStep,
+)
+from figcrank.state import Host, RandomSource
+
+
+class HostCore:
+    """Takes events and the time, returns actions; the same input gives the same output.
+
+    :param settings: static settings of the host.
+    :param random: random source; seed it to repeat a run.
+    """
+
+    def __init__(self, settings: CoreSettings, random: RandomSource) -> None:
+        self._settings = settings
+        self._port = Port()
+        self.membership = Membership(settings, self._port, random, self._digest, self._on_digest)
+        self.configuration = Configuration(settings, self._port, self.membership, random)
+        self.placement = Placement(settings, self.membership)
+        self.limiter = Limiter(settings, self._port, self.placement, self.configuration)
+        self.owners = {
+            group.name: GroupOwner(settings, self._port, self.placement, group, random)
+            for group in settings.groups
+        }
+        self.entry = Entry(
+            settings,
+            self._port,
+            self.membership,
+            self.configuration,
+            self.limiter,
+            self.placement,
+            self.owners,
+            random,
+        )
+        self.configuration.when_withdrawn(self._on_withdrawn)
+        self._ready = False
+        self._leaving = False
+        self._stopped = False
+        self._handlers: dict[type, Callable] = {
+            events.Tick: self._on_tick,
+            events.StatementsReceived: self._on_statements,
+            events.TransactionReceived: self._on_transaction,
+            events.OperatorReceived: self._on_operator,
+            events.PeerRequestReceived: self._on_peer_request,
+            events.PeerReplied: self._port.on_reply,
+            events.PeerFailed: self._port.on_reply,
+            events.PlatformReplied: self._port.on_reply,
+            events.ServerReplied: self._port.on_reply,
+            events.GossipReceived: self._on_gossip,
+            events.ConnectionOpened: self._on_opened,
+            events.ConnectionFailed: self._on_failed,
+            events.WorkFinished: self._on_finished,
+            events.LeaveRequested: self._on_leave,
+        }
+
+    def start(self, now_ms: int) -> tuple[Action, ...]:
+        """Return the first actions of the host."""
+        self.membership.start(now_ms)
+        self.configuration.start(now_ms)
+        return self._port.drain()
+
+    def handle(self, event: events.Event, now_ms: int) -> tuple[Action, ...]:
+        """Take one event at ``now_ms`` and return what is to be done."""
+        self._handlers[type(event)](event, now_ms)
+        return self._port.drain()
+
+    # Time
+
+    def _on_tick(self, event: events.Tick, now_ms: int) -> None:
+        self._port.tick(now_ms)
+        self.membership.tick(now_ms)
+        self.configuration.tick(now_ms)
+        self.limiter.tick(now_ms)
+        for owner in self.owners.values():
+            owner.tick(now_ms)
+        self.entry.tick(now_ms)
+        self._update_readiness(now_ms)
+        self._stop_when_idle()
+
+    def _update_readiness(self, now_ms: int) -> None:
+        ready = not self._leaving and self.configuration.is_fresh(now_ms)
+        if ready != self._ready:
+            self._ready = ready
+            self._port.emit(SetReady(ready))
+
+    def _stop_when_idle(self) -> None:
+        if not self._leaving or self._stopped or self.entry.in_hand:
+            return
+        if all(owner.is_idle() for owner in self.owners.values()):
+            self._stopped = True
+            self._port.emit(Stop())
+
+    # Callers
+
+    def _on_statements(self, event: events.StatementsReceived, now_ms: int) -> None:
+        self.entry.on_statements(event, now_ms)
+
+    def _on_transaction(self, event: events.TransactionReceived, now_ms: int) -> None:
+        self.entry.on_transaction(event, now_ms)
+
+    def _on_withdrawn(self, key_id: str, now_ms: int) -> None:
+        self.entry.withdraw_key(key_id, now_ms)
+        for owner in self.owners.values():
+            owner.withdraw_key(key_id, now_ms)
+
+    # Peers
+
+    def _on_peer_request(self, event: events.PeerRequestReceived, now_ms: int) -> None:
+        request = event.request
+        if isinstance(request, ConfigPull):
+            self._port.emit(RespondPeer(event.call_id, self.configuration.on_pull(request)))
+            return
+        owner = self.owners.get(request.group)
+        answered = self._peer_answer(event.call_id)
+        if owner is None:
+            message = f"This host does not know the group {request.group!r}."
+            answered(Failure.not_run(FailureKind.NO_OWNER, message), now_ms)
+            return
+        deadline_ms = now_ms + request.timeout_ms
+        if isinstance(request, TransactionStep):
+            owner.step(request, deadline_ms, now_ms, answered)
+        elif isinstance(request, OwnedRequest):
+            owner.submit(request, deadline_ms, now_ms, answered)
+
+    def _peer_answer(self, call_id: int) -> Callable[[OwnedAnswer | Failure, int], None]:
+        def answered(answer: OwnedAnswer | Failure, now_ms: int) -> None:
+            reply = OwnedFailure(answer) if isinstance(answer, Failure) else answer
+            self._port.emit(RespondPeer(call_id, reply))
+
+        return answered
+
+    def _on_gossip(self, event: events.GossipReceived, now_ms: int) -> None:
+        message = event.message
+        if isinstance(message, Ping | Ack | PingRequest):
+            self.membership.on_gossip(event.sender, message, now_ms)
+        elif isinstance(message, ConfigPush | ConfigPull):
+            self.configuration.on_gossip(event.sender, message, now_ms)
+        elif isinstance(message, GroupReport):
+            if message.group in self.owners:
+                self.owners[message.group].on_gossip(event.sender, message, now_ms)
+        else:
+            self.limiter.on_gossip(event.sender, message, now_ms)
+
+    def _digest(self, now_ms: int) -> Digest:
+        return self.configuration.digest(now_ms)
+
+    def _on_digest(self, host: str, digest: Digest, now_ms: int) -> None:
+        self.configuration.on_digest(host, digest, now_ms)
+
+    # Backend servers
+
+    def _on_opened(self, event: events.ConnectionOpened, now_ms: int) -> None:
+        any(owner.on_opened(event, now_ms) for owner in self.owners.values())
+
+    def _on_failed(self, event: events.ConnectionFailed, now_ms: int) -> None:
+        any(owner.on_failed(event, now_ms) for owner in self.owners.values())
+
+    def _on_finished(self, event: events.WorkFinished, now_ms: int) -> None:
+        any(owner.on_finished(event, now_ms) for owner in self.owners.values())
+
+    # Leaving
+
+    def _on_leave(self, event: events.LeaveRequested, now_ms: int) -> None:
+        if self._leaving:
+            return
+        self._leaving = True
+        self._update_readiness(now_ms)
+        self.membership.leave(now_ms)
+        self.limiter.leave(now_ms)
+        for owner in self.owners.values():
+            owner.leave(now_ms)
+        host = self._settings.host.name
+        self._port.decide(now_ms, "drain", host, "The process was asked to shut down.")
+
+    # Operators
+
+    def _on_operator(self, event: events.OperatorReceived, now_ms: int) -> None:
+        def done(reply: OperatorReply, at_ms: int) -> None:
+            self._port.emit(RespondOperator(event.call_id, reply))
+
+        if isinstance(event.request, EditObject):
+            self.configuration.edit(event.request, now_ms, done)
+            return
+        done(self._operator_reply(event.request, now_ms), now_ms)
+
+    def _operator_reply(self, request: object, now_ms: int) -> OperatorReply:
+        if isinstance(request, ListConfig):
+            return self._config_list(request)
+        if isinstance(request, Explain):
+            return DecisionList(self._port.decisions(request.subject))
+        if isinstance(request, SwitchPrimary | DrainServer):
+            return self._order(request, now_ms)
+        return self._fleet_status(now_ms)
+
+    def _config_list(self, request: ListConfig) -> ConfigList:
+        snapshot = self.configuration.snapshot
+        wanted = [
+            o for o in snapshot.since(0) if not request.kind or o.object_id.kind == request.kind
+        ]
+        return ConfigList(snapshot.revision, tuple(wanted))
+
+    def _order(self, request: SwitchPrimary | DrainServer, now_ms: int) -> OperatorReply:
+        owner = self.owners.get(request.group)
+        if owner is None:
+            message = f"There is no group {request.group!r}."
+            return OperatorFailure(Failure.not_run(FailureKind.BAD_REQUEST, message))
+        if isinstance(request, DrainServer):
+            owner.drain_server(request.server, request.draining, now_ms)
+            return Accepted(f"{request.server}: draining is {request.draining}.")
+        failure = owner.switch(request.server, now_ms)
+        if failure is not None:
+            return OperatorFailure(failure)
+        return Accepted(f"{request.group}: the primary is being switched.")
+
+    def _fleet_status(self, now_ms: int) -> FleetStatus:
+        hosts = tuple(self._host_status(host) for host in self.membership.hosts())
+        groups = tuple(owner.status() for owner in self.owners.values())
+        return FleetStatus(
+            self._settings.host.name,
+            self._ready,
+            self.configuration.snapshot.revision,
+            self.configuration.platform_reachable(),
+            hosts,
+            groups,
+            self.limiter.statuses(now_ms),
+        )
+
+    def _host_status(self, host: Host) -> HostStatus:
+        return HostStatus(
+            host.name,
+            host.availability_zone,
+            self.membership.state(host.name),
+            self.membership.incarnation(host.name),
+            self.configuration.revision_of(host.name),
+        )
--- /dev/null
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_port.py
@@ -0,0 +1,147 @@
+"""The way out of a host core: actions, call numbers, deadlines and call-backs."""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from figcrank.coordination._actions import (
+    Action,
+    CallPeer,
+    CallPlatform,
+    CallServer,
+    RecordDecision,
+    SendGossip,
+)
+from figcrank.coordination._events import PeerFailed, PeerReplied, PlatformReplied, ServerReplied
+from figcrank.protocol import (
+    Decision,
+    Gossip,
+    PeerReply,
+    PeerRequest,
+    PlatformCall,
+    PlatformFailed,
+    PlatformResult,
+    ServerFailure,
+    ServerFailureKind,
+    ServerReply,
+    ServerRequest,
+)
+from figcrank.state import Host, Server
+
+OnPeer = Callable[[PeerReply | PeerFailed, int], None]
+OnPlatform = Callable[[PlatformResult, int], None]
+OnServer = Callable[[ServerReply, int], None]
+
+DECISIONS_KEPT = 1_000
+# A driver that never answers is given up on this long after the call's own deadline.
+GRACE_MS = 100
+
+
+@dataclass(frozen=True, slots=True)
+class _Pending:
+    deadline_ms: int
+    on_reply: Callable[[Any, int], None]
+    on_timeout: Any
+
+
+class Port:
+    """Collects the actions of every component and routes replies back to who asked.
+
+    Every call gets exactly one call-back: the reply, or a failure once its deadline has passed.
+    Later replies are dropped.
+    """
+
+    def __init__(self) -> None:
+        self._actions: list[Action] = []
+        self._next_id = 1
+        self._pending: dict[int, _Pending] = {}
+        self._decisions: deque[Decision] = deque(maxlen=DECISIONS_KEPT)
+
+    def emit(self, action: Action) -> None:
+        """Queue an action for the driver."""
+        self._actions.append(action)
+
+    def drain(self) -> tuple[Action, ...]:
+        """Return and forget the queued actions."""
+        actions = tuple(self._actions)
+        self._actions.clear()
+        return actions
+
+    def new_id(self) -> int:
+        """Return a number that was not used before in this core."""
+        number = self._next_id
+        self._next_id += 1
+        return number
+
+    def gossip(self, host: Host, message: Gossip) -> None:
+        """Send a datagram to ``host``."""
+        self.emit(SendGossip(host.gossip_address, message))
+
+    def decide(self, now_ms: int, kind: str, subject: str, reason: str, **inputs: object) -> None:
+        """Log a decision with its inputs."""
+        texts = {name: str(value) for name, value in inputs.items()}
+        decision = Decision(now_ms, kind, subject, reason, texts)
+        self._decisions.append(decision)
+        self.emit(RecordDecision(decision))
+
+    def decisions(self, subject: str = "") -> tuple[Decision, ...]:
+        """Return the kept decisions about ``subject``, all of them if it is empty."""
+        return tuple(d for d in self._decisions if not subject or _concerns(d, subject))
+
+    def call_peer(
+        self, host: Host, request: PeerRequest, timeout_ms: int, now_ms: int, on_reply: OnPeer
+    ) -> None:
+        """Send a request to another host."""
+        call_id = self._expect(timeout_ms, now_ms, on_reply, PeerFailed(0, sent=True))
+        self.emit(CallPeer(call_id, host, request, timeout_ms))
+
+    def call_platform(
+        self, call: PlatformCall, timeout_ms: int, now_ms: int, on_reply: OnPlatform
+    ) -> None:
+        """Call the platform."""
+        call_id = self._expect(timeout_ms, now_ms, on_reply, PlatformFailed("timeout"))
+        self.emit(CallPlatform(call_id, call, timeout_ms))
+
+    def call_server(
+        self,
+        server: Server,
+        request: ServerRequest,
+        timeout_ms: int,
+        now_ms: int,
+        on_reply: OnServer,
+    ) -> None:
+        """Send a control request to a backend server."""
+        late = ServerFailure(ServerFailureKind.TIMEOUT, f"{server.name} did not answer in time.")
+        call_id = self._expect(timeout_ms, now_ms, on_reply, late)
+        self.emit(CallServer(call_id, server, request, timeout_ms))
+
+    def on_reply(
+        self, event: PeerReplied | PeerFailed | PlatformReplied | ServerReplied, now_ms: int
+    ) -> None:
+        """Route a reply to whoever asked; a late one is dropped."""
+        pending = self._pending.pop(event.call_id, None)
+        if pending is None:
+            return
+        if isinstance(event, PlatformReplied):
+            pending.on_reply(event.result, now_ms)
+        elif isinstance(event, PeerFailed):
+            pending.on_reply(event, now_ms)
+        else:
+            pending.on_reply(event.reply, now_ms)
+
+    def tick(self, now_ms: int) -> None:
+        """Fail the calls whose deadline has passed."""
+        late = [key for key, pending in self._pending.items() if pending.deadline_ms <= now_ms]
+        for key in late:
+            pending = self._pending.pop(key)
+            pending.on_reply(pending.on_timeout, now_ms)
+
+    def _expect(self, timeout_ms: int, now_ms: int, on_reply: Callable, on_timeout: Any) -> int:
+        call_id = self.new_id()
+        self._pending[call_id] = _Pending(now_ms + timeout_ms + GRACE_MS, on_reply, on_timeout)
+        return call_id
+
+
+def _concerns(decision: Decision, subject: str) -> bool:
+    return decision.subject == subject or subject in decision.inputs.values()
--- /dev/null
+++ b/packages/figcrank-protocol/src/figcrank/protocol/objects.py
@@ -0,0 +1,38 @@
+"""Configuration objects as the platform's store keeps them."""
+
+import msgspec
+
+from figcrank.protocol._failures import MessageError
+from figcrank.protocol._platform import StoredObject
+from figcrank.state import ConfigObject, ConfigValue, ObjectId
+
+CONFIG_KINDS = ("key", "profile", "route", "service", "workspace")
+
+_value_decoder = msgspec.json.Decoder(ConfigValue)
+
+
+def config_object(stored: StoredObject) -> ConfigObject:
+    """Return the configuration object that the store keeps as ``stored``.
+
+    :raises MessageError: if the stored text is not a configuration object.
+    """
+    object_id = ObjectId(stored.kind, stored.name)
+    if stored.value is None:
+        return ConfigObject(object_id, stored.version, None)
+    return ConfigObject(object_id, stored.version, config_value(stored.value))
+
+
+def config_value(text: str) -> ConfigValue:
+    """Return the configuration value in a JSON text.
+
+    :raises MessageError: if the text is not one.
+    """
+    try:
+        return _value_decoder.decode(text)
+    except msgspec.DecodeError as error:
+        raise MessageError("not a configuration object") from error
+
+
+def stored_text(value: ConfigValue) -> str:
+    """Return ``value`` as the store keeps it."""
+    return msgspec.json.encode(value).decode()
--- /dev/null
+++ b/packages/figcrank-standins/src/figcrank/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and for database groups."""
--- /dev/null
+++ b/packages/figcrank-state/src/figcrank/state/__init__.py
@@ -0,0 +1,29 @@
+"""Values that decisions are made on; nothing here performs input or output."""
+
+from figcrank.state._buckets import MILLI as MILLI
+from figcrank.state._buckets import TokenBucket as TokenBucket
+from figcrank.state._clock import Clock as Clock
+from figcrank.state._clock import ManualClock as ManualClock
+from figcrank.state._config import ConfigObject as ConfigObject
+from figcrank.state._config import ConfigSnapshot as ConfigSnapshot
+from figcrank.state._config import ConfigValue as ConfigValue
+from figcrank.state._config import ObjectId as ObjectId
+from figcrank.state._groups import Group as Group
+from figcrank.state._groups import Server as Server
+from figcrank.state._groups import ServerRole as ServerRole
+from figcrank.state._groups import ServerStatus as ServerStatus
+from figcrank.state._hosts import Host as Host
+from figcrank.state._hosts import HostState as HostState
+from figcrank.state._positions import ORIGIN as ORIGIN
+from figcrank.state._positions import Position as Position
+from figcrank.state._profiles import Profile as Profile
+from figcrank.state._profiles import ProfileMode as ProfileMode
+from figcrank.state._randomness import RandomSource as RandomSource
+from figcrank.state._sessions import GroupPosition as GroupPosition
+from figcrank.state._sessions import Session as Session
+from figcrank.state._workspaces import Key as Key
+from figcrank.state._workspaces import PresentedKey as PresentedKey
+from figcrank.state._workspaces import Route as Route
+from figcrank.state._workspaces import Service as Service
+from figcrank.state._workspaces import Workspace as Workspace
+from figcrank.state._workspaces import key_digest as key_digest
--- /dev/null
+++ b/packages/figcrank-state/src/figcrank/state/_groups.py
@@ -0,0 +1,83 @@
+"""Database groups and the state that their servers report."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from figcrank.state._positions import Position
+
+
+class ServerRole(StrEnum):
+    """The part that a backend server plays in its group."""
+
+    PRIMARY = "primary"
+    REPLICA = "replica"
+    FENCED = "fenced"
+
+
+@dataclass(frozen=True, slots=True)
+class Server:
+    """A backend server.
+
+    :param name: unique name.
+    :param availability_zone: availability zone that the server runs in.
+    :param address: ``ip:port`` of the PostgreSQL protocol.
+    """
+
+    name: str
+    availability_zone: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class Group:
+    """A database group and its capacity.
+
+    :param name: unique name.
+    :param servers: members; their number is odd.
+    :param slots_per_server: statements that a server runs at once.
+    :param connections_per_server: connections that a server accepts from the whole fleet.
+    """
+
+    name: str
+    servers: tuple[Server, ...]
+    slots_per_server: int
+    connections_per_server: int
+
+    @property
+    def majority(self) -> int:
+        """Return the number of servers that form a majority."""
+        return len(self.servers) // 2 + 1
+
+    def server(self, name: str) -> Server:
+        """Return the member called ``name``.
+
+        :raises KeyError: if the group has no such member.
+        """
+        for server in self.servers:
+            if server.name == name:
+                return server
+        raise KeyError(name)
+
+
+@dataclass(frozen=True, slots=True)
+class ServerStatus:
+    """What a server reports of itself.
+
+    :param server: the server's name.
+    :param role: its role in ``term``.
+    :param term: highest term that it has accepted.
+    :param term_start: offset of the first entry of ``term``; 0 while fenced or unknown.
+    :param durable: position of the last entry that it holds durably.
+    :param applied: position of the last entry visible to reads.
+    :param fencer: host whose fence it accepted in ``term``; empty if none.
+    :param leaving: whether it is about to be taken away.
+    """
+
+    server: str
+    role: ServerRole
+    term: int
+    term_start: int
+    durable: Position
+    applied: Position
+    fencer: str = ""
+    leaving: bool = False
--- /dev/null
+++ b/packages/figcrank-transport/src/figcrank/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Eventlet servers and clients that drive a figcrank host core."""
