Add pure models of a backend server and of the platform

Cause: the decision cores need something to run against that has real SQL, terms, a log and a versioned store, and does no input or output. Weighed: a write lock held by each open transaction, against validation at commit. The lock needs waits and a clock in the model and lets one idle transaction stop every writer. Each step now runs the earlier ones again, and fails with 40001 if their results changed, so nothing is held between steps. Ruled out: a second connection for reads on the primary; as steps are rolled back at once, the one database never holds uncommitted data. Ruled out: granting a term again to its fencer after promotion or while following. Conclusion: the models are usable; a server in term 0 is fenced until form_group.

--- a/packages/figcrank-standins/src/figcrank/standins/__init__.py
+++ b/packages/figcrank-standins/src/figcrank/standins/__init__.py
@@ -1,1 +1,9 @@
 """Small stand-ins for the platform and for database groups."""
+
+from figcrank.standins._errors import ServerFullError as ServerFullError
+from figcrank.standins._log import LogEntry as LogEntry
+from figcrank.standins._log import ReplicationBatch as ReplicationBatch
+from figcrank.standins._platform_model import PlatformModel as PlatformModel
+from figcrank.standins._server_model import ServerModel as ServerModel
+from figcrank.standins._server_model import form_group as form_group
+from figcrank.standins._server_model import replicate as replicate
