--- /dev/null
+++ b/packages/figcrank-transport/src/figcrank/transport/_http_server.py
@@ -0,0 +1,193 @@
+"""WSGI servers on green sockets, with typed failures in place of tracebacks."""
+
+import socket
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any
+
+import eventlet
+import eventlet.wsgi
+import falcon
+from absl import logging
+
+from figcrank.protocol import Failure, FailureKind, RequestError
+from figcrank.protocol.codecs import encode
+from figcrank.transport._addresses import join_address, split_address
+
+MAX_BODY_BYTES = 1_048_576
+MAX_CONNECTIONS = 4_096
+LISTEN_BACKLOG = 1_024
+MS_PER_S = 1_000
+
+StartResponse = Callable[..., Any]
+
+
+class HttpServer:
+    """Serves a WSGI application on one address.
+
+    :param address: ``ip:port``; port 0 lets the system choose one.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._socket = eventlet.listen(split_address(address), backlog=LISTEN_BACKLOG)
+        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._in_flight = 0
+        self._closing = False
+        self._thread: eventlet.greenthread.GreenThread | None = None
+
+    @property
+    def address(self) -> str:
+        """Return the ``ip:port`` that is listened on."""
+        return join_address(*self._socket.getsockname()[:2])
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of requests whose response is not written yet."""
+        return self._in_flight
+
+    def start(self, app: Callable[[dict, StartResponse], Iterable[bytes]]) -> None:
+        """Begin to serve ``app``."""
+        self._app = app
+        self._thread = eventlet.spawn(
+            eventlet.wsgi.server,
+            self._socket,
+            self._serve,
+            log_output=False,
+            debug=False,
+            max_size=MAX_CONNECTIONS,
+            keepalive=True,
+        )
+
+    def drain(self) -> None:
+        """Close each connection after its next response."""
+        self._closing = True
+
+    def stop(self) -> None:
+        """Accept no more connections."""
+        if self._thread is not None:
+            self._thread.kill()
+        self._socket.close()
+
+    def _serve(self, environ: dict, start_response: StartResponse) -> Iterable[bytes]:
+        self._in_flight += 1
+        try:
+            chunks = self._app(environ, self._closing_response(start_response))
+        except BaseException:
+            self._in_flight -= 1
+            raise
+        return _CountedResponse(chunks, self._finished)
+
+    def _finished(self) -> None:
+        self._in_flight -= 1
+
+    def _closing_response(self, start_response: StartResponse) -> StartResponse:
+        if not self._closing:
+            return start_response
+
+        def start(status: str, headers: list[tuple[str, str]], exc_info: Any = None) -> Any:
+            return start_response(status, [*headers, ("Connection", "close")], exc_info)
+
+        return start
+
+
+class _CountedResponse:
+    """A response body that tells when the server is done with it."""
+
+    def __init__(self, chunks: Iterable[bytes], on_close: Callable[[], None]) -> None:
+        self._chunks = chunks
+        self._on_close = on_close
+
+    def __iter__(self) -> Iterator[bytes]:
+        return iter(self._chunks)
+
+    def close(self) -> None:
+        """Called by the server after the last byte."""
+        self._on_close()
+
+
+class HttpRefusalError(RequestError):
+    """A request whose status differs from the one of its kind of failure.
+
+    :param status: HTTP status.
+    """
+
+    def __init__(self, status: int, failure: Failure) -> None:
+        super().__init__(failure)
+        self.status = status
+
+
+def new_app() -> falcon.App:
+    """Return a falcon application that answers every failure as typed JSON."""
+    app = falcon.App()
+    app.add_error_handler(Exception, _on_fault)
+    app.add_error_handler(falcon.HTTPError, _on_http_error)
+    app.add_error_handler(RequestError, _on_request_error)
+    return app
+
+
+def read_body(request: falcon.Request) -> bytes:
+    """Return the whole body.
+
+    :raises RequestError: if it is larger than :data:`MAX_BODY_BYTES` or cut short.
+    """
+    if (request.content_length or 0) > MAX_BODY_BYTES:
+        raise _too_large()
+    try:
+        body = request.stream.read(MAX_BODY_BYTES + 1)
+    except (OSError, ValueError) as error:
+        raise bad_request("The body could not be read.") from error
+    if len(body) > MAX_BODY_BYTES:
+        raise _too_large()
+    if len(body) < (request.content_length or 0):
+        raise bad_request("The body is shorter than announced.")
+    return body
+
+
+def bad_request(message: str) -> RequestError:
+    """Return the error of a malformed request."""
+    return RequestError(Failure.not_run(FailureKind.BAD_REQUEST, message))
+
+
+def write_failure(response: falcon.Response, failure: Failure, status: int | None = None) -> None:
+    """Make ``failure`` the response."""
+    body = {
+        "type": failure.kind,
+        "outcome": failure.outcome,
+        "retry_after_ms": failure.retry_after_ms,
+        "message": failure.message,
+    }
+    response.status = falcon.code_to_http_status(status or failure.status)
+    response.content_type = falcon.MEDIA_JSON
+    response.data = encode({"failure": body})
+    if failure.retry_after_ms is not None:
+        response.set_header("Retry-After", str(-(-failure.retry_after_ms // MS_PER_S)))
+
+
+def write_json(response: falcon.Response, message: Any) -> None:
+    """Make ``message`` the JSON response."""
+    response.content_type = falcon.MEDIA_JSON
+    response.data = encode(message)
+
+
+def _too_large() -> RequestError:
+    message = f"The body is larger than {MAX_BODY_BYTES} bytes."
+    return RequestError(Failure.not_run(FailureKind.TOO_LARGE, message))
+
+
+def _on_request_error(
+    request: falcon.Request, response: falcon.Response, error: RequestError, params: dict
+) -> None:
+    write_failure(response, error.failure, getattr(error, "status", None))
+
+
+def _on_http_error(
+    request: falcon.Request, response: falcon.Response, error: falcon.HTTPError, params: dict
+) -> None:
+    failure = Failure.not_run(FailureKind.BAD_REQUEST, error.title or "The request is malformed.")
+    write_failure(response, failure, error.status_code)
+
+
+def _on_fault(
+    request: falcon.Request, response: falcon.Response, error: Exception, params: dict
+) -> None:
+    logging.error("A request handler failed.", exc_info=error)
+    write_failure(response, Failure.unknown("The host failed while it handled the request."))
--- /dev/null
+++ b/packages/figcrank-transport/src/figcrank/transport/_peer_api.py
@@ -0,0 +1,95 @@
+"""The HTTP API towards other hosts of the fleet."""
+
+import falcon
+
+from figcrank.coordination import PeerRequestReceived, RespondPeer
+from figcrank.protocol import Failure, FailureKind, MessageError, PeerRequest
+from figcrank.protocol.codecs import GossipCodec, decode_peer_request
+from figcrank.transport._calls import CallTable
+from figcrank.transport._driver import HostDriver
+from figcrank.transport._http_server import (
+    HttpRefusalError,
+    bad_request,
+    new_app,
+    read_body,
+    write_failure,
+    write_json,
+)
+from figcrank.transport._telemetry import Telemetry
+
+PEER_PATH = "/v1/peer"
+SIGNATURE_HEADER = "Figcrank-Signature"
+SENDER_HEADER = "Figcrank-Sender"
+# Longest wait for the core's reply to a request that carries no timeout of its own.
+DEFAULT_TIMEOUT_MS = 5_000
+ANSWER_GRACE_MS = 1_000
+
+
+class PeerApi:
+    """Takes authentic requests of other hosts.
+
+    :param driver: the host driver.
+    :param codec: codec that checks signatures.
+    :param telemetry: traces and metrics.
+    """
+
+    def __init__(self, driver: HostDriver, codec: GossipCodec, telemetry: Telemetry) -> None:
+        self._driver = driver
+        self._codec = codec
+        self._telemetry = telemetry
+        self._calls = CallTable()
+        self.app = new_app()
+        self.app.add_route(PEER_PATH, self)
+
+    def resolve(self, action: RespondPeer) -> None:
+        """Give a waiting request its reply."""
+        self._calls.resolve(action.call_id, action.reply)
+
+    def on_post(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Take a peer request and answer with the core's reply."""
+        body = read_body(request)
+        sender = request.get_header(SENDER_HEADER) or ""
+        self._check_signature(request, sender, body)
+        try:
+            message = decode_peer_request(body)
+        except MessageError as error:
+            self._telemetry.count("peer.garbled")
+            raise bad_request(str(error)) from error
+        traceparent = getattr(message, "traceparent", "")
+        span = self._telemetry.start_span("peer.serve", traceparent)
+        try:
+            self._answer(sender, message, response)
+        finally:
+            span.end(sender=sender, request=type(message).__name__)
+
+    def _check_signature(self, request: falcon.Request, sender: str, body: bytes) -> None:
+        if self._codec.is_authentic(_signature(request), signed_bytes(sender, body)):
+            return
+        self._telemetry.count("peer.not_authentic")
+        failure = Failure.not_run(FailureKind.BAD_REQUEST, "The signature is not this fleet's.")
+        raise HttpRefusalError(403, failure)
+
+    def _answer(self, sender: str, message: PeerRequest, response: falcon.Response) -> None:
+        call_id = self._calls.open()
+        timeout_ms = getattr(message, "timeout_ms", DEFAULT_TIMEOUT_MS)
+        try:
+            self._driver.dispatch(PeerRequestReceived(call_id, sender, message))
+            reply = self._calls.wait(call_id, timeout_ms + ANSWER_GRACE_MS)
+        finally:
+            self._calls.forget(call_id)
+        if reply is None:
+            write_failure(response, Failure.unknown("The host did not answer in time."))
+            return
+        write_json(response, reply)
+
+
+def signed_bytes(sender: str, body: bytes) -> bytes:
+    """Return what the signature covers: the sender's name and the body."""
+    return sender.encode() + b"\n" + body
+
+
+def _signature(request: falcon.Request) -> bytes:
+    try:
+        return bytes.fromhex(request.get_header(SIGNATURE_HEADER) or "")
+    except ValueError:
+        return b""
--- /dev/null
+++ b/packages/figcrank-transport/src/figcrank/transport/_telemetry.py
@@ -0,0 +1,200 @@
+"""Metrics, traces, the decision log and the format of log lines."""
+
+import json
+import logging as std_logging
+import random
+import re
+import time
+from pathlib import Path
+from typing import IO
+
+import msgspec
+import statsd
+from absl import logging
+from opentelemetry import trace
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import ReadableSpan, SpanProcessor, TracerProvider, sampling
+from opentelemetry.trace import NonRecordingSpan, SpanContext, TraceFlags
+
+from figcrank.coordination import CountMetric, RecordDecision, RecordSpan, TimeMetric
+from figcrank.transport._addresses import split_address
+
+NS_PER_MS = 1_000_000
+STATSD_PREFIX = "figcrank"
+LOG_FIELDS = ("workspace", "group", "trace_id")
+_TRACEPARENT = re.compile(r"00-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})")
+
+
+class Span:
+    """A span under way.
+
+    :param span: the library's span.
+    """
+
+    def __init__(self, span: trace.Span) -> None:
+        self._span = span
+        context = span.get_span_context()
+        flags = int(context.trace_flags)
+        self.traceparent = f"00-{context.trace_id:032x}-{context.span_id:016x}-{flags:02x}"
+
+    def end(self, **attributes: str) -> None:
+        """Finish the span."""
+        self._span.set_attributes(attributes)
+        self._span.end()
+
+
+class Telemetry:
+    """Everything that a host tells of itself besides its answers.
+
+    :param host: name of this host.
+    :param availability_zone: its availability zone.
+    :param statsd_address: ``ip:port`` of a statsd server; empty for none.
+    :param trace_file: file that gets one JSON object a span; empty for none.
+    :param decision_file: file that gets one JSON object a decision; empty for the process log.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        availability_zone: str,
+        statsd_address: str = "",
+        trace_file: str = "",
+        decision_file: str = "",
+    ) -> None:
+        self._statsd = _statsd_client(statsd_address)
+        self._traces = _opened(trace_file)
+        self._decisions = _opened(decision_file)
+        resource = Resource({"host": host, "availability_zone": availability_zone})
+        sampler = sampling.ALWAYS_ON if self._traces else sampling.ALWAYS_OFF
+        self._provider = TracerProvider(sampler=sampler, resource=resource, shutdown_on_exit=False)
+        if self._traces is not None:
+            self._provider.add_span_processor(_JsonLinesProcessor(self._traces))
+        self._tracer = self._provider.get_tracer("figcrank")
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add to a counter."""
+        if self._statsd is not None:
+            self._statsd.incr(name, amount)
+
+    def count_metric(self, action: CountMetric) -> None:
+        """Add to a counter that the core names."""
+        self.count(action.name, action.amount)
+
+    def time_metric(self, action: TimeMetric) -> None:
+        """Send a timing of the core."""
+        if self._statsd is not None:
+            self._statsd.timing(action.name, action.elapsed_ms)
+
+    def record_decision(self, action: RecordDecision) -> None:
+        """Write a decision to the decision log."""
+        if self._decisions is not None:
+            self._decisions.write(msgspec.json.encode(action.decision).decode() + "\n")
+            return
+        decision = action.decision
+        logging.info("%s %s: %s", decision.kind, decision.subject, decision.reason)
+
+    def record_span(self, action: RecordSpan) -> None:
+        """Write a span that the core has finished."""
+        if self._traces is None:
+            return
+        offset_ns = time.time_ns() - time.monotonic_ns()
+        span = self._tracer.start_span(
+            action.name,
+            context=_parent_context(action.traceparent),
+            attributes=dict(action.attributes),
+            start_time=action.started_ms * NS_PER_MS + offset_ns,
+        )
+        span.end(end_time=action.ended_ms * NS_PER_MS + offset_ns)
+
+    def start_span(self, name: str, traceparent: str) -> Span:
+        """Begin a span.
+
+        :param traceparent: W3C context of the parent; a new trace begins if it is not valid.
+        """
+        span = self._tracer.start_span(name, context=_parent_context(traceparent))
+        if span.get_span_context().is_valid:
+            return Span(span)
+        return Span(NonRecordingSpan(_new_context()))
+
+    def flush(self) -> None:
+        """Write buffered lines to their files."""
+        for file in (self._traces, self._decisions):
+            if file is not None:
+                file.flush()
+
+    def close(self) -> None:
+        """Flush and close the files."""
+        for file in (self._traces, self._decisions):
+            if file is not None:
+                file.close()
+
+
+class JsonLogFormatter(std_logging.Formatter):
+    """Formats a log record as one JSON object.
+
+    :param host: name of this host.
+    :param availability_zone: its availability zone.
+    """
+
+    def __init__(self, host: str, availability_zone: str) -> None:
+        super().__init__()
+        self._host = host
+        self._availability_zone = availability_zone
+
+    def format(self, record: std_logging.LogRecord) -> str:
+        """Return the line of ``record``."""
+        line = {
+            "time_ms": int(record.created * 1_000),
+            "level": record.levelname.lower(),
+            "host": self._host,
+            "availability_zone": self._availability_zone,
+            "message": record.getMessage(),
+        }
+        for name in LOG_FIELDS:
+            if hasattr(record, name):
+                line[name] = getattr(record, name)
+        if record.exc_info:
+            line["exception"] = self.formatException(record.exc_info)
+        return json.dumps(line)
+
+
+def configure_logging(host: str, availability_zone: str) -> None:
+    """Send one JSON object a log line to standard error."""
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.INFO)
+    logging.get_absl_handler().setFormatter(JsonLogFormatter(host, availability_zone))
+
+
+class _JsonLinesProcessor(SpanProcessor):
+    """Writes each span as a line of JSON when it ends, on the thread that ended it."""
+
+    def __init__(self, file: IO[str]) -> None:
+        self._file = file
+
+    def on_end(self, span: ReadableSpan) -> None:
+        """Write a finished span."""
+        self._file.write(span.to_json(indent=None) + "\n")
+
+
+def _statsd_client(address: str) -> statsd.StatsClient | None:
+    if not address:
+        return None
+    ip, port = split_address(address)
+    return statsd.StatsClient(ip, port, prefix=STATSD_PREFIX)
+
+
+def _opened(path: str) -> IO[str] | None:
+    return Path(path).open("a", encoding="utf-8") if path else None
+
+
+def _parent_context(traceparent: str) -> trace.Context | None:
+    match = _TRACEPARENT.fullmatch(traceparent)
+    if match is None:
+        return trace.set_span_in_context(trace.INVALID_SPAN)
+    trace_id, span_id, flags = (int(part, 16) for part in match.groups())
+    context = SpanContext(trace_id, span_id, is_remote=True, trace_flags=TraceFlags(flags))
+    return trace.set_span_in_context(NonRecordingSpan(context))
+
+
+def _new_context() -> SpanContext:
+    return SpanContext(random.getrandbits(128), random.getrandbits(64), is_remote=False)
