--- a/packages/figcrank-transport/src/figcrank/transport/_process.py
+++ b/packages/figcrank-transport/src/figcrank/transport/_process.py
@@ -109,12 +109,9 @@
         self._driver.start()
         spawn_logged(self._flush)
 
-    def wait_ready(self, timeout_ms: int) -> bool:
-        """Wait until the balancer may send work; return whether that came in time."""
-        with eventlet.Timeout(timeout_ms / MS_PER_S, False):
-            self._ready.wait()
-            return True
-        return False
+    def wait_ready(self) -> None:
+        """Wait until the balancer may send work."""
+        self._ready.wait()
 
     def leave(self) -> None:
         """Begin a graceful shutdown; safe to call from a signal handler's greenlet."""
--- /dev/null
+++ b/packages/figcrank-transport/tests/test_http.py
@@ -0,0 +1,90 @@
+"""HTTP servers and clients of a host."""
+
+import eventlet
+import pytest
+
+from figcrank.transport._http_client import HttpCallError, HttpClient
+from figcrank.transport._http_server import MAX_BODY_BYTES, HttpServer, new_app, read_body
+
+TIMEOUT_MS = 5_000
+
+
+class Echo:
+    def __init__(self):
+        self.requests = 0
+
+    def on_post(self, request, response):
+        self.requests += 1
+        response.data = read_body(request)
+
+    def on_post_fault(self, request, response):
+        raise RuntimeError("secret detail")
+
+    def on_post_slow(self, request, response):
+        eventlet.sleep(60)
+
+
+@pytest.fixture
+def echo():
+    return Echo()
+
+
+@pytest.fixture
+def server(echo):
+    app = new_app()
+    app.add_route("/echo", echo)
+    app.add_route("/fault", echo, suffix="fault")
+    app.add_route("/slow", echo, suffix="slow")
+    server = HttpServer("127.0.0.1:0")
+    server.start(app)
+    yield server
+    server.stop()
+
+
+def test_connection_is_kept_for_the_next_request(server):
+    client = HttpClient()
+    for body in (b"one", b"two"):
+        assert client.post(server.address, "/echo", body, {}, TIMEOUT_MS).body == body
+    assert len(client._idle[server.address]) == 1
+
+
+def test_connection_closed_by_the_server_is_not_reused(server):
+    client = HttpClient()
+    server.drain()
+    client.post(server.address, "/echo", b"one", {}, TIMEOUT_MS)
+    assert client._idle[server.address] == []
+
+
+def test_body_over_the_limit_is_refused(server, echo):
+    body = b"x" * (MAX_BODY_BYTES + 1)
+    reply = HttpClient().post(server.address, "/echo", body, {}, TIMEOUT_MS)
+    assert reply.status == 413
+    assert b'"too_large"' in reply.body
+
+
+def test_unknown_path_is_a_typed_failure(server):
+    reply = HttpClient().post(server.address, "/absent", b"", {}, TIMEOUT_MS)
+    assert reply.status == 404
+    assert b'"bad_request"' in reply.body
+
+
+def test_fault_shows_nothing_of_its_cause(server):
+    reply = HttpClient().post(server.address, "/fault", b"", {}, TIMEOUT_MS)
+    assert reply.status == 504
+    assert b"secret detail" not in reply.body
+    assert b'"unknown"' in reply.body
+
+
+def test_refused_connection_was_not_sent():
+    server = HttpServer("127.0.0.1:0")
+    address = server.address
+    server.stop()
+    with pytest.raises(HttpCallError) as caught:
+        HttpClient().post(address, "/echo", b"", {}, TIMEOUT_MS)
+    assert not caught.value.sent
+
+
+def test_request_without_answer_may_have_been_sent(server):
+    with pytest.raises(HttpCallError) as caught:
+        HttpClient().post(server.address, "/slow", b"", {}, 100)
+    assert caught.value.sent
