--- a/packages/figcrank-transport/src/figcrank/transport/_control.py
+++ b/packages/figcrank-transport/src/figcrank/transport/_control.py
@@ -12,7 +12,6 @@
 
 from figcrank.coordination import CallServer, ServerReplied
 from figcrank.protocol import (
-    SQLSTATE_NOT_PRIMARY,
     SQLSTATE_STALE_TERM,
     Fence,
     Follow,
@@ -38,8 +37,6 @@
 # Time added to the wait that the server itself observes.
 WAIT_MARGIN_MS = 100
 
-_STALE_STATES = (SQLSTATE_STALE_TERM, SQLSTATE_NOT_PRIMARY)
-
 
 class ControlClient:
     """Sends the core's control requests, each in a greenlet of its own.
@@ -157,7 +154,7 @@
 
 def _failure(error: psycopg2.Error) -> ServerFailure:
     message = (error.diag.message_primary or str(error)).strip()
-    if error.pgcode in _STALE_STATES:
+    if error.pgcode == SQLSTATE_STALE_TERM:
         return ServerFailure(ServerFailureKind.STALE_TERM, message)
     if error.pgcode:
         return ServerFailure(ServerFailureKind.REFUSED, message)
