--- a/packages/figcrank-transport/src/figcrank/transport/__init__.py
+++ b/packages/figcrank-transport/src/figcrank/transport/__init__.py
@@ -7,3 +7,6 @@
 from figcrank.transport._settings import HostSettings as HostSettings
 from figcrank.transport._settings import Settings as Settings
 from figcrank.transport._telemetry import configure_logging as configure_logging
+from figcrank.transport._http_client import HttpCallError as HttpCallError
+from figcrank.transport._http_client import HttpClient as HttpClient
+from figcrank.transport._http_client import HttpReply as HttpReply
