Add the SQL sessions of the stand-in server

Cause: a driver talks to a server in query strings; guards, records and control functions need a session that turns them into the model's calls. Weighed: holding back application while a read transaction is open, against a copy of the database. The copy is shared by sessions at one position and is only made for explicit read transactions, so single reads cost nothing. Found on the way: a late empty batch could have dropped entries of the same term from a replica; an empty batch now changes nothing.

--- a/packages/figcrank-standins/src/figcrank/standins/_errors.py
+++ b/packages/figcrank-standins/src/figcrank/standins/_errors.py
@@ -2,8 +2,11 @@
 
 from figcrank.protocol import (
     SQLSTATE_BEHIND,
+    SQLSTATE_NOT_PRIMARY,
     SQLSTATE_STALE_TERM,
     FigcrankError,
+    ServerFailure,
+    ServerFailureKind,
     WorkFailed,
     WorkFailureKind,
 )
@@ -14,6 +17,10 @@
 SQLSTATE_ACTIVE_TRANSACTION = "25001"
 SQLSTATE_NO_TRANSACTION = "25P01"
 SQLSTATE_ADMIN_SHUTDOWN = "57P01"
+SQLSTATE_FAILED_TRANSACTION = "25P02"
+SQLSTATE_BAD_VALUE = "22023"
+SQLSTATE_UNKNOWN_FUNCTION = "42883"
+SQLSTATE_NOT_SUPPORTED = "0A000"
 SQLSTATE_INTERNAL = "XX000"
 REQUESTS_CONSTRAINT = "figcrank_requests_pkey"
 
@@ -88,6 +95,37 @@
         message = "No transaction is open."
         return cls(WorkFailureKind.SQL, SQLSTATE_NO_TRANSACTION, message)
 
+    @classmethod
+    def not_primary(cls, server: str) -> "WorkError":
+        """Return the error of a change on a server that is not primary."""
+        message = f"{server} is not primary."
+        return cls(WorkFailureKind.STALE_TERM, SQLSTATE_NOT_PRIMARY, message)
+
+    @classmethod
+    def refused(cls, failure: ServerFailure) -> "WorkError":
+        """Return the error that reports a refused control request."""
+        if failure.kind is ServerFailureKind.STALE_TERM:
+            return cls(WorkFailureKind.STALE_TERM, SQLSTATE_STALE_TERM, failure.message)
+        return cls(WorkFailureKind.STALE_TERM, SQLSTATE_NOT_PRIMARY, failure.message)
+
+    @classmethod
+    def transaction_failed(cls) -> "WorkError":
+        """Return the error of a statement after another one failed."""
+        message = "The transaction has failed; roll it back."
+        return cls(WorkFailureKind.SQL, SQLSTATE_FAILED_TRANSACTION, message)
+
+    @classmethod
+    def bad_call(cls, function: str) -> "WorkError":
+        """Return the error of a function call with unusable arguments."""
+        message = f"The arguments of {function} are of the wrong number or type."
+        return cls(WorkFailureKind.SQL, SQLSTATE_BAD_VALUE, message)
+
+    @classmethod
+    def unknown_function(cls, function: str) -> "WorkError":
+        """Return the error of a call of a function that is not in the contract."""
+        message = f"There is no function {function}."
+        return cls(WorkFailureKind.SQL, SQLSTATE_UNKNOWN_FUNCTION, message)
+
     @classmethod
     def terminated(cls, pid: int) -> "WorkError":
         """Return the error of work on a session that was ended."""
--- a/packages/figcrank-standins/src/figcrank/standins/_log.py
+++ b/packages/figcrank-standins/src/figcrank/standins/_log.py
@@ -41,6 +41,7 @@
 
     def __init__(self) -> None:
         self._entries: list[LogEntry] = []
+        self._term_starts: dict[int, int] = {}
 
     @property
     def last(self) -> Position:
@@ -50,6 +51,7 @@
     def append(self, entry: LogEntry) -> None:
         """Add an entry at the end."""
         self._entries.append(entry)
+        self._term_starts.setdefault(entry.position.term, entry.position.offset)
 
     def entry(self, offset: int) -> LogEntry:
         """Return the entry at ``offset``."""
@@ -67,17 +69,13 @@
 
     def term_start(self, term: int) -> int:
         """Return the offset of the first entry of ``term``, 0 if there is none."""
-        start = 0
-        for entry in reversed(self._entries):
-            if entry.position.term < term:
-                break
-            if entry.position.term == term:
-                start = entry.position.offset
-        return start
+        return self._term_starts.get(term, 0)
 
     def truncate(self, offset: int) -> None:
         """Drop every entry after ``offset``."""
         del self._entries[offset:]
+        starts = self._term_starts.items()
+        self._term_starts = {term: start for term, start in starts if start <= offset}
 
     def batch_after(self, position: Position, limit: int) -> ReplicationBatch:
         """Return up to ``limit`` entries for a log that ends at ``position``.
--- a/packages/figcrank-standins/src/figcrank/standins/_replica_log.py
+++ b/packages/figcrank-standins/src/figcrank/standins/_replica_log.py
@@ -64,12 +64,15 @@
             self._applied_offset += 1
 
     def _drop_divergent(self, batch: ReplicationBatch) -> None:
+        if not batch.entries:
+            # A late empty batch says nothing about entries that came after it.
+            return
         agreed = batch.after.offset
         for entry in batch.entries:
             if not self.log.holds(entry.position):
                 break
             agreed = entry.position.offset
-        if batch.entries and agreed == batch.entries[-1].position.offset:
+        if agreed == batch.entries[-1].position.offset:
             return
         if agreed < self.durable.offset:
             self.truncate(agreed)
--- a/packages/figcrank-standins/src/figcrank/standins/_server_model.py
+++ b/packages/figcrank-standins/src/figcrank/standins/_server_model.py
@@ -1,5 +1,7 @@
 """A backend server without input, output or clock."""
 
+from dataclasses import dataclass
+
 import msgspec
 
 from figcrank.protocol import (
@@ -26,7 +28,7 @@
     WorkResult,
     WriteWork,
 )
-from figcrank.standins._database import Database
+from figcrank.standins._database import Database, RequestRecord
 from figcrank.standins._errors import ServerFullError, WorkError
 from figcrank.standins._log import LogEntry, ReplicationBatch
 from figcrank.standins._replica_log import ReplicaLog
@@ -40,6 +42,18 @@
 _results_decoder = msgspec.json.Decoder(tuple[StatementResult, ...])
 
 
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """State of a database at one position; only to be read.
+
+    :param position: the last entry in it.
+    :param database: a private copy.
+    """
+
+    position: Position
+    database: Database
+
+
 class ServerModel:
     """One backend server of a database group.
 
@@ -64,6 +78,7 @@
         self._primary = ""
         self._sessions: dict[int, OpenTransaction | None] = {}
         self._next_pid = _FIRST_PID
+        self._snapshot: Snapshot | None = None
 
     @property
     def term(self) -> int:
@@ -155,6 +170,16 @@
         self.check_read(min_position, primary_term)
         return WorkDone(self.database.read(statements), self._store.applied)
 
+    def snapshot(self) -> Snapshot:
+        """Return a copy of the applied state; sessions at the same position share it."""
+        if self._snapshot is None or self._snapshot.position != self._store.applied:
+            self._snapshot = Snapshot(self._store.applied, self.database.copy())
+        return self._snapshot
+
+    def find_record(self, request_id: str) -> RequestRecord | None:
+        """Return the applied record of a request, ``None`` if it is absent."""
+        return self.database.find_record(request_id)
+
     def check_read(self, min_position: Position, primary_term: int | None) -> None:
         """Check that a read may run here; see :meth:`read`.
 
