Add stand-in servers that speak the PostgreSQL protocol

Cause: the database driver needs real sockets with terms, guards, request records, replication and faults behind them. Weighed: copying entries on a port of its own, against the clients' port. One port needs no second address per server; the first byte of a startup packet is never a brace, which is how a line of JSON begins. Ruled out: exporting the servers from the package's root, as the pure models are used without an event loop.

--- a/packages/figcrank-standins/src/figcrank/standins/__init__.py
+++ b/packages/figcrank-standins/src/figcrank/standins/__init__.py
@@ -1,6 +1,11 @@
-"""Small stand-ins for the platform and for database groups."""
+"""Small stand-ins for the platform and for database groups.
+
+What is exported here does no input or output; the servers are in
+:mod:`figcrank.standins.group_server` and :mod:`figcrank.standins.platform_server`.
+"""
 
 from figcrank.standins._errors import ServerFullError as ServerFullError
+from figcrank.standins._knobs import Knobs as Knobs
 from figcrank.standins._log import LogEntry as LogEntry
 from figcrank.standins._log import ReplicationBatch as ReplicationBatch
 from figcrank.standins._platform_model import PlatformModel as PlatformModel
--- a/packages/figcrank-standins/src/figcrank/standins/_knobs.py
+++ b/packages/figcrank-standins/src/figcrank/standins/_knobs.py
@@ -34,3 +34,6 @@
             message = f"There is no knob {name} with the value {value}."
             raise WorkError(WorkFailureKind.SQL, SQLSTATE_BAD_VALUE, message)
         return replace(self, **{name: value})
+
+
+DEFAULT_KNOBS = Knobs()
--- a/packages/figcrank-standins/src/figcrank/standins/_wire.py
+++ b/packages/figcrank-standins/src/figcrank/standins/_wire.py
@@ -47,15 +47,13 @@
     body: bytes
 
 
-def read_startup(reader: BinaryIO) -> int | None:
-    """Read a startup packet and return its request code, ``None`` at the end of the stream.
+def read_startup(first_byte: bytes, reader: BinaryIO) -> int:
+    """Read a startup packet and return its request code.
 
+    :param first_byte: what was read of the packet already.
     :raises WireError: if the packet is too large or cut short.
     """
-    header = reader.read(_LENGTH.size)
-    if not header:
-        return None
-    body = _read_body(reader, header)
+    body = _read_body(reader, first_byte + reader.read(_LENGTH.size - len(first_byte)))
     if len(body) < _LENGTH.size:
         raise WireError("short startup packet")
     return _LENGTH.unpack_from(body)[0]
