--- a/packages/figcrank-standins/src/figcrank/standins/_platform_model.py
+++ b/packages/figcrank-standins/src/figcrank/standins/_platform_model.py
@@ -9,6 +9,7 @@
     ListObjects,
     ObjectList,
     PlatformCall,
+    PlatformFailed,
     PlatformHost,
     PlatformResult,
     PutConflict,
@@ -81,7 +82,9 @@
         stored = self._objects.get((call.kind, call.name))
         return ObjectList(self._revision, (stored,) if stored else ())
 
-    def _put(self, call: PutObject) -> PutDone | PutConflict:
+    def _put(self, call: PutObject) -> PutDone | PutConflict | PlatformFailed:
+        if len((call.value or "").encode()) > MAX_VALUE_BYTES:
+            return PlatformFailed(f"the value is longer than {MAX_VALUE_BYTES} bytes")
         current = self._objects.get((call.kind, call.name))
         if call.expected_version != _comparable_version(current, call.expected_version):
             return PutConflict(current)
--- a/packages/figcrank-standins/src/figcrank/standins/group.py
+++ b/packages/figcrank-standins/src/figcrank/standins/group.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from figcrank.protocol import Fence, FigcrankError, Follow, Promote
+from figcrank.standins._addresses import address_argument, is_address
 from figcrank.standins._knobs import CONNECT_MS, Knobs
 from figcrank.standins._replication import RemoteSource
 from figcrank.standins._server_model import MAX_CONNECTIONS, ServerModel
@@ -80,12 +81,6 @@
     return GroupServer(model, Knobs(lag_ms=arguments.lag_ms, connect_ms=arguments.connect_ms))
 
 
-def is_address(text: str) -> bool:
-    """Return whether ``text`` has the form ``ip:port``."""
-    host, separator, port = text.rpartition(":")
-    return bool(host and separator and port.isdecimal())
-
-
 def _begin_first_term(model: ServerModel, primary: str) -> None:
     if model.name != primary:
         model.request(Follow(FIRST_TERM, primary))
@@ -94,12 +89,6 @@
     model.request(Promote(FIRST_TERM, _BOOTSTRAP_FENCER))
 
 
-def _address(text: str) -> str:
-    if not is_address(text):
-        raise argparse.ArgumentTypeError(f"{text!r} is not of the form IP:PORT.")
-    return text
-
-
 def _peer(text: str) -> PeerArgument:
     try:
         return PeerArgument.from_text(text)
@@ -111,7 +100,7 @@
     parser = argparse.ArgumentParser(prog="figcrank.standins.group", description=__doc__)
     parser.add_argument("--name", default=SAMPLE_GROUP, help="name of the group")
     parser.add_argument("--server", required=True, help="name of this server")
-    parser.add_argument("--listen", type=_address, default="127.0.0.1:0", metavar="IP:PORT")
+    parser.add_argument("--listen", type=address_argument, default="127.0.0.1:0", metavar="IP:PORT")
     parser.add_argument("--peer", type=_peer, action="append", default=[], metavar="NAME=IP:PORT")
     parser.add_argument(
         "--primary",
--- a/packages/figcrank-standins/tests/test_platform_model.py
+++ b/packages/figcrank-standins/tests/test_platform_model.py
@@ -3,6 +3,7 @@
     HostList,
     ListHosts,
     ListObjects,
+    PlatformFailed,
     PlatformHost,
     PutConflict,
     PutDone,
@@ -77,3 +78,9 @@
     hosts = (PlatformHost("h1", "sofia-a", "127.0.0.1:1", "127.0.0.1:2", leaving=True),)
     platform.set_hosts(hosts)
     assert platform.call(ListHosts()) == HostList(hosts)
+
+
+def test_oversized_value_is_not_stored():
+    platform = PlatformModel()
+    assert isinstance(put(platform, 0, "x" * 1_000_001), PlatformFailed)
+    assert platform.revision == 0
