--- a/packages/figcrank-standins/src/figcrank/standins/_errors.py
+++ b/packages/figcrank-standins/src/figcrank/standins/_errors.py
@@ -33,7 +33,9 @@
     """
 
     def __init__(self, server: str, max_connections: int) -> None:
-        super().__init__(f"{server} already has its {max_connections} connections.")
+        super().__init__(
+            f"Sorry, too many clients already: {server} has {max_connections} connections."
+        )
         self.server = server
         self.max_connections = max_connections
 
--- a/packages/figcrank-transport/src/figcrank/transport/_telemetry.py
+++ b/packages/figcrank-transport/src/figcrank/transport/_telemetry.py
@@ -10,7 +10,7 @@
 
 import msgspec
 import statsd
-from absl import logging
+from absl import flags, logging
 from opentelemetry import trace
 from opentelemetry.sdk.resources import Resource
 from opentelemetry.sdk.trace import ReadableSpan, SpanProcessor, TracerProvider, sampling
@@ -160,6 +160,8 @@
 
 def configure_logging(host: str, availability_zone: str) -> None:
     """Send one JSON object a log line to standard error."""
+    # The command line is argparse's, so that absl has no flags left to wait for.
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
     logging.get_absl_handler().setFormatter(JsonLogFormatter(host, availability_zone))
