--- a/packages/figcrank-coordination/src/figcrank/coordination/_entry.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_entry.py
@@ -32,6 +32,7 @@
 )
 from figcrank.state import (
     Host,
+    HostState,
     Key,
     Profile,
     ProfileMode,
@@ -53,7 +54,7 @@
 class _Call:
     """A caller's request that has passed its checks.
 
-    :param attempts: owner hosts that were tried.
+    :param tried: owner hosts that it was given to, the latest last.
     """
 
     call_id: int
@@ -130,6 +131,16 @@
         late = [call for call in self._in_hand.values() if call.deadline_ms <= now_ms]
         for call in late:
             self._finish(call, _too_late(call), now_ms)
+        for call in self._at_dead_hosts():
+            self._on_peer_lost(call, PeerFailed(0, sent=True), now_ms)
+
+    def _at_dead_hosts(self) -> list[_Call]:
+        """Return the calls whose latest owner host is believed to be dead."""
+        targets = {call.tried[-1] for call in self._in_hand.values() if call.tried}
+        dead = {name for name in targets if self._membership.state(name) is HostState.DEAD}
+        if not dead:
+            return []
+        return [call for call in self._in_hand.values() if call.tried and call.tried[-1] in dead]
 
     def _begin(self, call_id: int, call: _Call | Failure, now_ms: int) -> None:
         if isinstance(call, Failure):
@@ -233,29 +244,32 @@
             return _unknown(FailureKind.UNKNOWN_SERVICE, "service", service_name)
         workspace = self._configuration.workspace(workspace_name)
         if workspace is None:
-            return Failure.not_run(FailureKind.BAD_KEY, "The key's workspace no longer exists.")
-        session = credentials.session or Session(workspace.name)
-        if session.workspace != workspace.name:
-            message = "The session token belongs to another workspace."
-            return Failure.not_run(FailureKind.BAD_SESSION, message)
+            return _no_workspace()
+        session = _session_for(workspace, credentials)
+        if isinstance(session, Failure):
+            return session
         return service, workspace, session
 
     def _checked_step(self, event: TransactionReceived, now_ms: int) -> _Call | Failure:
         key = self._authenticated(event.credentials, now_ms)
         if isinstance(key, Failure):
             return key
-        service_name = event.service or _service_of(event.transaction)
-        parts = self._resolved(event.credentials, service_name, key.workspace)
-        if isinstance(parts, Failure):
-            return parts
-        service, workspace, session = parts
+        workspace = self._configuration.workspace(key.workspace)
+        if workspace is None:
+            return _no_workspace()
+        session = _session_for(workspace, event.credentials)
+        if isinstance(session, Failure):
+            return session
+        group = self._group_of_step(event)
+        if isinstance(group, Failure):
+            return group
         step = TransactionStep(
             self._request_id(workspace.name, ""),
             event.transaction,
             event.action,
             workspace.name,
             key.key_id,
-            service.group,
+            group,
             event.statements,
             event.timeout_ms,
             workspace.rate_per_s,
@@ -264,6 +278,17 @@
         deadline_ms = now_ms + event.timeout_ms
         return _Call(event.call_id, session, step, workspace, now_ms, deadline_ms)
 
+    def _group_of_step(self, event: TransactionReceived) -> str | Failure:
+        if event.action == "begin":
+            service = self._configuration.snapshot.find("service", event.service)
+            if isinstance(service, Service) and service.group in self._owners:
+                return service.group
+            return _unknown(FailureKind.UNKNOWN_SERVICE, "service", event.service)
+        group = _group_of(event.transaction)
+        if group not in self._owners:
+            return _unknown(FailureKind.UNKNOWN_TRANSACTION, "transaction", event.transaction)
+        return group
+
     def _request_id(self, workspace: str, idempotency_key: str) -> str:
         if idempotency_key:
             digest = hashlib.sha256(idempotency_key.encode()).hexdigest()[:32]
@@ -323,6 +348,8 @@
     def _on_answer(self, call: _Call, answer: OwnedAnswer | Failure, now_ms: int) -> None:
         if call.call_id not in self._in_hand:
             return
+        if isinstance(answer, Failure) and not self._is_latest(call):
+            return
         if isinstance(answer, Failure) and answer.kind in _ELSEWHERE and self._may_retry(call):
             self._dispatch(call, now_ms)
             return
@@ -330,7 +357,7 @@
 
     def _on_peer_lost(self, call: _Call, failed: PeerFailed, now_ms: int) -> None:
         """Try another owner; the request's record makes a second commit impossible."""
-        if call.call_id not in self._in_hand:
+        if not self._is_latest(call):
             return
         if isinstance(call.request, TransactionStep):
             self._finish(call, _lost_step(call.request, failed), now_ms)
@@ -338,13 +365,21 @@
         if self._may_retry(call) and call.left_ms(now_ms) > FORWARD_MARGIN_MS:
             self._dispatch(call, now_ms)
             return
-        if failed.sent and not call.request.repeatable:
+        if not _is_harmless(call.request) and (failed.sent or len(call.tried) > 1):
             failure = Failure.unknown("The owner host was lost before it answered.")
         else:
             message = "No owner host answered in time."
             failure = Failure.not_run(FailureKind.NO_OWNER, message, RETRY_AFTER_MS)
         self._finish(call, failure, now_ms)
 
+    def _is_latest(self, call: _Call) -> bool:
+        """Return whether ``call`` is the newest attempt of a request that is still open.
+
+        A failure of an earlier attempt says nothing about the attempt under way.
+        """
+        current = self._in_hand.get(call.call_id)
+        return current is not None and current.tried == call.tried
+
     def _may_retry(self, call: _Call) -> bool:
         if isinstance(call.request, TransactionStep) and call.request.transaction:
             return False
@@ -367,20 +402,32 @@
         self._port.emit(RecordSpan(trace, "entry", call.started_ms, now_ms, attributes))
 
 
-def transaction_id(host: str, service_group: str, number: int) -> str:
+def transaction_id(host: str, group: str, number: int) -> str:
     """Return the id of a transaction: owner host, group and number."""
-    return f"{host}~{service_group}~{number}"
+    return f"{host}~{group}~{number}"
 
 
 def _host_of(transaction: str) -> str:
     return transaction.split("~")[0]
 
 
-def _service_of(transaction: str) -> str:
+def _group_of(transaction: str) -> str:
     parts = transaction.split("~")
     return parts[1] if len(parts) == 3 else ""
 
 
+def _session_for(workspace: Workspace, credentials: Credentials) -> Session | Failure:
+    session = credentials.session or Session(workspace.name)
+    if session.workspace == workspace.name:
+        return session
+    message = "The session token belongs to another workspace."
+    return Failure.not_run(FailureKind.BAD_SESSION, message)
+
+
+def _no_workspace() -> Failure:
+    return Failure.not_run(FailureKind.BAD_KEY, "The key's workspace no longer exists.")
+
+
 def _unknown(kind: FailureKind, what: str, name: str) -> Failure:
     return Failure.not_run(kind, f"There is no {what} {name!r}.")
 
