--- /dev/null
+++ b/packages/figcrank-measure/src/figcrank/measure/_scenario.py
@@ -0,0 +1,200 @@
+"""Fleets of the users' sizes, ready to take requests."""
+
+from dataclasses import dataclass
+from typing import Self
+
+from figcrank.coordination import Timings
+from figcrank.protocol.objects import stored_text
+from figcrank.standins.virtual import Call, VirtualFleet
+from figcrank.state import (
+    Group,
+    Host,
+    Key,
+    PresentedKey,
+    Profile,
+    ProfileMode,
+    Server,
+    Service,
+    Session,
+    Workspace,
+)
+
+ZONES = ("zone-1", "zone-2", "zone-3")
+HOST_COUNT = 9
+READY_WITHIN_MS = 10_000
+STEP_MS = 20
+SECRET = "0f1e2d3c4b5a69788796a5b4c3d2e1f0"
+
+
+@dataclass(frozen=True, slots=True)
+class UserSize:
+    """The size of one user's installation today.
+
+    :param name: the user.
+    :param zone_delay_ms: one-way delay between availability zones.
+    :param caller_delay_ms: one-way delay between callers and hosts.
+    :param service: prefix of the names of services and groups.
+    :param slots: statements that a backend server runs at once.
+    :param connections: connections that a backend server accepts.
+    :param rates: rate of each workspace, in requests a second.
+    """
+
+    name: str
+    zone_delay_ms: float
+    caller_delay_ms: float
+    service: str
+    slots: int
+    connections: int
+    rates: tuple[int, ...]
+
+
+PATNA = UserSize("patna", 1.5, 1.0, "roster", 5, 35, (400, 300, 60, 40, 40, 30, 20, 10))
+HERDTRACE = UserSize("herdtrace", 1.0, 3.0, "registry", 3, 40, (300, 200, 50, 40, 30, 20, 20, 10))
+
+
+@dataclass(slots=True)
+class Scenario:
+    """A running fleet with its callers' keys.
+
+    :param fleet: the fleet on its virtual clock.
+    :param keys: one key of each workspace.
+    :param size: the user's size.
+    """
+
+    fleet: VirtualFleet
+    keys: dict[str, PresentedKey]
+    size: UserSize
+
+    @classmethod
+    def from_size(
+        cls,
+        size: UserSize,
+        seed: int = 1,
+        group_count: int = 3,
+        host_count: int = HOST_COUNT,
+        timings: Timings | None = None,
+    ) -> Self:
+        """Return a fleet whose hosts are ready and whose groups have primaries.
+
+        :raises AssertionError: if the fleet is not ready in time.
+        """
+        groups = tuple(_group(size, number) for number in range(1, group_count + 1))
+        fleet = VirtualFleet(
+            make_hosts(host_count),
+            groups,
+            seed,
+            timings,
+            size.zone_delay_ms,
+            size.caller_delay_ms,
+        )
+        keys = _seed_configuration(fleet, size, groups)
+        fleet.start()
+        scenario = cls(fleet, keys, size)
+        scenario.wait_until_ready()
+        return scenario
+
+    @property
+    def service(self) -> str:
+        """Return the name of the first service, which is also its group's name."""
+        return f"{self.size.service}-1"
+
+    def workspace(self, number: int) -> str:
+        """Return the name of a workspace; the first is the largest."""
+        return f"{self.size.name}-{number}"
+
+    def key(self, number: int = 1) -> PresentedKey:
+        """Return the key of a workspace."""
+        return self.keys[self.workspace(number)]
+
+    def host_name(self, number: int) -> str:
+        """Return the name of a host, counted from 1."""
+        return f"host-{number}"
+
+    def wait_until_ready(self) -> None:
+        """Let time pass until every host is ready and every group has a primary."""
+        self.wait_until(self._is_ready, READY_WITHIN_MS)
+
+    def wait_until(self, condition: object, within_ms: int) -> None:
+        """Let time pass until ``condition()`` is true.
+
+        :raises AssertionError: if it is not true within ``within_ms``.
+        """
+        end_ms = self.fleet.loop.now_ms + within_ms
+        while not condition():
+            assert self.fleet.loop.now_ms < end_ms, "The condition did not come true in time."
+            self.fleet.run_for(STEP_MS)
+
+    def finish(self, call: Call, within_ms: int = 10_000) -> Call:
+        """Let time pass until ``call`` is answered and return it."""
+        self.wait_until(lambda: call.answered_ms is not None, within_ms)
+        return call
+
+    def write(self, *sql: str, host: int = 1, workspace: int = 1, **options: object) -> Call:
+        """Send a write to the first service."""
+        name, key = self.host_name(host), self.key(workspace)
+        return self.fleet.statements(name, key, self.service, "write", *sql, **options)
+
+    def read(
+        self,
+        *sql: str,
+        host: int = 1,
+        workspace: int = 1,
+        profile: str = "relaxed",
+        session: Session | None = None,
+        **options: object,
+    ) -> Call:
+        """Send a read to the first service."""
+        name, key = self.host_name(host), self.key(workspace)
+        return self.fleet.statements(
+            name, key, self.service, profile, *sql, session=session, **options
+        )
+
+    def _is_ready(self) -> bool:
+        hosts_ready = all(entry.ready for entry in self.fleet.hosts.values() if entry.alive)
+        return hosts_ready and all(group.primary for group in self.fleet.groups.values())
+
+
+def make_hosts(count: int, cell: str = "cell-1") -> tuple[Host, ...]:
+    """Return ``count`` hosts spread over three availability zones."""
+    return tuple(make_host(f"host-{number}", number, cell) for number in range(1, count + 1))
+
+
+def make_host(name: str, number: int, cell: str = "cell-1") -> Host:
+    """Return a host at the addresses of ``number``."""
+    zone = ZONES[number % len(ZONES)]
+    address = f"10.{number // 65536}.{number // 256 % 256}.{number % 256}"
+    return Host(name, zone, f"{address}:7001", f"{address}:7000", cell)
+
+
+def _group(size: UserSize, number: int) -> Group:
+    name = f"{size.service}-{number}"
+    servers = tuple(
+        Server(f"{name}-{letter}", zone, f"{name}-{letter}:5432")
+        for letter, zone in zip("abc", ZONES, strict=True)
+    )
+    return Group(name, servers, size.slots, size.connections)
+
+
+def _seed_configuration(
+    fleet: VirtualFleet, size: UserSize, groups: tuple[Group, ...]
+) -> dict[str, PresentedKey]:
+    store = fleet.platform.model
+    profiles = (
+        Profile("fresh", ProfileMode.FRESH),
+        Profile("relaxed", ProfileMode.BOUNDED, 5_000),
+        Profile("write", ProfileMode.WRITE),
+    )
+    for profile in profiles:
+        store.put("profile", profile.name, stored_text(profile))
+    for group in groups:
+        store.put("service", group.name, stored_text(Service(group.name, group.name)))
+    keys: dict[str, PresentedKey] = {}
+    for number, rate_per_s in enumerate(size.rates, start=1):
+        name = f"{size.name}-{number}"
+        workspace = Workspace(name, rate_per_s, rate_per_s)
+        store.put("workspace", name, stored_text(workspace))
+        presented = PresentedKey(f"k{number}", f"{SECRET}{number}")
+        key = Key.from_secret(presented.key_id, name, f"salt{number}", presented.secret)
+        store.put("key", key.key_id, stored_text(key))
+        keys[name] = presented
+    return keys
