--- a/packages/figcrank-coordination/src/figcrank/coordination/_placement.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_placement.py
@@ -4,12 +4,14 @@
 
 from figcrank.coordination._membership import Membership
 from figcrank.coordination._settings import CoreSettings
-from figcrank.state import Host
+from figcrank.state import Host, HostState
 
 
 class Placement:
     """Ranks live hosts by rendezvous hashing, so that few assignments move with a host.
 
+    Rankings are kept until the list of live hosts changes.
+
     :param settings: static settings of this host.
     :param membership: the live hosts.
     """
@@ -17,26 +19,72 @@
     def __init__(self, settings: CoreSettings, membership: Membership) -> None:
         self._settings = settings
         self._membership = membership
+        self._hosts: tuple[Host, ...] = ()
+        self._rankings: dict[str, tuple[Host, ...]] = {}
+        self._owners: dict[str, tuple[Host, ...]] = {}
+
+    def hosts(self) -> tuple[Host, ...]:
+        """Return the hosts that assignments are made to."""
+        self._refresh()
+        return self._hosts
+
+    def host(self, name: str) -> Host | None:
+        """Return a known host that is not dead, whether or not it may be given work."""
+        return self._membership.host(name)
+
+    def state(self, name: str) -> HostState:
+        """Return what is believed of a host."""
+        return self._membership.state(name)
 
     def owners(self, group: str) -> tuple[Host, ...]:
         """Return the owner hosts of a group, best first, from different zones where possible.
 
         The first one is the group's coordinator.
         """
-        ranked = self._ranked(f"group:{group}")
-        chosen: list[Host] = []
-        for host in ranked:
-            if all(host.availability_zone != other.availability_zone for other in chosen):
-                chosen.append(host)
-        rest = [host for host in ranked if host not in chosen]
-        return tuple((chosen + rest)[: self._settings.owners_per_group])
-
-    def home(self, workspace: str) -> Host:
-        """Return the host that lends a workspace's tokens."""
-        return self._ranked(f"workspace:{workspace}")[0]
-
-    def _ranked(self, subject: str) -> list[Host]:
-        def weight(host: Host) -> int:
-            return xxhash.xxh64_intdigest(f"{subject}|{host.name}")
-
-        return sorted(self._membership.hosts(), key=weight, reverse=True)
+        self._refresh()
+        owners = self._owners.get(group)
+        if owners is None:
+            ranked = self._ranked(f"group:{group}")
+            owners = _spread_over_zones(ranked)[: self._settings.owners_per_group]
+            self._owners[group] = owners
+        return owners
+
+    def home(self, workspace: str, without: str = "") -> Host:
+        """Return the host that lends a workspace's tokens.
+
+        :param without: name of a host to leave out, if it is not the only one.
+        """
+        self._refresh()
+        ranked = self._ranked(f"workspace:{workspace}")
+        return next((host for host in ranked if host.name != without), ranked[0])
+
+    def _refresh(self) -> None:
+        hosts = self._membership.hosts()
+        if hosts is self._hosts:
+            return
+        if hosts != self._hosts:
+            self._rankings.clear()
+            self._owners.clear()
+        self._hosts = hosts
+
+    def _ranked(self, subject: str) -> tuple[Host, ...]:
+        ranking = self._rankings.get(subject)
+        if ranking is None:
+            ranking = _rank(subject, self._hosts or (self._settings.host,))
+            self._rankings[subject] = ranking
+        return ranking
+
+
+def _rank(subject: str, hosts: tuple[Host, ...]) -> tuple[Host, ...]:
+    def weight(host: Host) -> int:
+        return xxhash.xxh64_intdigest(f"{subject}|{host.name}".encode())
+
+    return tuple(sorted(hosts, key=weight, reverse=True))
+
+
+def _spread_over_zones(ranked: tuple[Host, ...]) -> tuple[Host, ...]:
+    """Move the best host of each availability zone to the front."""
+    best = {host.availability_zone: host for host in reversed(ranked)}
+    first = tuple(host for host in ranked if best[host.availability_zone] is host)
+    rest = tuple(host for host in ranked if best[host.availability_zone] is not host)
+    return first + rest
