Probe peers of the cell to learn which hosts are alive

A host's list of peers came from its settings and never changed. Hosts now probe one peer of their cell per interval, ask others to try before they suspect it, and give it time to refute.

A name becomes a member only once it answers a probe of this host, with a number that can't be foretold. Replayed, foreign and made-up members and the platform's lagging list thus add nobody. A host sends its own entry only while it is news or to a peer that has not answered it yet.

--- /dev/null
+++ b/packages/figcrank-coordination/tests/test_membership.py
@@ -0,0 +1,147 @@
+import pytest
+
+from figcrank.coordination import GossipReceived, LeaveRequested
+from figcrank.protocol import Ack, Digest, MemberUpdate, Ping, PlatformHost
+from figcrank.state import HostState
+
+DIGEST = Digest(0, 0)
+
+
+def names(core):
+    return [host.name for host in core.membership.hosts()]
+
+
+def views(fleet):
+    return {tuple(names(core)) for core in fleet.cores.values()}
+
+
+def update_of(host, state, incarnation):
+    return MemberUpdate(
+        host.name, "zone-1", host.gossip_address, host.peer_address, incarnation, state, host.cell
+    )
+
+
+@pytest.mark.parametrize("loss", [0.0, 0.2])
+def test_killed_host_is_dropped_everywhere_and_nobody_else(make_fleet, loss):
+    fleet = make_fleet(9)
+    fleet.loss = loss
+    fleet.run(3_000)
+    fleet.kill("cell-1-host-4")
+    expected = {tuple(sorted(fleet.cores))}
+    assert fleet.run(5_000, until=lambda: views(fleet) == expected)
+
+
+def test_newcomer_becomes_known_to_all_from_one_seed(make_fleet, new_host):
+    fleet = make_fleet(5)
+    fleet.run(1_000)
+    fleet.add(new_host(9), seeds=(new_host(1),))
+    assert fleet.run(3_000, until=lambda: views(fleet) == {tuple(sorted(fleet.cores))})
+
+
+def test_leaving_host_gets_no_work_but_is_still_found(make_fleet):
+    fleet = make_fleet(5)
+    fleet.run(1_000)
+    fleet.send("cell-1-host-2", LeaveRequested())
+    fleet.run(500)
+    for core in fleet.cores.values():
+        assert "cell-1-host-2" not in names(core)
+        assert core.membership.host("cell-1-host-2") is not None
+        assert core.membership.state("cell-1-host-2") is HostState.LEAVING
+
+
+def test_replacement_under_the_same_address_ends_the_old_name(make_fleet, new_host):
+    fleet = make_fleet(5)
+    fleet.run(1_000)
+    fleet.kill("cell-1-host-3")
+    fleet.add(new_host(3, name="replacement"))
+    fleet.run(700)
+    assert views(fleet) == {tuple(sorted(fleet.cores))}
+
+
+def test_paused_host_refutes_its_death(make_fleet):
+    fleet = make_fleet(5)
+    fleet.run(1_000)
+    fleet.paused["cell-1-host-3"] = fleet.now_ms + 10_000
+    fleet.run(9_000)
+    assert "cell-1-host-3" not in names(fleet.cores["cell-1-host-1"])
+    fleet.run(5_000)
+    assert views(fleet) == {tuple(sorted(fleet.cores))}
+    assert fleet.cores["cell-1-host-1"].membership.incarnation("cell-1-host-3") > 0
+
+
+def test_parted_halves_find_each_other_again(make_fleet):
+    fleet = make_fleet(6)
+    fleet.run(1_000)
+    fleet.cut = lambda a, b: (a < "cell-1-host-4") != (b < "cell-1-host-4")
+    fleet.run(5_000)
+    assert len(views(fleet)) == 2
+    fleet.cut = lambda a, b: False
+    assert fleet.run(20_000, until=lambda: views(fleet) == {tuple(sorted(fleet.cores))})
+
+
+def test_platform_list_only_hints_whom_to_probe(make_fleet, new_host):
+    fleet = make_fleet(3)
+    fleet.run(1_000)
+    core = fleet.cores["cell-1-host-1"]
+    ghost = PlatformHost("ghost", "zone-1", "10.0.9.9:1", "10.0.9.9:2")
+    gone = PlatformHost("cell-1-host-2", "zone-1", "10.0.1.2:1", "10.0.1.2:2", leaving=True)
+    core.membership.on_platform_hosts((ghost, gone), fleet.now_ms)
+    fleet.run(3_000)
+    assert names(core) == sorted(fleet.cores)
+
+
+@pytest.mark.parametrize(
+    ("state", "incarnation", "address"),
+    [
+        (HostState.DEAD, 2**40, "10.0.1.2:1"),
+        (HostState.DEAD, -1, "10.0.1.2:1"),
+        (HostState.DEAD, 5, "10.9.9.9:1"),
+        (HostState.SUSPECT, 5, "garbled"),
+    ],
+)
+def test_absurd_update_changes_nothing(make_fleet, new_host, state, incarnation, address):
+    fleet = make_fleet(3)
+    fleet.run(500)
+    core = fleet.cores["cell-1-host-1"]
+    bad = MemberUpdate("cell-1-host-2", "zone-1", address, address, incarnation, state)
+    fleet.send("cell-1-host-1", GossipReceived("cell-1-host-3", Ping(1, DIGEST, (bad,))))
+    assert core.membership.state("cell-1-host-2") is HostState.ALIVE
+    assert core.membership.incarnation("cell-1-host-2") == 0
+
+
+def test_member_that_answers_no_probe_is_never_taken_in(make_fleet, new_host):
+    fleet = make_fleet(3)
+    fleet.run(500)
+    foreign = update_of(new_host(8, name="foreign"), HostState.ALIVE, 0)
+    replayed = Ping(7, DIGEST, (foreign,))
+    for _ in range(20):
+        fleet.send("cell-1-host-1", GossipReceived("foreign", replayed))
+        fleet.send(
+            "cell-1-host-1", GossipReceived("foreign", Ack(7, "foreign", DIGEST, (foreign,)))
+        )
+        fleet.run(200)
+    assert views(fleet) == {tuple(sorted(fleet.cores))}
+
+
+def test_traffic_of_a_host_does_not_grow_with_the_cell(make_fleet):
+    def bytes_per_host_s(size):
+        fleet = make_fleet(size)
+        # Every peer is introduced within one round of probes.
+        fleet.run(size * 200 + 2_000)
+        fleet.bytes_sent = 0
+        fleet.run(5_000)
+        return fleet.bytes_sent / size / 5
+
+    assert bytes_per_host_s(30) < 1.3 * bytes_per_host_s(9)
+
+
+def test_other_cells_are_contacts_that_get_no_work(new_host, make_fleet):
+    hosts = [new_host(n, cell=f"cell-{c}") for c in (1, 2, 3) for n in (1, 2, 3, 4)]
+    fleet = make_fleet(0)
+    fleet.seeds = tuple(hosts)
+    for host in hosts:
+        fleet.add(host)
+    fleet.run(3_000)
+    membership = fleet.cores["cell-1-host-1"].membership
+    assert len(membership.hosts()) == 4
+    assert len(membership.contacts()) == 4
--- a/packages/figcrank-protocol/src/figcrank/protocol/_peer.py
+++ b/packages/figcrank-protocol/src/figcrank/protocol/_peer.py
@@ -16,6 +16,7 @@
     :param peer_address: ``ip:port`` for peer requests.
     :param incarnation: raised by the host itself to refute a suspicion.
     :param state: believed state.
+    :param cell: its gossip cell.
     """
 
     host: str
@@ -24,6 +25,7 @@
     peer_address: str
     incarnation: int
     state: HostState
+    cell: str = "cell-1"
 
 
 class Digest(msgspec.Struct, frozen=True):
@@ -31,10 +33,12 @@
 
     :param config_revision: revision of the configuration in force.
     :param fresh_age_ms: time since the sender or whom it heard from last heard from the store.
+    :param platform_failed: whether the sender's own newest platform call failed.
     """
 
     config_revision: int
     fresh_age_ms: int
+    platform_failed: bool = False
 
 
 class Ping(msgspec.Struct, frozen=True, tag=True):
