--- a/packages/figcrank-coordination/src/figcrank/coordination/_port.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_port.py
@@ -78,7 +78,9 @@
         """Send a datagram to ``host``."""
         self.emit(SendGossip(host.gossip_address, message))
 
-    def decide(self, now_ms: int, kind: str, subject: str, reason: str, **inputs: object) -> None:
+    def decide(
+        self, now_ms: int, kind: str, subject: str, reason: str, /, **inputs: object
+    ) -> None:
         """Log a decision with its inputs."""
         texts = {name: str(value) for name, value in inputs.items()}
         decision = Decision(now_ms, kind, subject, reason, texts)
