--- a/packages/figcrank-transport/src/figcrank/transport/_work.py
+++ b/packages/figcrank-transport/src/figcrank/transport/_work.py
@@ -45,6 +45,7 @@
 _REQUESTS_CONSTRAINT = f"{REQUESTS_TABLE}_pkey"
 # Connection exceptions and operator intervention: the session is gone, whatever it was doing.
 _LOST_CLASSES = ("08", "57P")
+_BAD_PARAMETERS = "The parameters do not fit the statement's placeholders."
 _TEXT_TYPES = (decimal.Decimal, datetime.date, datetime.time, datetime.timedelta, uuid.UUID)
 
 
@@ -167,11 +168,13 @@
         return text.rstrip("; \t\r\n")
 
     def _mogrify(self, sql: str, params: tuple[Scalar, ...]) -> str:
+        # The driver ignores parameters when there is no placeholder at all.
+        if params and "%" not in sql:
+            raise _RefusedStatementError(_BAD_PARAMETERS)
         try:
             return self._cursor.mogrify(sql, params or None).decode()
         except (TypeError, ValueError, IndexError, KeyError, psycopg2.ProgrammingError) as error:
-            message = "The parameters do not fit the statement's placeholders."
-            raise _RefusedStatementError(message) from error
+            raise _RefusedStatementError(_BAD_PARAMETERS) from error
 
     def _on_error(self, error: psycopg2.Error) -> WorkFailed:
         sqlstate = error.pgcode or ""
