Tell a repeated request apart from a failing statement

Cause: a repeated write whose statement also broke a unique key was reported as a failed statement, as the record was written last; its caller would have been told that it did not run. Fixed: the record is looked up first, by whole writes and by commits. Conclusion: DUPLICATE is reported whenever the record exists.

--- a/packages/figcrank-standins/src/figcrank/standins/_database.py
+++ b/packages/figcrank-standins/src/figcrank/standins/_database.py
@@ -160,6 +160,14 @@
         except sqlite3.IntegrityError as error:
             raise WorkError.duplicate(entry.request_id) from error
 
+    def require_new(self, request_id: str) -> None:
+        """Check that a request has not committed before; an empty id never has.
+
+        :raises WorkError: if it has.
+        """
+        if request_id and self.find_record(request_id) is not None:
+            raise WorkError.duplicate(request_id)
+
     def find_record(self, request_id: str) -> RequestRecord | None:
         """Return the record of a request, ``None`` if it is absent."""
         row = self._control(_SELECT_RECORD, (request_id,)).fetchone()
--- a/packages/figcrank-standins/src/figcrank/standins/_server_model.py
+++ b/packages/figcrank-standins/src/figcrank/standins/_server_model.py
@@ -28,7 +28,7 @@
     WorkResult,
     WriteWork,
 )
-from figcrank.standins._database import Database, RequestRecord
+from figcrank.standins._database import Database
 from figcrank.standins._errors import ServerFullError, WorkError
 from figcrank.standins._log import LogEntry, ReplicationBatch
 from figcrank.standins._replica_log import ReplicaLog
@@ -176,10 +176,6 @@
             self._snapshot = Snapshot(self._store.applied, self.database.copy())
         return self._snapshot
 
-    def find_record(self, request_id: str) -> RequestRecord | None:
-        """Return the applied record of a request, ``None`` if it is absent."""
-        return self.database.find_record(request_id)
-
     def check_read(self, min_position: Position, primary_term: int | None) -> None:
         """Check that a read may run here; see :meth:`read`.
 
--- a/packages/figcrank-standins/src/figcrank/standins/_sql_block.py
+++ b/packages/figcrank-standins/src/figcrank/standins/_sql_block.py
@@ -85,8 +85,7 @@
         return self._transaction.execute((Statement(sql),))[0]
 
     def keep_record(self, request_id: str) -> None:
-        if self._model.find_record(request_id) is not None:
-            raise WorkError.duplicate(request_id)
+        self._model.database.require_new(request_id)
         self._request_id = request_id
 
     def keep_results(self, request_id: str, results: str) -> None:
--- a/packages/figcrank-standins/src/figcrank/standins/_transactions.py
+++ b/packages/figcrank-standins/src/figcrank/standins/_transactions.py
@@ -54,6 +54,8 @@
         :raises WorkError: if an earlier result has changed or the request has committed before.
         """
         with self._database.transaction(keep=True):
+            # A repeated request must be told apart from one whose statements fail.
+            self._database.require_new(request_id)
             self._replay()
             entry = self._entry(position, request_id, results)
             self._database.keep_record(entry)
@@ -64,6 +66,7 @@
     ) -> tuple[LogEntry, tuple[StatementResult, ...]]:
         """Run statements and commit them at once; see :meth:`commit`."""
         with self._database.transaction(keep=True):
+            self._database.require_new(request_id)
             self._results = [self._database.execute(statement) for statement in statements]
             self._statements = list(statements)
             entry = self._entry(position, request_id, None)
--- a/packages/figcrank-standins/tests/test_server_model.py
+++ b/packages/figcrank-standins/tests/test_server_model.py
@@ -176,6 +176,16 @@
     assert found == RecordReply(True, done.position, done.results)
 
 
+def test_repeated_request_is_a_duplicate_though_its_statement_would_fail(group):
+    write(group[0], "r1", insert("north"))
+    assert write(group[0], "r1", insert("north")).kind is WorkFailureKind.DUPLICATE
+    pid = group[0].open_session()
+    group[0].run(pid, BeginWork(1))
+    group[0].run(pid, StatementsWork((COUNT,)))
+    write(group[0], "r2", insert("south"))
+    assert group[0].run(pid, CommitWork("r2")).kind is WorkFailureKind.DUPLICATE
+
+
 def test_record_survives_promotion(group):
     done = write(group[0], "r1", insert("north"))
     replicate(group[0], group[1])
