Build the decisions on database groups

A group owner queries its servers in rounds, acknowledges a write once a majority holds it durably in its term, settles writes of open outcome by their records, routes reads by the position that they must see, pins transactions and changes the primary by fencing a majority. Leases and clocks of two hosts decide nothing.

Small changes beside the group's modules: Placement.probers() names the owners and one more host; rendezvous hashing encodes its text, which xxhash demands; the virtual servers use the stand-in's error by its name, and ServerModel.close_all_sessions() is added for them.

--- a/packages/figcrank-coordination/src/figcrank/coordination/_placement.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_placement.py
@@ -23,13 +23,20 @@
 
         The first one is the group's coordinator.
         """
+        return self._spread(group)[: self._settings.owners_per_group]
+
+    def _spread(self, group: str) -> tuple[Host, ...]:
         ranked = self._ranked(f"group:{group}")
         chosen: list[Host] = []
         for host in ranked:
             if all(host.availability_zone != other.availability_zone for other in chosen):
                 chosen.append(host)
         rest = [host for host in ranked if host not in chosen]
-        return tuple((chosen + rest)[: self._settings.owners_per_group])
+        return tuple(chosen + rest)
+
+    def probers(self, group: str) -> tuple[Host, ...]:
+        """Return the hosts that probe a group's servers: its owners and one more, best first."""
+        return self._spread(group)[: self._settings.owners_per_group + 1]
 
     def home(self, workspace: str) -> Host:
         """Return the host that lends a workspace's tokens."""
@@ -37,6 +44,6 @@
 
     def _ranked(self, subject: str) -> list[Host]:
         def weight(host: Host) -> int:
-            return xxhash.xxh64_intdigest(f"{subject}|{host.name}")
+            return xxhash.xxh64_intdigest(f"{subject}|{host.name}".encode())
 
         return sorted(self._membership.hosts(), key=weight, reverse=True)
--- /dev/null
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_transactions.py
@@ -0,0 +1,455 @@
+"""Open transactions of callers, each pinned to one connection to the primary."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from figcrank.coordination._group_view import GroupView
+from figcrank.coordination._majority import MajorityWait
+from figcrank.coordination._pool import Connection, Pool
+from figcrank.coordination._port import Port
+from figcrank.coordination._queues import FairQueue, Queued
+from figcrank.coordination._settings import CoreSettings
+from figcrank.coordination._settlement import Attempt, Settlement
+from figcrank.coordination._writes import (
+    ANSWER_MARGIN_MS,
+    MAX_QUEUED_PER_WORKSPACE,
+    RETRY_AFTER_MS,
+    Writes,
+    attempt_timeout_ms,
+)
+from figcrank.protocol import (
+    BeginWork,
+    CommitWork,
+    Failure,
+    FailureKind,
+    OwnedAnswer,
+    RecordReply,
+    RollbackWork,
+    StatementResult,
+    StatementsWork,
+    TransactionStep,
+    Work,
+    WorkDone,
+    WorkFailed,
+    WorkFailureKind,
+    WorkResult,
+)
+from figcrank.state import ORIGIN, Group, Position
+
+OnAnswer = Callable[[OwnedAnswer | Failure, int], None]
+
+ROLLBACK_TIMEOUT_MS = 200
+
+
+@dataclass(slots=True, eq=False)
+class _Transaction:
+    """An open transaction.
+
+    :param term: term of the primary that it runs on.
+    :param step: step under way, ``None`` between steps.
+    """
+
+    name: str
+    workspace: str
+    key_id: str
+    connection: Connection
+    term: int
+    idle_since_ms: int
+    step: "_Step | None" = None
+    ended: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class _Step:
+    """A step in hand.
+
+    :param commit_sent: whether a commit was sent, so that it may have taken effect.
+    """
+
+    step: TransactionStep
+    deadline_ms: int
+    on_answer: OnAnswer
+    transaction: _Transaction | None = None
+    commit_sent: bool = False
+    answered: bool = False
+
+
+class Transactions:
+    """Begins, runs and ends callers' transactions.
+
+    :param settings: static settings of this host.
+    :param port: way out of the core.
+    :param group: the group.
+    :param view: statuses of its servers.
+    :param pool: connections to them.
+    :param majority: waits for durable positions.
+    :param settlement: finds the records of commits whose fate is open.
+    :param writes: tells the primary that may be sent work.
+    """
+
+    def __init__(
+        self,
+        settings: CoreSettings,
+        port: Port,
+        group: Group,
+        view: GroupView,
+        pool: Pool,
+        majority: MajorityWait,
+        settlement: Settlement,
+        writes: Writes,
+    ) -> None:
+        self._settings = settings
+        self._port = port
+        self._group = group
+        self._view = view
+        self._pool = pool
+        self._majority = majority
+        self._settlement = settlement
+        self._writes = writes
+        self._open: dict[str, _Transaction] = {}
+        self._begins: FairQueue[_Step] = FairQueue(MAX_QUEUED_PER_WORKSPACE)
+        self._steps: FairQueue[_Step] = FairQueue(MAX_QUEUED_PER_WORKSPACE)
+        self._running: set[_Step] = set()
+
+    @property
+    def in_hand(self) -> int:
+        """Return the number of open transactions and of steps that are not answered yet."""
+        return len(self._open) + len(self._begins) + len(self._steps) + len(self._running)
+
+    def step(
+        self, step: TransactionStep, deadline_ms: int, now_ms: int, on_answer: OnAnswer
+    ) -> None:
+        """Take a step; calls back exactly once."""
+        taken = _Step(step, deadline_ms, on_answer)
+        if step.action == "begin":
+            self._enqueue(self._begins, taken, now_ms)
+            return
+        transaction = self._open.get(step.transaction)
+        refusal = _refusal(step, transaction)
+        if refusal is not None or transaction is None:
+            on_answer(refusal or _unknown_transaction(), now_ms)
+            return
+        taken.transaction = transaction
+        transaction.step = taken
+        self._enqueue(self._steps, taken, now_ms)
+
+    def dispatch(self, now_ms: int) -> None:
+        """Start the steps that a slot is free for; open transactions go first."""
+        while self._steps:
+            if self._must_wait():
+                return
+            entry = self._steps.pop()
+            if entry is not None and entry.item.transaction is not None:
+                self._run_step(entry.item, entry.item.transaction, now_ms)
+        while self._begins:
+            primary = self._writes.usable_primary(now_ms)
+            if primary is None or not self._pool.can_start(primary.server, now_ms):
+                return
+            entry = self._begins.pop()
+            if entry is not None:
+                self._begin(entry.item, primary.server, primary.term, now_ms)
+
+    def tick(self, now_ms: int) -> None:
+        """End idle transactions and answer the steps whose time has passed."""
+        for entry in [*self._begins.expire(now_ms), *self._steps.expire(now_ms)]:
+            self._expire(entry.item, now_ms)
+        limit_ms = now_ms + ANSWER_MARGIN_MS // 2
+        for step in [step for step in self._running if step.deadline_ms <= limit_ms]:
+            self._expire(step, now_ms)
+        self._end_replaced(now_ms)
+        idle_ms = self._settings.timings.transaction_idle_ms
+        for transaction in list(self._open.values()):
+            if transaction.step is None and now_ms - transaction.idle_since_ms >= idle_ms:
+                self._roll_back(transaction, "It was idle for too long.", now_ms)
+        self.dispatch(now_ms)
+
+    def withdraw_key(self, key_id: str, now_ms: int) -> None:
+        """Refuse the queued steps of a key and end its transactions."""
+        failure = Failure.not_run(FailureKind.BAD_KEY, "The key was withdrawn.")
+        for entry in [*self._begins.remove_key(key_id), *self._steps.remove_key(key_id)]:
+            self._answer(entry.item, failure, now_ms)
+        for transaction in list(self._open.values()):
+            if transaction.key_id != key_id:
+                continue
+            step = transaction.step
+            if step is not None and step.commit_sent:
+                continue
+            self._end(transaction)
+            self._pool.close(transaction.connection)
+            if step is not None:
+                self._answer(step, failure, now_ms)
+
+    # Steps
+
+    def _enqueue(self, queue: FairQueue[_Step], step: _Step, now_ms: int) -> None:
+        asked = step.step
+        deadline_ms = step.deadline_ms - ANSWER_MARGIN_MS
+        if queue.push(Queued(asked.workspace, asked.weight, asked.key_id, deadline_ms, step)):
+            self.dispatch(now_ms)
+            return
+        message = "Too many requests of the workspace are waiting."
+        self._answer(step, Failure.not_run(FailureKind.QUEUE_FULL, message, RETRY_AFTER_MS), now_ms)
+
+    def _must_wait(self) -> bool:
+        """Return whether the primary's slots are taken; a former owner's last steps don't wait."""
+        primary = self._view.primary()
+        if primary is None or self._pool.share.slots == 0:
+            return False
+        return not self._pool.has_slot(primary.server)
+
+    def flush(self, failure: Failure, now_ms: int) -> None:
+        """Refuse the transactions that were not begun yet."""
+        while self._begins:
+            entry = self._begins.pop()
+            if entry is not None:
+                self._answer(entry.item, failure, now_ms)
+
+    def _begin(self, step: _Step, server: str, term: int, now_ms: int) -> None:
+        connection = self._pool.acquire(server)
+        connection.pinned = True
+        self._running.add(step)
+
+        def finished(result: WorkResult, at_ms: int) -> None:
+            self._running.discard(step)
+            if isinstance(result, WorkDone) and not step.answered:
+                self._opened(step, connection, term, at_ms)
+            else:
+                self._pool.unpin(connection)
+                self._begin_failed(step, connection, result, at_ms)
+            self.dispatch(at_ms)
+
+        self._run(step, connection, BeginWork(term), now_ms, finished)
+
+    def _opened(self, step: _Step, connection: Connection, term: int, now_ms: int) -> None:
+        name = f"{self._settings.host.name}~{self._group.name}~{self._port.new_id()}"
+        transaction = _Transaction(
+            name, step.step.workspace, step.step.key_id, connection, term, now_ms
+        )
+        self._open[name] = transaction
+        self._answer(step, self._answer_of(transaction, (), ORIGIN), now_ms)
+
+    def _begin_failed(
+        self, step: _Step, connection: Connection, result: WorkResult, now_ms: int
+    ) -> None:
+        if step.answered:
+            self._pool.close(connection)
+            return
+        if isinstance(result, WorkFailed) and result.kind is WorkFailureKind.STALE_TERM:
+            self._writes.hold(now_ms)
+        if isinstance(result, WorkFailed) and result.kind is WorkFailureKind.SQL:
+            self._answer(step, _step_failure(result), now_ms)
+            return
+        self._enqueue(self._begins, step, now_ms)
+
+    def _run_step(self, step: _Step, transaction: _Transaction, now_ms: int) -> None:
+        if step.answered or transaction.ended:
+            return
+        action = step.step.action
+        if action == "rollback":
+            self._answer_rollback(step, transaction, now_ms)
+            return
+        work: Work = StatementsWork(step.step.statements)
+        if action == "commit":
+            work = CommitWork(step.step.request_id)
+            step.commit_sent = True
+        self._running.add(step)
+
+        def finished(result: WorkResult, at_ms: int) -> None:
+            self._on_result(step, transaction, result, at_ms)
+            self.dispatch(at_ms)
+
+        self._run(step, transaction.connection, work, now_ms, finished)
+
+    def _run(
+        self,
+        step: _Step,
+        connection: Connection,
+        work: Work,
+        now_ms: int,
+        finished: Callable[[WorkResult, int], None],
+    ) -> None:
+        timeout_ms = attempt_timeout_ms(step.deadline_ms, now_ms)
+        self._pool.run(connection, work, timeout_ms, step.step.traceparent, now_ms, finished)
+
+    def _on_result(
+        self, step: _Step, transaction: _Transaction, result: WorkResult, now_ms: int
+    ) -> None:
+        if step.commit_sent:
+            self._on_commit(step, transaction, result, now_ms)
+            return
+        self._running.discard(step)
+        if transaction.ended:
+            return
+        transaction.step = None
+        transaction.idle_since_ms = now_ms
+        if isinstance(result, WorkDone):
+            answer = self._answer_of(transaction, result.results, ORIGIN)
+            self._answer(step, answer, now_ms)
+            return
+        self._end(transaction)
+        self._release(transaction, result)
+        self._answer(step, _step_failure(result), now_ms)
+
+    # Ends
+
+    def _on_commit(
+        self, step: _Step, transaction: _Transaction, result: WorkResult, now_ms: int
+    ) -> None:
+        connection = transaction.connection
+        self._end(transaction)
+        if isinstance(result, WorkDone):
+            self._pool.unpin(connection)
+            self._await_majority(
+                step, transaction, connection.server, result.position, None, now_ms
+            )
+            return
+        self._release(transaction, result)
+        if result.kind is WorkFailureKind.LOST and result.commit_sent:
+            self._settle(step, transaction, connection.session_pid, now_ms)
+            return
+        self._running.discard(step)
+        self._answer(step, _step_failure(result), now_ms)
+
+    def _await_majority(
+        self,
+        step: _Step,
+        transaction: _Transaction,
+        server: str,
+        position: Position,
+        session_pid: int | None,
+        now_ms: int,
+    ) -> None:
+        def held(at_ms: int) -> None:
+            self._running.discard(step)
+            answer = OwnedAnswer((), position, server, self._group.name)
+            self._answer(step, answer, at_ms)
+
+        def replaced(at_ms: int) -> None:
+            if not step.answered:
+                self._settle(step, transaction, session_pid, at_ms)
+
+        self._majority.wait(server, position, now_ms, held, replaced)
+
+    def _settle(
+        self, step: _Step, transaction: _Transaction, session_pid: int | None, now_ms: int
+    ) -> None:
+        request_id = step.step.request_id
+        server = transaction.connection.server
+        attempt = Attempt(request_id, server, transaction.term, session_pid)
+
+        def settled(record: RecordReply, found_at: str, at_ms: int) -> None:
+            if step.answered:
+                return
+            if record.found:
+                self._await_majority(step, transaction, found_at, record.position, None, at_ms)
+                return
+            self._running.discard(step)
+            message = "The commit was lost with its primary; the transaction is rolled back."
+            self._answer(step, Failure.not_run(FailureKind.TRANSACTION_LOST, message), at_ms)
+
+        self._settlement.settle(attempt, step.deadline_ms, now_ms, settled)
+
+    def _answer_rollback(self, step: _Step, transaction: _Transaction, now_ms: int) -> None:
+        self._roll_back(transaction, "", now_ms)
+        self._answer(step, OwnedAnswer((), ORIGIN, "", self._group.name), now_ms)
+
+    def _roll_back(self, transaction: _Transaction, reason: str, now_ms: int) -> None:
+        self._end(transaction)
+        connection = transaction.connection
+        if reason:
+            self._port.decide(now_ms, "transaction", transaction.name, reason)
+
+        def finished(result: WorkResult, at_ms: int) -> None:
+            self._release(transaction, result)
+            self.dispatch(at_ms)
+
+        self._pool.run(connection, RollbackWork(), ROLLBACK_TIMEOUT_MS, "", now_ms, finished)
+
+    def _end_replaced(self, now_ms: int) -> None:
+        primary = self._view.primary()
+        if primary is None:
+            return
+        for transaction in list(self._open.values()):
+            step = transaction.step
+            if transaction.term >= primary.term or (step is not None and step.commit_sent):
+                continue
+            self._end(transaction)
+            self._pool.close(transaction.connection)
+            if step is not None:
+                self._answer(step, _lost("The primary was replaced."), now_ms)
+
+    def _release(self, transaction: _Transaction, result: WorkResult) -> None:
+        """Give a connection back, unless its session may still hold the transaction."""
+        clean = isinstance(result, WorkDone) or result.kind is not WorkFailureKind.LOST
+        if clean:
+            self._pool.unpin(transaction.connection)
+        else:
+            self._pool.close(transaction.connection)
+
+    def _end(self, transaction: _Transaction) -> None:
+        transaction.ended = True
+        self._open.pop(transaction.name, None)
+
+    # Answers
+
+    def _expire(self, step: _Step, now_ms: int) -> None:
+        """Answer a step whose time has passed; a transaction with an open step is ended."""
+        if step.answered:
+            return
+        if step.commit_sent:
+            failure = Failure.unknown("The commit's outcome was not known in time.")
+        else:
+            message = "The step's time passed before it was done."
+            failure = Failure.not_run(FailureKind.HELD_TOO_LONG, message, RETRY_AFTER_MS)
+        transaction = step.transaction
+        if transaction is not None and not transaction.ended and not step.commit_sent:
+            self._end(transaction)
+            self._pool.close(transaction.connection)
+            failure = _lost("A step of it was not done in time.")
+        self._answer(step, failure, now_ms)
+
+    def _answer(self, step: _Step, answer: OwnedAnswer | Failure, now_ms: int) -> None:
+        self._running.discard(step)
+        if step.answered:
+            return
+        step.answered = True
+        step.on_answer(answer, now_ms)
+
+    def _answer_of(
+        self, transaction: _Transaction, results: tuple[StatementResult, ...], position: Position
+    ) -> OwnedAnswer:
+        server = transaction.connection.server
+        return OwnedAnswer(
+            results, position, server, self._group.name, transaction=transaction.name
+        )
+
+
+def _refusal(step: TransactionStep, transaction: _Transaction | None) -> Failure | None:
+    if transaction is None:
+        return _unknown_transaction()
+    if transaction.workspace != step.workspace:
+        message = "The transaction belongs to another workspace."
+        return Failure.not_run(FailureKind.FOREIGN_WORKSPACE, message)
+    if transaction.key_id != step.key_id:
+        message = "The transaction was begun with another key."
+        return Failure.not_run(FailureKind.BAD_KEY, message)
+    if transaction.step is not None:
+        message = "The transaction's previous step is still running."
+        return Failure.not_run(FailureKind.BAD_REQUEST, message)
+    return None
+
+
+def _unknown_transaction() -> Failure:
+    return Failure.not_run(FailureKind.UNKNOWN_TRANSACTION, "There is no such transaction.")
+
+
+def _step_failure(failed: WorkFailed) -> Failure:
+    if failed.kind is WorkFailureKind.SQL:
+        message = f"{failed.message} The transaction is rolled back."
+        return Failure.not_run(FailureKind.STATEMENT_FAILED, message)
+    return _lost("Its connection or its primary was lost.")
+
+
+def _lost(reason: str) -> Failure:
+    message = f"The transaction is rolled back. {reason}"
+    return Failure.not_run(FailureKind.TRANSACTION_LOST, message)
--- /dev/null
+++ b/packages/figcrank-coordination/tests/test_failover.py
@@ -0,0 +1,134 @@
+import pytest
+
+from figcrank.protocol import Fence
+
+GAP_BOUND_MS = 1_500
+
+
+def kill_primary(fleet):
+    fleet.group.kill(fleet.primary)
+
+
+def silence_primary(fleet):
+    fleet.group.servers[fleet.primary].silent = True
+
+
+def cut_primary_from_replicas(fleet):
+    fleet.fleet.network.cut(fleet.primary, *fleet.replicas)
+
+
+def kill_primary_and_coordinator(fleet):
+    kill_primary(fleet)
+    fleet.fleet.loop.after(300, lambda: fleet.fleet.kill(fleet.owners[0]))
+
+
+def cut_zone_of_primary(fleet):
+    group = fleet.group
+    zone = group.primary.server.availability_zone
+    inside = [fleet.primary]
+    inside += [h.host.name for h in fleet.fleet.hosts.values() if h.host.availability_zone == zone]
+    outside = [name for name in (*fleet.fleet.hosts, *group.servers) if name not in inside]
+    for name in inside:
+        fleet.fleet.network.cut(name, *outside)
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [kill_primary, silence_primary, cut_primary_from_replicas, kill_primary_and_coordinator],
+)
+@pytest.mark.parametrize("platform_down", [False, True])
+def test_writes_go_on_soon_after_a_failure(make_fleet, fault, platform_down):
+    fleet = make_fleet()
+    fleet.fleet.platform.down = platform_down
+    fleet.start_load(4_000)
+    fleet.run_for(500)
+    fault(fleet)
+    fleet.run_for(10_000)
+    fleet.assert_nothing_lost_or_doubled()
+    assert fleet.longest_gap_ms() <= GAP_BOUND_MS
+
+
+def test_a_zone_that_is_cut_off_with_the_primary_loses_it(make_fleet):
+    fleet = make_fleet()
+    fleet.start_load(3_000)
+    old = fleet.primary
+    fleet.run_for(500)
+    cut_zone_of_primary(fleet)
+    fleet.run_for(9_000)
+    assert fleet.primary != old
+    for name in fleet.fleet.hosts:
+        fleet.fleet.network.heal(name)
+    fleet.fleet.network.heal(old)
+    fleet.run_for(3_000)
+    fleet.assert_nothing_lost_or_doubled()
+
+
+def test_a_returning_primary_follows(make_fleet):
+    fleet = make_fleet()
+    old = fleet.primary
+    fleet.group.kill(old)
+    fleet.run_for(2_000)
+    fleet.group.restart(old)
+    fleet.run_for(2_000)
+    new = fleet.group.primary.model.status()
+    returned = fleet.group.servers[old].model.status()
+    assert (returned.role, returned.term) == ("replica", new.term)
+    assert returned.durable == new.durable
+
+
+def test_one_host_that_loses_sight_of_the_primary_changes_nothing(make_fleet):
+    fleet = make_fleet()
+    term = fleet.group.primary.model.term
+    fleet.fleet.network.cut(fleet.owners[0], fleet.primary)
+    fleet.run_for(3_000)
+    assert fleet.group.primary.model.term == term
+
+
+def test_a_server_fenced_in_a_later_term_is_brought_back(make_fleet):
+    fleet = make_fleet()
+    stray = fleet.group.servers[fleet.replicas[0]].model
+    stray.request(Fence(stray.term + 5, "nobody"))
+    fleet.run_for(3_000)
+    assert stray.role == "replica"
+    assert stray.term == fleet.group.primary.model.term
+
+
+def test_two_coordinators_end_with_one_primary(make_fleet):
+    fleet = make_fleet()
+    fleet.start_load(3_000)
+    first = fleet.owners[0]
+    kill_primary(fleet)
+    fleet.run_for(430)
+    fleet.fleet.pause(first)
+    fleet.run_for(1_500)
+    fleet.fleet.resume(first)
+    fleet.run_for(8_000)
+    fleet.assert_nothing_lost_or_doubled()
+    roles = [s.model.role for s in fleet.group.servers.values() if s.alive]
+    assert roles.count("primary") == 1
+
+
+def test_a_planned_switch_fails_no_write(make_fleet):
+    fleet = make_fleet()
+    old = fleet.primary
+    fleet.start_load(2_000)
+    fleet.run_for(500)
+    owner = fleet.fleet.hosts[fleet.owners[0]].core.owners["roster"]
+    assert owner.switch("", fleet.fleet.loop.now_ms) is None
+    fleet.run_for(6_000)
+    assert fleet.primary != old
+    assert all(call.answer is not None for call in fleet.calls.values())
+    fleet.assert_nothing_lost_or_doubled()
+
+
+def test_a_leaving_server_gets_no_new_work_within_two_seconds(make_fleet):
+    fleet = make_fleet()
+    leaving = fleet.primary
+    fleet.group.servers[leaving].model.leaving = True
+    fleet.run_for(2_000)
+    served = set()
+    for number in range(1, 30):
+        served.add(fleet.finish(fleet.insert(number)).answer.served_by)
+        served.add(fleet.finish(fleet.read("SELECT 1")).answer.served_by)
+        served.add(fleet.finish(fleet.read("SELECT 1", profile="relaxed")).answer.served_by)
+    assert leaving not in served
--- a/packages/figcrank-standins/src/figcrank/standins/_server_model.py
+++ b/packages/figcrank-standins/src/figcrank/standins/_server_model.py
@@ -144,6 +144,10 @@
         """End a session; its open transaction is rolled back. Unknown ids are ignored."""
         self._sessions.pop(pid, None)
 
+    def close_all_sessions(self) -> None:
+        """End every session, as a stop of the server does."""
+        self._sessions.clear()
+
     def has_session(self, pid: int) -> bool:
         """Return whether a session is open."""
         return pid in self._sessions
--- a/packages/figcrank-standins/src/figcrank/standins/_virtual_servers.py
+++ b/packages/figcrank-standins/src/figcrank/standins/_virtual_servers.py
@@ -18,8 +18,9 @@
     WorkFailureKind,
     WorkResult,
 )
+from figcrank.standins._errors import ServerFullError
 from figcrank.standins._platform_model import PlatformModel
-from figcrank.standins._server_model import ServerFull, ServerModel
+from figcrank.standins._server_model import ServerModel
 from figcrank.standins._virtual_loop import VirtualLoop, VirtualNetwork
 from figcrank.state import Group, Position, Server, ServerRole
 
@@ -121,7 +122,7 @@
         """Open a session; return its process id, ``None`` if the server is full."""
         try:
             return self.servers[name].model.open_session()
-        except ServerFull:
+        except ServerFullError:
             return None
 
     def run(
