--- a/packages/figcrank-coordination/src/figcrank/coordination/_entry.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_entry.py
@@ -144,7 +144,7 @@
 
     def _begin(self, call_id: int, call: _Call | Failure, now_ms: int) -> None:
         if isinstance(call, Failure):
-            self._port.decide(now_ms, "refusal", str(call_id), call.message, kind=call.kind)
+            self._port.decide(now_ms, "refusal", str(call_id), call.message, failure=call.kind)
             self._port.emit(Refuse(call_id, call))
             return
         self._in_hand[call_id] = call
@@ -392,7 +392,7 @@
         if isinstance(answer, Failure):
             outcome = str(answer.kind)
             subject = call.request.request_id
-            self._port.decide(now_ms, "refusal", subject, answer.message, kind=answer.kind)
+            self._port.decide(now_ms, "refusal", subject, answer.message, failure=answer.kind)
             self._port.emit(Refuse(call.call_id, answer))
         else:
             session = call.session.advanced(answer.group, answer.position)
--- a/packages/figcrank-coordination/tests/conftest.py
+++ b/packages/figcrank-coordination/tests/conftest.py
@@ -1,156 +1,253 @@
-from collections.abc import Callable
+"""A few cores on one virtual clock with a lossy network and a small platform."""
+
+import random
+from heapq import heappop, heappush
+from itertools import count
 
 import pytest
 
-from figcrank.coordination import Timings
-from figcrank.protocol import Outcome
-from figcrank.protocol.objects import stored_text
-from figcrank.standins.samples import group_of
-from figcrank.standins.virtual import Call, VirtualFleet
-from figcrank.state import (
-    Host,
-    Key,
-    PresentedKey,
-    Profile,
-    ProfileMode,
-    Service,
-    Session,
-    Workspace,
+from figcrank import protocol
+from figcrank.coordination import (
+    CallPeer,
+    CallPlatform,
+    CoreSettings,
+    GossipReceived,
+    HostCore,
+    OperatorReceived,
+    PeerFailed,
+    PeerReplied,
+    PeerRequestReceived,
+    PlatformReplied,
+    RespondOperator,
+    RespondPeer,
+    SendGossip,
+    Tick,
+    Timings,
 )
-
-ZONES = ("zone-1", "zone-2", "zone-3")
-# No unique key, so that a write that ran twice shows.
-CREATE = "CREATE TABLE change (id INTEGER, note TEXT)"
-
-
-class GroupFleet:
-    """Hosts in front of one group of three servers, with real SQL and a virtual clock."""
-
-    def __init__(self, seed=1, host_count=6, slots=5, timings=None, rate_per_s=100_000):
-        hosts = tuple(
-            Host(f"host-{n}", ZONES[n % 3], f"10.0.0.{n}:7001", f"10.0.0.{n}:7000")
-            for n in range(1, host_count + 1)
-        )
-        group = group_of("roster", ZONES, slots, 40)
-        self.fleet = VirtualFleet(hosts, (group,), seed, timings or Timings())
-        self.keys = {}
-        store = self.fleet.platform.model
-        for name, mode, age_ms in (
-            ("fresh", ProfileMode.FRESH, 0),
-            ("relaxed", ProfileMode.BOUNDED, 1_000),
-            ("write", ProfileMode.WRITE, 0),
-        ):
-            store.put("profile", name, stored_text(Profile(name, mode, age_ms)))
-        store.put("service", "roster", stored_text(Service("roster", "roster")))
-        for name in ("crew-1", "crew-2"):
-            value = Workspace(name, rate_per_s, rate_per_s)
-            store.put("workspace", name, stored_text(value))
-            key = PresentedKey(f"key{name[-1]}", "secret")
-            stored = Key.from_secret(key.key_id, name, "salt", key.secret)
-            store.put("key", key.key_id, stored_text(stored))
-            self.keys[name] = key
-        self.fleet.start()
-        self.calls: dict[int, Call] = {}
-
-    @property
-    def group(self):
-        return self.fleet.groups["roster"]
-
-    @property
-    def primary(self) -> str:
-        return self.group.primary.server.name
-
-    @property
-    def replicas(self) -> list[str]:
-        return [name for name in self.group.servers if name != self.primary]
-
-    @property
-    def owners(self) -> list[str]:
-        live = next(h for h in self.fleet.hosts.values() if h.alive and not h.paused)
-        return [host.name for host in live.core.placement.owners("roster")]
-
-    @property
-    def entry(self) -> str:
-        """A host that probes nothing, so that it survives the failures of a test."""
-        probers = [h.name for h in self.fleet.hosts["host-1"].core.placement.probers("roster")]
-        return next(name for name in self.fleet.hosts if name not in probers)
-
-    def run_for(self, span_ms: int) -> None:
-        self.fleet.run_for(span_ms)
-
-    def finish(self, call: Call, within_ms: int = 10_000) -> Call:
-        end_ms = self.fleet.loop.now_ms + within_ms
-        while call.answered_ms is None:
-            assert self.fleet.loop.now_ms < end_ms, "The call was not answered in time."
-            self.run_for(1)
-        return call
-
-    def write(self, *sql, host="", workspace="crew-1", **options) -> Call:
-        key = self.keys[workspace]
-        return self.fleet.statements(host or self.entry, key, "roster", "write", *sql, **options)
-
-    def read(self, sql, profile="fresh", host="", session: Session | None = None, **options):
-        key = self.keys["crew-1"]
-        return self.fleet.statements(
-            host or self.entry, key, "roster", profile, sql, session=session, **options
-        )
-
-    def step(self, action, *sql, workspace="crew-1", transaction="", **options) -> Call:
-        service = "roster" if action == "begin" else ""
-        return self.fleet.transaction(
-            self.entry,
-            self.keys[workspace],
-            action,
-            *sql,
-            service=service,
-            transaction=transaction,
-            **options,
+from figcrank.protocol.codecs import GossipCodec
+from figcrank.protocol.objects import stored_text
+from figcrank.state import Host, Key, Workspace
+
+TICK_MS = 10
+DELAY_MS = 2
+
+
+def make_host(number, name=None, cell="cell-1"):
+    address = f"10.0.{cell[5:]}.{number}"
+    zone = f"zone-{number % 3}"
+    return Host(name or f"{cell}-host-{number}", zone, f"{address}:1", f"{address}:2", cell)
+
+
+class FakeStore:
+    """The object API, with watches, outages and lost answers."""
+
+    def __init__(self):
+        self.revision = 0
+        self.objects = {}
+        self.up = True
+        self.delay_ms = 2
+        self.calls = 0
+        self.lose_put_answers = 0
+
+    def put(self, value, name, kind=None, operation_id=""):
+        self.revision += 1
+        text = None if value is None else stored_text(value)
+        kind = kind or type(value).__name__.lower()
+        stored = protocol.StoredObject(kind, name, self.revision, text, operation_id)
+        self.objects[kind, name] = stored
+        return stored
+
+    def list(self, kinds, since):
+        found = [o for o in self.objects.values() if o.kind in kinds and o.version > since]
+        if since == 0:
+            found = [o for o in found if o.value is not None]
+        return protocol.ObjectList(self.revision, tuple(found))
+
+    def put_if(self, call):
+        current = self.objects.get((call.kind, call.name))
+        if (current.version if current else 0) != call.expected_version:
+            return protocol.PutConflict(current)
+        self.revision += 1
+        stored = protocol.StoredObject(
+            call.kind, call.name, self.revision, call.value, call.operation_id
         )
+        self.objects[call.kind, call.name] = stored
+        if self.lose_put_answers:
+            self.lose_put_answers -= 1
+            return None
+        return protocol.PutDone(stored)
+
+
+class FakeFleet:
+    """Drives cores; every fault is a plain attribute."""
+
+    def __init__(self, hosts, seed=1, timings=None, start=True):
+        self.random = random.Random(seed)
+        self.store = FakeStore()
+        self.now_ms = 1_000
+        self.loss = 0.0
+        self.cut = lambda a, b: False
+        self.cut_from_store = set()
+        self.paused = {}
+        self.bytes_sent = 0
+        self.sent = []
+        self.replies = []
+        self._order = count()
+        self._events = []
+        self._timings = timings or Timings()
+        self.cores = {}
+        self.hosts = {}
+        self.seeds = tuple(hosts)
+        self.codec = GossipCodec("fleet", ("s3cret",))
+        if start:
+            for host in hosts:
+                self.add(host)
+
+    def add(self, host, seeds=None):
+        settings = CoreSettings("fleet", host, seeds or self.seeds, (), timings=self._timings)
+        core = HostCore(settings, random.Random(self.random.getrandbits(32)))
+        self.hosts[host.name] = host
+        self.cores[host.name] = core
+        self._carry_out(host.name, core.start(self.now_ms))
+        self._at(self.random.randrange(TICK_MS), host.name, None)
+        return core
+
+    def kill(self, name):
+        del self.cores[name]
+
+    def run(self, duration_ms, until=lambda: False):
+        end_ms = self.now_ms + duration_ms
+        while self._events and self._events[0][0] <= end_ms:
+            at_ms, _, name, event = heappop(self._events)
+            self.now_ms = max(self.now_ms, at_ms)
+            self._deliver(name, event)
+            if until():
+                return True
+        self.now_ms = end_ms
+        return until()
+
+    def send(self, name, event):
+        self._carry_out(name, self.cores[name].handle(event, self.now_ms))
+
+    def order(self, name, request):
+        self.send(name, OperatorReceived(next(self._order), request))
+
+    def _at(self, delay_ms, name, event):
+        heappush(self._events, (self.now_ms + delay_ms, next(self._order), name, event))
+
+    def _deliver(self, name, event):
+        if name not in self.cores:
+            return
+        resume_ms = self.paused.get(name, 0)
+        if resume_ms > self.now_ms:
+            self._at(resume_ms - self.now_ms, name, event)
+            return
+        if event is None:
+            self._at(TICK_MS, name, None)
+            event = Tick()
+        if isinstance(event, PlatformReplied) and callable(event.result):
+            event = self._from_store(name, event)
+            if event is None:
+                return
+        self.send(name, event)
+
+    def _from_store(self, name, event):
+        if not self.store.up or name in self.cut_from_store:
+            return PlatformReplied(event.call_id, protocol.PlatformFailed("down"))
+        result = event.result()
+        return None if result is None else PlatformReplied(event.call_id, result)
+
+    def _carry_out(self, name, actions):
+        for action in actions:
+            self._act(name, action)
+
+    def _act(self, name, action):
+        if isinstance(action, SendGossip):
+            self._gossip(name, action)
+        elif isinstance(action, CallPlatform):
+            self._call_store(name, action)
+        elif isinstance(action, CallPeer):
+            self._call_peer(name, action)
+        elif isinstance(action, RespondPeer):
+            caller, call_id = action.call_id
+            self._at(DELAY_MS, caller, PeerReplied(call_id, action.reply))
+        elif isinstance(action, RespondOperator):
+            self.replies.append((self.now_ms, name, action.reply))
+
+    def _gossip(self, name, action):
+        datagram = self.codec.encode(name, action.message)
+        self.bytes_sent += len(datagram)
+        self.sent.append(action)
+        envelope = self.codec.decode(datagram)
+        target = next((n for n in self.cores if self._address(n) == action.address), None)
+        if target is None or self.random.random() < self.loss or self.cut(name, target):
+            return
+        self._at(DELAY_MS, target, GossipReceived(name, envelope.message))
+
+    def _address(self, name):
+        return self.hosts[name].gossip_address
+
+    def _call_peer(self, name, action):
+        target = action.host.name
+        if target not in self.cores or self.cut(name, target):
+            self._at(DELAY_MS, name, PeerFailed(action.call_id, sent=False))
+            return
+        call = PeerRequestReceived((name, action.call_id), name, action.request)
+        self._at(DELAY_MS, target, call)
+
+    def _call_store(self, name, action):
+        self.store.calls += 1
+        call = action.call
+        wait_ms = self.store.delay_ms
+        if isinstance(call, protocol.PutObject):
+            reach = self.store.up and name not in self.cut_from_store
+            result = self.store.put_if(call) if reach else protocol.PlatformFailed("down")
+            answer = lambda: result  # noqa: E731
+        elif isinstance(call, protocol.GetObject):
+            answer = lambda: self._got(call)  # noqa: E731
+        elif isinstance(call, protocol.ListHosts):
+            answer = lambda: protocol.HostList(())  # noqa: E731
+        else:
+            answer = lambda: self.store.list(call.kinds, call.since)  # noqa: E731
+            if isinstance(call, protocol.WatchObjects):
+                self._watch(name, action, wait_ms)
+                return
+        self._at(wait_ms, name, PlatformReplied(action.call_id, answer))
+
+    def _got(self, call):
+        found = self.store.objects.get((call.kind, call.name))
+        return protocol.ObjectList(self.store.revision, (found,) if found else ())
+
+    def _watch(self, name, action, delay_ms):
+        call, end_ms = action.call, self.now_ms + action.call.wait_ms
+
+        def poll():
+            found = self.store.list(call.kinds, call.since)
+            if found.objects or self.now_ms >= end_ms:
+                return found
+            self._at(min(10, end_ms - self.now_ms), name, PlatformReplied(action.call_id, poll))
+            return None
+
+        self._at(delay_ms, name, PlatformReplied(action.call_id, poll))
 
-    def insert(self, number: int, host="", **options) -> Call:
-        sql = f"INSERT INTO change (id, note) VALUES ({number}, 'n')"
-        self.calls[number] = self.write(sql, host=host, **options)
-        return self.calls[number]
-
-    def start_load(self, span_ms: int, interval_ms: int = 10, hosts=(), **options) -> None:
-        """Insert one numbered row every ``interval_ms``, from host to host."""
-        for index in range(span_ms // interval_ms):
-            number = len(self.calls) + index + 1
-            host = hosts[number % len(hosts)] if hosts else ""
-
-            def send(number=number, host=host):
-                self.insert(number, host=host, **options)
-
-            self.fleet.loop.after(index * interval_ms, send)
-
-    def final_ids(self) -> list[int]:
-        return [row[0] for row in self.finish(self.read("SELECT id FROM change ORDER BY id")).rows]
 
-    def assert_nothing_lost_or_doubled(self) -> None:
-        """Check every answer of the load against the final log."""
-        assert all(call.answered_ms is not None for call in self.calls.values())
-        found = self.final_ids()
-        assert len(found) == len(set(found))
-        acknowledged = {n for n, call in self.calls.items() if call.answer is not None}
-        failed = {n: call.failure for n, call in self.calls.items() if call.failure is not None}
-        not_run = {n for n, failure in failed.items() if failure.outcome is Outcome.NOT_RUN}
-        assert acknowledged <= set(found)
-        assert not not_run & set(found)
+@pytest.fixture
+def make_fleet():
+    def make(size, **options):
+        return FakeFleet([make_host(n) for n in range(1, size + 1)], **options)
 
-    def longest_gap_ms(self) -> int:
-        times = sorted(c.answered_ms for c in self.calls.values() if c.answer is not None)
-        return max(later - earlier for earlier, later in zip(times, times[1:], strict=False))
+    return make
 
 
 @pytest.fixture
-def make_fleet() -> Callable[..., GroupFleet]:
-    """Return a function that starts a fleet with a primary and the table ``change``."""
+def new_host():
+    return make_host
 
-    def make(**options) -> GroupFleet:
-        fleet = GroupFleet(**options)
-        fleet.run_for(1_000)
-        created = fleet.finish(fleet.write(CREATE))
-        assert created.answer is not None, created.failure
-        return fleet
 
-    return make
+@pytest.fixture
+def sample_objects():
+    return (
+        Workspace("crews", 100, 50),
+        Key.from_secret("k1", "crews", "salt", "first"),
+        Key.from_secret("k2", "crews", "salt", "second"),
+    )
--- a/packages/figcrank-coordination/tests/test_failover.py
+++ b/packages/figcrank-coordination/tests/groups/test_failover.py
@@ -37,8 +37,8 @@
     [kill_primary, silence_primary, cut_primary_from_replicas, kill_primary_and_coordinator],
 )
 @pytest.mark.parametrize("platform_down", [False, True])
-def test_writes_go_on_soon_after_a_failure(make_fleet, fault, platform_down):
-    fleet = make_fleet()
+def test_writes_go_on_soon_after_a_failure(make_group_fleet, fault, platform_down):
+    fleet = make_group_fleet()
     fleet.fleet.platform.down = platform_down
     fleet.start_load(4_000)
     fleet.run_for(500)
@@ -48,8 +48,8 @@
     assert fleet.longest_gap_ms() <= GAP_BOUND_MS
 
 
-def test_a_zone_that_is_cut_off_with_the_primary_loses_it(make_fleet):
-    fleet = make_fleet()
+def test_a_zone_that_is_cut_off_with_the_primary_loses_it(make_group_fleet):
+    fleet = make_group_fleet()
     fleet.start_load(3_000)
     old = fleet.primary
     fleet.run_for(500)
@@ -63,8 +63,8 @@
     fleet.assert_nothing_lost_or_doubled()
 
 
-def test_a_returning_primary_follows(make_fleet):
-    fleet = make_fleet()
+def test_a_returning_primary_follows(make_group_fleet):
+    fleet = make_group_fleet()
     old = fleet.primary
     fleet.group.kill(old)
     fleet.run_for(2_000)
@@ -76,16 +76,16 @@
     assert returned.durable == new.durable
 
 
-def test_one_host_that_loses_sight_of_the_primary_changes_nothing(make_fleet):
-    fleet = make_fleet()
+def test_one_host_that_loses_sight_of_the_primary_changes_nothing(make_group_fleet):
+    fleet = make_group_fleet()
     term = fleet.group.primary.model.term
     fleet.fleet.network.cut(fleet.owners[0], fleet.primary)
     fleet.run_for(3_000)
     assert fleet.group.primary.model.term == term
 
 
-def test_a_server_fenced_in_a_later_term_is_brought_back(make_fleet):
-    fleet = make_fleet()
+def test_a_server_fenced_in_a_later_term_is_brought_back(make_group_fleet):
+    fleet = make_group_fleet()
     stray = fleet.group.servers[fleet.replicas[0]].model
     stray.request(Fence(stray.term + 5, "nobody"))
     fleet.run_for(3_000)
@@ -93,8 +93,8 @@
     assert stray.term == fleet.group.primary.model.term
 
 
-def test_two_coordinators_end_with_one_primary(make_fleet):
-    fleet = make_fleet()
+def test_two_coordinators_end_with_one_primary(make_group_fleet):
+    fleet = make_group_fleet()
     fleet.start_load(3_000)
     first = fleet.owners[0]
     kill_primary(fleet)
@@ -108,8 +108,8 @@
     assert roles.count("primary") == 1
 
 
-def test_a_planned_switch_fails_no_write(make_fleet):
-    fleet = make_fleet()
+def test_a_planned_switch_fails_no_write(make_group_fleet):
+    fleet = make_group_fleet()
     old = fleet.primary
     fleet.start_load(2_000)
     fleet.run_for(500)
@@ -121,8 +121,8 @@
     fleet.assert_nothing_lost_or_doubled()
 
 
-def test_a_leaving_server_gets_no_new_work_within_two_seconds(make_fleet):
-    fleet = make_fleet()
+def test_a_leaving_server_gets_no_new_work_within_two_seconds(make_group_fleet):
+    fleet = make_group_fleet()
     leaving = fleet.primary
     fleet.group.servers[leaving].model.leaving = True
     fleet.run_for(2_000)
