Lend each workspace's tokens from one home host

Admission was open to everything. A home host now lends slices of tokens with a lease, and lends only with the word of a majority of hosts; entry hosts admit against slices and let a request wait for a token that is due in time.

Ruled out: fixed shares, since a skewed workspace is refused inside its rate, and trusting each host's view of who is home, since two views would admit twice the rate.

--- /dev/null
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_lender.py
@@ -0,0 +1,270 @@
+"""The home side of the limits: when this host may lend, what it grants and how it hands over."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from figcrank.coordination._configuration import Configuration
+from figcrank.coordination._home_buckets import HomeBucket
+from figcrank.coordination._limit_timings import LEASE_MARGIN_MS
+from figcrank.coordination._placement import Placement
+from figcrank.coordination._port import Port
+from figcrank.coordination._settings import CoreSettings
+from figcrank.coordination._support import PauseDetector, Support, Voters
+from figcrank.protocol import Demand, DemandReport, HomeHandover, Slice, SliceGrants
+from figcrank.state import MILLI, Host
+
+OnGrants = Callable[[str, SliceGrants, int], None]
+
+# Ids grow with the clock, so that they are unique at a host that was restarted.
+IDS_PER_MS = 1_000
+
+
+@dataclass(slots=True)
+class _Tenure:
+    """The time for which one host is the home of one workspace.
+
+    :param support: hosts that believe in it.
+    :param begun: whether this host has believed in it too.
+    :param ready_ms: time from which it may lend; ``None`` while it has no majority.
+    :param handed_by: host that handed the bucket over, empty if none did.
+    :param grace_until_ms: time until which the hand-over stands in for a majority.
+    :param bucket: present once it may lend.
+    """
+
+    support: Support = field(default_factory=Support)
+    begun: bool = False
+    ready_ms: int | None = None
+    handed_by: str = ""
+    grace_until_ms: int = 0
+    bucket: HomeBucket | None = None
+
+    def counts(self, demand: Demand) -> bool:
+        """Return whether the sender's word is free or was last given to the predecessor."""
+        return demand.previous_home in ("", self.handed_by)
+
+
+class Lender:
+    """Lends the tokens of the workspaces that this host is home to.
+
+    A home lends once it has had the word of a majority of the voters for a lease time without a
+    gap, or was handed the bucket over; it discards the bucket as soon as the majority is gone. A
+    home that was paused finds its majority gone before it reads what waited in its socket.
+
+    :param settings: static settings of this host.
+    :param port: way out of the core.
+    :param placement: tells each workspace's home host.
+    :param configuration: tells rates and bursts.
+    :param on_local_grants: takes the grants for this very host.
+    """
+
+    def __init__(
+        self,
+        settings: CoreSettings,
+        port: Port,
+        placement: Placement,
+        configuration: Configuration,
+        on_local_grants: OnGrants,
+    ) -> None:
+        self._settings = settings
+        self._port = port
+        self._placement = placement
+        self._configuration = configuration
+        self._on_local_grants = on_local_grants
+        self._own_name = settings.host.name
+        self._voters = Voters(placement, settings.seeds)
+        self._pauses = PauseDetector()
+        self._tenures: dict[str, _Tenure] = {}
+        self._taken_handovers: dict[tuple[str, str], int] = {}
+        self._last_id = 0
+        self._leaving = False
+
+    def note_time(self, now_ms: int) -> None:
+        """Take the time of any event, so that pauses of the process are noticed."""
+        self._pauses.note(now_ms)
+
+    def tick(self, now_ms: int) -> None:
+        """Check every tenure and grant what hosts are waiting for."""
+        self._voters.refresh(now_ms)
+        for name, tenure in list(self._tenures.items()):
+            self._check(name, tenure, now_ms)
+            if self._may_lend(name, tenure, now_ms):
+                self._grant_owed(tenure, now_ms)
+
+    def on_report(self, sender: str, report: DemandReport, now_ms: int) -> None:
+        """Take a host's demands and answer with slices."""
+        if not self._voters.names():
+            self._voters.refresh(now_ms)
+        wanted: dict[str, Demand] = {}
+        for demand in report.demands:
+            self._take_demand(sender, demand, now_ms)
+            if demand.workspace not in wanted or demand.wanted_milli or demand.asked_milli:
+                wanted[demand.workspace] = demand
+        slices = [self._slice_for(sender, report.seq, demand, now_ms) for demand in wanted.values()]
+        self._answer(sender, report, tuple(slices), now_ms)
+
+    def on_handover(self, sender: str, handover: HomeHandover, now_ms: int) -> None:
+        """Take over a bucket from a home that has stopped lending; a replay is dropped."""
+        key = (sender, handover.workspace)
+        is_old = self._pauses.heard_ms(now_ms) != now_ms
+        if is_old or handover.handover_id <= self._taken_handovers.get(key, 0):
+            return
+        self._taken_handovers[key] = handover.handover_id
+        workspace = self._configuration.workspace(handover.workspace)
+        tenure = self._tenures.setdefault(handover.workspace, _Tenure())
+        if workspace is None or tenure.bucket is not None:
+            return
+        lease_ms = self._settings.timings.slice_lease_ms
+        level_milli = min(handover.level_milli, workspace.burst * MILLI)
+        tenure.bucket = HomeBucket(workspace, lease_ms, level_milli, now_ms)
+        expires_ms = now_ms + handover.lent_ms
+        tenure.bucket.count_as_lent(self._new_id(now_ms), handover.lent_milli, expires_ms, now_ms)
+        tenure.ready_ms = now_ms
+        tenure.handed_by = sender
+        tenure.grace_until_ms = now_ms + self._quarantine_ms()
+        reason = f"Took over the bucket from {sender}."
+        self._port.decide(
+            now_ms,
+            "hand-over",
+            workspace.name,
+            reason,
+            home=self._own_name,
+            level_milli=level_milli,
+        )
+
+    def leave(self, now_ms: int) -> None:
+        """Hand every bucket to the workspace's next home."""
+        self._leaving = True
+        for name, tenure in list(self._tenures.items()):
+            self._check(name, tenure, now_ms)
+
+    def home(self, workspace: str) -> Host:
+        """Return the host that this host believes to be home, itself only if it stays."""
+        return self._placement.home(workspace, without=self._own_name if self._leaving else "")
+
+    # Tenure
+
+    def _check(self, name: str, tenure: _Tenure, now_ms: int) -> None:
+        home = self.home(name)
+        if home.name != self._own_name:
+            # A hand-over may come before this host's own news of the change.
+            if tenure.begun or now_ms >= tenure.grace_until_ms:
+                self._resign(name, tenure, home, now_ms)
+            return
+        tenure.begun = True
+        if self._voters.is_majority(tenure.support.supporters(now_ms)):
+            self._gain(name, tenure, now_ms)
+        elif now_ms >= tenure.grace_until_ms and tenure.ready_ms is not None:
+            self._lapse(name, tenure, now_ms)
+        self._open(name, tenure, now_ms)
+
+    def _gain(self, name: str, tenure: _Tenure, now_ms: int) -> None:
+        if tenure.ready_ms is not None:
+            return
+        tenure.ready_ms = now_ms + self._quarantine_ms()
+        reason = "A majority of hosts believes in this home; earlier slices expire first."
+        self._port.decide(
+            now_ms, "hand-over", name, reason, home=self._own_name, ready_ms=tenure.ready_ms
+        )
+
+    def _quarantine_ms(self) -> int:
+        if self._voters.names() <= {self._own_name}:
+            return 0
+        return self._settings.timings.slice_lease_ms + LEASE_MARGIN_MS
+
+    def _lapse(self, name: str, tenure: _Tenure, now_ms: int) -> None:
+        tenure.ready_ms = None
+        tenure.handed_by = ""
+        tenure.bucket = None
+        reason = "No majority of hosts believes in this home; its bucket is discarded."
+        self._port.decide(now_ms, "hand-over", name, reason, home=self._own_name)
+
+    def _open(self, name: str, tenure: _Tenure, now_ms: int) -> None:
+        """Start the bucket, empty, once a predecessor's slices have expired."""
+        workspace = self._configuration.workspace(name)
+        if workspace is None or tenure.ready_ms is None or now_ms < tenure.ready_ms:
+            return
+        if tenure.bucket is None:
+            lease_ms = self._settings.timings.slice_lease_ms
+            tenure.bucket = HomeBucket(workspace, lease_ms, 0, now_ms)
+        tenure.bucket.change(workspace, now_ms)
+
+    def _resign(self, name: str, tenure: _Tenure, home: Host, now_ms: int) -> None:
+        """Stop being home; pass the bucket on if this host may still lend."""
+        self._tenures.pop(name, None)
+        bucket, tenure.bucket = tenure.bucket, None
+        supported = self._voters.is_majority(tenure.support.supporters(now_ms))
+        if bucket is None or not (supported or now_ms < tenure.grace_until_ms):
+            return
+        handover = HomeHandover(
+            name,
+            bucket.level_milli(now_ms),
+            bucket.lent_milli(now_ms),
+            bucket.lent_ms(now_ms),
+            self._new_id(now_ms),
+        )
+        self._port.gossip(home, handover)
+        reason = f"{home.name} is home now."
+        level_milli = handover.level_milli
+        self._port.decide(
+            now_ms, "hand-over", name, reason, home=home.name, level_milli=level_milli
+        )
+
+    def _may_lend(self, name: str, tenure: _Tenure, now_ms: int) -> bool:
+        return tenure.bucket is not None and self.home(name).name == self._own_name
+
+    # Reports
+
+    def _take_demand(self, sender: str, demand: Demand, now_ms: int) -> None:
+        if self._configuration.workspace(demand.workspace) is None:
+            return
+        tenure = self._tenures.setdefault(demand.workspace, _Tenure())
+        self._check(demand.workspace, tenure, now_ms)
+        if tenure.counts(demand):
+            tenure.support.add(sender, self._pauses.heard_ms(now_ms))
+        if tenure.bucket is not None and demand.slice_id:
+            tenure.bucket.take_spending(sender, demand, now_ms)
+
+    def _slice_for(self, sender: str, seq: int, demand: Demand, now_ms: int) -> Slice:
+        name = demand.workspace
+        tenure = self._tenures.get(name)
+        if tenure is None or not self._may_lend(name, tenure, now_ms):
+            return self._no_slice(name, tenure, now_ms)
+        is_new = tenure.bucket.take_demand(
+            sender, seq, demand.wanted_milli, demand.asked_milli, now_ms
+        )
+        if not is_new:
+            return self._no_slice(name, tenure, now_ms)
+        return tenure.bucket.grant(sender, self._new_id(now_ms), now_ms)
+
+    def _no_slice(self, name: str, tenure: _Tenure | None, now_ms: int) -> Slice:
+        retry_after_ms = 0
+        if tenure is not None and tenure.ready_ms is not None:
+            retry_after_ms = max(0, tenure.ready_ms - now_ms)
+        return Slice(name, 0, 0, 0, retry_after_ms)
+
+    def _answer(
+        self, sender: str, report: DemandReport, slices: tuple[Slice, ...], now_ms: int
+    ) -> None:
+        mentions = any(demand.slice_id or demand.wanted_milli for demand in report.demands)
+        given = tuple(s for s in slices if mentions or s.amount_milli or s.retry_after_ms)
+        if given:
+            self._send(sender, SliceGrants(report.seq, given), now_ms)
+
+    def _grant_owed(self, tenure: _Tenure, now_ms: int) -> None:
+        bucket = tenure.bucket
+        for holder in bucket.owed_to(now_ms):
+            granted = bucket.grant(holder, self._new_id(now_ms), now_ms)
+            if granted.amount_milli:
+                self._send(holder, SliceGrants(bucket.seq_of(holder), (granted,)), now_ms)
+
+    def _send(self, holder: str, grants: SliceGrants, now_ms: int) -> None:
+        if holder == self._own_name:
+            self._on_local_grants(holder, grants, now_ms)
+            return
+        host = self._placement.host(holder)
+        if host is not None:
+            self._port.gossip(host, grants)
+
+    def _new_id(self, now_ms: int) -> int:
+        self._last_id = max(self._last_id + 1, now_ms * IDS_PER_MS)
+        return self._last_id
--- a/packages/figcrank-coordination/src/figcrank/coordination/_limits.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_limits.py
@@ -1,8 +1,16 @@
-"""Limits of each workspace, counted over the whole fleet."""
+"""Limits of each workspace, counted over the whole fleet.
+
+Every host is a :class:`Borrower` that admits requests against slices of tokens, and the
+:class:`Lender` of the workspaces that it is home to. All tokens that exist are in the home's
+bucket or in live slices, together at most the burst, and only the one home with a majority's
+word refills; so admissions in any window are at most rate times its length plus the burst.
+"""
 
 from collections.abc import Callable
 
+from figcrank.coordination._borrower import Borrower
 from figcrank.coordination._configuration import Configuration
+from figcrank.coordination._lender import Lender
 from figcrank.coordination._placement import Placement
 from figcrank.coordination._port import Port
 from figcrank.coordination._settings import CoreSettings
@@ -35,10 +43,10 @@
         placement: Placement,
         configuration: Configuration,
     ) -> None:
-        self._settings = settings
-        self._port = port
-        self._placement = placement
-        self._configuration = configuration
+        self._lender = Lender(settings, port, placement, configuration, self._on_own_grants)
+        self._borrower = Borrower(
+            settings, port, configuration, self._lender.home, self._lender.on_report
+        )
 
     def admit(
         self, workspace: Workspace, deadline_ms: int, now_ms: int, on_decision: OnDecision
@@ -48,17 +56,33 @@
         :param deadline_ms: time by which the request must be answered.
         :param on_decision: called once, with ``None`` to admit or the refusal.
         """
-        on_decision(None, now_ms)
+        self._lender.note_time(now_ms)
+        self._borrower.admit(workspace, deadline_ms, now_ms, on_decision)
 
     def statuses(self, now_ms: int) -> tuple[LimitStatus, ...]:
         """Return the limits as this host sees them."""
-        return ()
+        return self._borrower.statuses(now_ms)
 
     def tick(self, now_ms: int) -> None:
         """Report demand, expire slices and refuse requests that waited too long."""
+        self._lender.note_time(now_ms)
+        self._borrower.tick(now_ms)
+        self._lender.tick(now_ms)
 
     def on_gossip(self, sender: str, message: LimitMessage, now_ms: int) -> None:
         """Take a report, a grant or a hand-over."""
+        self._lender.note_time(now_ms)
+        if isinstance(message, DemandReport):
+            self._lender.on_report(sender, message, now_ms)
+        elif isinstance(message, SliceGrants):
+            self._borrower.on_grants(sender, message, now_ms)
+        else:
+            self._lender.on_handover(sender, message, now_ms)
 
     def leave(self, now_ms: int) -> None:
         """Hand the buckets kept here to their next home hosts and give back unspent slices."""
+        self._borrower.leave(now_ms)
+        self._lender.leave(now_ms)
+
+    def _on_own_grants(self, sender: str, grants: SliceGrants, now_ms: int) -> None:
+        self._borrower.on_grants(sender, grants, now_ms)
--- a/packages/figcrank-protocol/src/figcrank/protocol/_peer.py
+++ b/packages/figcrank-protocol/src/figcrank/protocol/_peer.py
@@ -93,6 +93,9 @@
     :param returned_milli: milli-tokens of ``slice_id`` that are given back, provably unspent.
     :param slice_id: slice that the return refers to; 0 for none.
     :param asked_milli: milli-tokens asked for by callers since the last report.
+    :param spent_milli: milli-tokens of ``slice_id`` spent so far.
+    :param previous_home: other host that may still count on the sender's word that it is home,
+        empty if there is none, ``*`` if there are several.
     """
 
     workspace: str
@@ -100,6 +103,8 @@
     returned_milli: int = 0
     slice_id: int = 0
     asked_milli: int = 0
+    spent_milli: int = 0
+    previous_home: str = ""
 
 
 class DemandReport(msgspec.Struct, frozen=True, tag=True):
@@ -143,12 +148,14 @@
     :param level_milli: milli-tokens in the bucket, none of them lent.
     :param lent_milli: milli-tokens that may still be out.
     :param lent_ms: longest remaining lifetime of a lent slice, in milliseconds.
+    :param handover_id: rises with every hand-over of the sender, so that replays are known.
     """
 
     workspace: str
     level_milli: int
     lent_milli: int
     lent_ms: int
+    handover_id: int = 0
 
 
 class GroupReport(msgspec.Struct, frozen=True, tag=True):
