Spread configuration by watchers and peers, and fail closed when cut off

Each host read the store once and never again. Two watchers a cell now hold a short watch, push changes to their peers and lend them the age of their last word in every digest; whoever lags is pushed or pulls the difference. Edits are conditional updates, checked first, and a lost answer is settled by the operation id.

Freshness is dated from the sending of an own call or probe, so a delayed or replayed datagram can't renew it. An outage for everyone keeps the last configuration in force only where most hosts are heard and none has word; edits need a majority in turn. Ruled out: serving on the watchers' word alone, since a small side of a partition may hold both of them.

--- /dev/null
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_edits.py
@@ -0,0 +1,173 @@
+"""Operators' edits: conditional updates whose lost answers are settled."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from figcrank.coordination._platform import PlatformClient
+from figcrank.coordination._port import OnPlatform
+from figcrank.coordination._settings import CoreSettings
+from figcrank.protocol import (
+    EditConflict,
+    EditDone,
+    EditObject,
+    Failure,
+    FailureKind,
+    GetObject,
+    ObjectList,
+    OperatorFailure,
+    OperatorReply,
+    Outcome,
+    PlatformCall,
+    PlatformResult,
+    PutConflict,
+    PutDone,
+    PutObject,
+    StoredObject,
+)
+from figcrank.protocol.objects import config_object, stored_text
+from figcrank.state import RandomSource
+
+EDIT_DEADLINE_MS = 5_000
+MAX_EDITS = 8
+OPERATION_BITS = 64
+RETRY_AFTER_MS = 1_000
+SETTLE_INTERVAL_MS = 100
+
+OnEdited = Callable[[OperatorReply, int], None]
+
+
+@dataclass(frozen=True, slots=True)
+class _Edit:
+    request: EditObject
+    put: PutObject
+    deadline_ms: int
+    on_done: OnEdited
+    is_uncertain: bool = False
+    next_call: PlatformCall | None = None
+    next_ms: int = 0
+
+
+class Editor:
+    """Stores edits by conditional update, each at most once.
+
+    :param settings: static settings of this host.
+    :param platform: the platform.
+    :param random: random source for operation ids.
+    :param on_stored: told of each edit that took effect: the edit, what is stored, the time.
+    """
+
+    def __init__(
+        self,
+        settings: CoreSettings,
+        platform: PlatformClient,
+        random: RandomSource,
+        on_stored: Callable[[EditObject, StoredObject, int], None],
+    ) -> None:
+        self._settings = settings
+        self._platform = platform
+        self._random = random
+        self._on_stored = on_stored
+        self._edits: dict[str, _Edit] = {}
+
+    def submit(self, request: EditObject, now_ms: int, on_done: OnEdited) -> None:
+        """Store a checked edit; ``on_done`` is called once, within :data:`EDIT_DEADLINE_MS`."""
+        if len(self._edits) >= MAX_EDITS:
+            on_done(_not_run("Too many edits wait for the platform."), now_ms)
+            return
+        edit = self._new_edit(request, now_ms, on_done)
+        self._edits[edit.put.operation_id] = edit
+        if not self._send(edit, edit.put, now_ms):
+            self._finish(edit, _not_run("Too many calls wait for the platform."), now_ms)
+
+    def tick(self, now_ms: int) -> None:
+        """Settle edits without an answer and give up those past their deadline."""
+        for edit in tuple(self._edits.values()):
+            if now_ms >= edit.deadline_ms:
+                self._finish(edit, _unavailable(), now_ms)
+            elif edit.next_call is not None and now_ms >= edit.next_ms:
+                self._settle(edit, edit.next_call, now_ms)
+
+    def _new_edit(self, request: EditObject, now_ms: int, on_done: OnEdited) -> _Edit:
+        operation = f"{self._settings.host.name}-{self._random.getrandbits(OPERATION_BITS):016x}"
+        text = None if request.value is None else stored_text(request.value)
+        put = PutObject(request.kind, request.name, request.expected_version, text, operation)
+        return _Edit(request, put, now_ms + EDIT_DEADLINE_MS, on_done)
+
+    def _settle(self, edit: _Edit, call: PlatformCall, now_ms: int) -> None:
+        waiting = replace(edit, next_call=None)
+        self._edits[edit.put.operation_id] = waiting
+        if not self._send(waiting, call, now_ms):
+            self._schedule(waiting, call, now_ms)
+
+    def _send(self, edit: _Edit, call: PlatformCall, now_ms: int) -> bool:
+        timeout_ms = self._settings.timings.platform_timeout_ms
+        on_reply = self._reply_to(edit.put.operation_id)
+        return self._platform.write(call, timeout_ms, now_ms, on_reply)
+
+    def _reply_to(self, operation_id: str) -> OnPlatform:
+        def replied(result: PlatformResult, now_ms: int) -> None:
+            edit = self._edits.get(operation_id)
+            if edit is not None:
+                self._on_result(edit, result, now_ms)
+
+        return replied
+
+    def _on_result(self, edit: _Edit, result: PlatformResult, now_ms: int) -> None:
+        if isinstance(result, PutDone):
+            self._finish_stored(edit, result.stored, now_ms)
+        elif isinstance(result, PutConflict):
+            self._on_standing(edit, result.current, now_ms)
+        elif isinstance(result, ObjectList):
+            self._on_read_back(edit, result, now_ms)
+        else:
+            uncertain = replace(edit, is_uncertain=True)
+            read_back = GetObject(edit.put.kind, edit.put.name)
+            self._schedule(uncertain, read_back, now_ms)
+
+    def _on_read_back(self, edit: _Edit, result: ObjectList, now_ms: int) -> None:
+        current = result.objects[0] if result.objects else None
+        if (current.version if current else 0) == edit.put.expected_version:
+            self._schedule(edit, self._next_try(edit), now_ms)
+            return
+        self._on_standing(edit, current, now_ms)
+
+    def _next_try(self, edit: _Edit) -> PlatformCall:
+        # The write may still be under way. Versions only rise, so that one of two equal writes at
+        # most meets the expected version; but a deleted object may be created twice.
+        if edit.put.expected_version > 0:
+            return edit.put
+        return GetObject(edit.put.kind, edit.put.name)
+
+    def _on_standing(self, edit: _Edit, current: StoredObject | None, now_ms: int) -> None:
+        if current is not None and current.operation_id == edit.put.operation_id:
+            self._finish_stored(edit, current, now_ms)
+            return
+        if edit.is_uncertain:
+            message = "Another edit stands; whether this one took effect before it is not known."
+            self._finish(edit, OperatorFailure(Failure.unknown(message)), now_ms)
+            return
+        shown = None if current is None else config_object(current)
+        self._finish(edit, EditConflict(shown), now_ms)
+
+    def _finish_stored(self, edit: _Edit, stored: StoredObject, now_ms: int) -> None:
+        self._on_stored(edit.request, stored, now_ms)
+        self._finish(edit, EditDone(config_object(stored)), now_ms)
+
+    def _schedule(self, edit: _Edit, call: PlatformCall, now_ms: int) -> None:
+        later = replace(edit, next_call=call, next_ms=now_ms + SETTLE_INTERVAL_MS)
+        self._edits[edit.put.operation_id] = later
+
+    def _finish(self, edit: _Edit, reply: OperatorReply, now_ms: int) -> None:
+        self._edits.pop(edit.put.operation_id, None)
+        edit.on_done(reply, now_ms)
+
+
+def _not_run(message: str) -> OperatorFailure:
+    kind = FailureKind.PLATFORM_UNAVAILABLE
+    return OperatorFailure(Failure.not_run(kind, message, RETRY_AFTER_MS))
+
+
+def _unavailable() -> OperatorFailure:
+    message = "The platform did not tell in time whether the edit is stored."
+    failure = Failure(FailureKind.PLATFORM_UNAVAILABLE, Outcome.UNKNOWN, message, RETRY_AFTER_MS)
+    return OperatorFailure(failure)
--- /dev/null
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_ledger.py
@@ -0,0 +1,82 @@
+"""The snapshot in force and which part of its history this host can pass on."""
+
+from figcrank.protocol import ConfigPush
+from figcrank.protocol.objects import CONFIG_KINDS
+from figcrank.state import ConfigObject, ConfigSnapshot, Key
+
+MAX_REVISION_STEP = 1_000_000_000
+
+
+class Ledger:
+    """Applies changes in any order; neither the revision nor a version ever falls."""
+
+    def __init__(self) -> None:
+        self._snapshot = ConfigSnapshot()
+        self._is_loaded = False
+        # Deletions up to this revision are not known here, since a first list omits them.
+        self._complete_from = 0
+
+    @property
+    def snapshot(self) -> ConfigSnapshot:
+        """Return the configuration in force."""
+        return self._snapshot
+
+    @property
+    def is_loaded(self) -> bool:
+        """Return whether a complete configuration was ever taken."""
+        return self._is_loaded
+
+    def is_plausible(self, push: ConfigPush) -> bool:
+        """Return whether a push can have come from a working host."""
+        limit = self._snapshot.revision + MAX_REVISION_STEP
+        if not 0 <= push.since <= push.revision <= limit:
+            return False
+        return all(_is_plausible(entry, limit) for entry in push.objects)
+
+    def changes_since(self, revision: int) -> ConfigPush:
+        """Return the changes after ``revision``, or everything if deletions may be missing."""
+        since = revision if self._complete_from <= revision <= self._snapshot.revision else 0
+        return ConfigPush(since, self._snapshot.revision, self._snapshot.since(since))
+
+    def apply(self, push: ConfigPush, from_store: bool = False) -> tuple[str, ...]:
+        """Take the objects of ``push``, and its revision unless there is a gap before it.
+
+        :param from_store: whether the store itself says so; only then can it be empty.
+        :returns: ids of the keys that stopped working.
+        """
+        before = self._snapshot
+        objects = push.objects
+        is_whole = push.since == 0 and (push.revision > before.revision or from_store)
+        if is_whole and push.revision > before.revision:
+            objects = objects + self._deleted_by(push)
+        is_complete = push.since <= before.revision and (is_whole or self._is_loaded)
+        revision = push.revision if is_complete else before.revision
+        if is_complete and not self._is_loaded:
+            self._is_loaded = True
+            self._complete_from = push.revision
+        self._snapshot = before.merged(revision, objects)
+        return tuple(o.object_id.name for o in objects if self._is_withdrawal(o, before))
+
+    def _deleted_by(self, push: ConfigPush) -> tuple[ConfigObject, ...]:
+        listed = {entry.object_id for entry in push.objects}
+        return tuple(
+            ConfigObject(entry.object_id, push.revision, None)
+            for entry in self._snapshot.objects.values()
+            if entry.object_id not in listed and entry.version < push.revision and entry.value
+        )
+
+    def _is_withdrawal(self, entry: ConfigObject, before: ConfigSnapshot) -> bool:
+        if entry.object_id.kind != "key":
+            return False
+        old = before.objects.get(entry.object_id)
+        if old is None or old.version >= entry.version or not _works(old):
+            return False
+        return not _works(entry)
+
+
+def _works(entry: ConfigObject) -> bool:
+    return isinstance(entry.value, Key) and not entry.value.withdrawn
+
+
+def _is_plausible(entry: ConfigObject, limit: int) -> bool:
+    return entry.object_id.kind in CONFIG_KINDS and 0 < entry.version <= limit
--- a/packages/figcrank-coordination/src/figcrank/coordination/_membership.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_membership.py
@@ -7,7 +7,14 @@
 from figcrank.coordination._candidates import Candidates
 from figcrank.coordination._member_table import Member, MemberTable, host_of, is_plausible
 from figcrank.coordination._port import Port
-from figcrank.coordination._probes import Probe, ProbeList, ProbePurpose, Rotation, shuffled
+from figcrank.coordination._probes import (
+    Probe,
+    ProbeList,
+    ProbePurpose,
+    Rotation,
+    shuffled,
+)
+from figcrank.coordination._quorum import Quorum
 from figcrank.coordination._settings import CoreSettings
 from figcrank.protocol import Ack, Digest, MemberUpdate, Ping, PingRequest, PlatformHost
 from figcrank.state import Host, HostState, RandomSource
@@ -64,6 +71,8 @@
         self._acquainted: set[str] = set()
         self._next_probe_ms = 0
         self._probe_count = 0
+        others = any(seed.cell != settings.host.cell for seed in settings.seeds)
+        self._quorum = Quorum(settings.host, settings.timings.config_freshness_ms, others)
         self._last_tick_ms: int | None = None
         for seed in settings.seeds:
             self._table.add(Member(seed, HostState.ALIVE, 0, 0))
@@ -98,16 +107,9 @@
         members = self._table.members()
         return tuple(m.host for m in members if m.host.cell != self._myself.cell)
 
-    def hears_majority(self) -> bool:
-        """Return whether most hosts of the cell that did not leave are alive, this one included.
-
-        A dead host counts as unheard until its tombstone is forgotten, since from here it looks
-        like one behind a partition; one that left or was replaced does not count.
-        """
-        cell = [m for m in self._table.members() if m.host.cell == self._myself.cell]
-        voters = [m for m in cell if not m.is_gone]
-        alive = sum(1 for m in voters if m.state is HostState.ALIVE)
-        return alive * 2 > len(voters)
+    def hears_majority(self, now_ms: int) -> bool:
+        """Return whether most hosts of the cell that did not leave are heard, this one included."""
+        return self._quorum.holds(self._table.members(), now_ms)
 
     def start(self, now_ms: int) -> None:
         """Begin probing."""
@@ -227,6 +229,7 @@
             self._on_replaced(probe.host.name, ack.target, now_ms)
         if ack.target == probe.host.name:
             self._candidates.remove(probe.host.name)
+            self._quorum.note(probe, answered=True)
             if sender == probe.host.name:
                 self._acquainted.add(sender)
             if probe.purpose is ProbePurpose.RELAY:
@@ -308,20 +311,19 @@
             self._probe(host, ProbePurpose.MEMBER, now_ms)
 
     def _probe_aside(self, now_ms: int) -> None:
+        self._reconsider_seed()
         names = [host.name for host in self.contacts()]
         names += [m.host.name for m in self._table.members() if m.is_dead]
         name = self._side_rotation.next(names)
         member = self._table.get(name) if name else None
-        if member is None:
-            self._reconsider_seeds()
-            return
-        purpose = ProbePurpose.QUESTION if member.is_dead else ProbePurpose.MEMBER
-        self._probe(member.host, purpose, now_ms)
+        if member is not None:
+            purpose = ProbePurpose.QUESTION if member.is_dead else ProbePurpose.MEMBER
+            self._probe(member.host, purpose, now_ms)
 
-    def _reconsider_seeds(self) -> None:
-        for seed in self._settings.seeds:
-            if self._table.get(seed.name) is None:
-                self._add_candidate(seed)
+    def _reconsider_seed(self) -> None:
+        lost = {s.name: s for s in self._settings.seeds if self._table.get(s.name) is None}
+        for name in shuffled(lost, self._random)[:1]:
+            self._add_candidate(lost[name])
 
     def _probe(self, host: Host, purpose: ProbePurpose, now_ms: int) -> None:
         self._send_ping(self._probes.open(host, purpose, now_ms), now_ms)
@@ -347,6 +349,7 @@
         self._acquainted.discard(probe.host.name)
         if probe.purpose is not ProbePurpose.MEMBER:
             return
+        self._quorum.note(probe, answered=False)
         member = self._table.get(probe.host.name)
         if member is None or member.is_dead:
             return
--- /dev/null
+++ b/packages/figcrank-coordination/tests/test_configuration.py
@@ -0,0 +1,263 @@
+import pytest
+
+from figcrank.coordination import GossipReceived
+from figcrank.protocol import (
+    ConfigPush,
+    EditConflict,
+    EditDone,
+    EditObject,
+    FailureKind,
+    OperatorFailure,
+    Outcome,
+)
+from figcrank.state import (
+    ConfigObject,
+    Key,
+    ObjectId,
+    PresentedKey,
+    Profile,
+    ProfileMode,
+    Route,
+    Service,
+    Workspace,
+)
+
+BOUND_MS = 2_000
+FIRST = PresentedKey("k1", "first")
+SECOND = PresentedKey("k2", "second")
+
+
+@pytest.fixture
+def fleet(make_fleet, sample_objects):
+    fleet = make_fleet(9)
+    for value in sample_objects:
+        fleet.store.put(value, value.key_id if isinstance(value, Key) else value.name)
+    fleet.run(2_500)
+    assert all(core.configuration.is_fresh(fleet.now_ms) for core in fleet.cores.values())
+    return fleet
+
+
+def serves(fleet, name, presented=FIRST):
+    configuration = fleet.cores[name].configuration
+    if not configuration.is_fresh(fleet.now_ms):
+        return False
+    return isinstance(configuration.authenticate(presented), Key)
+
+
+def serving(fleet, presented=FIRST):
+    return [name for name in fleet.cores if serves(fleet, name, presented)]
+
+
+def edit_of(value, name, version, kind=None):
+    return EditObject(kind or type(value).__name__.lower(), name, version, value, "ivana")
+
+
+def withdrawal(fleet):
+    stored = fleet.store.objects["key", "k1"]
+    key = Key.from_secret("k1", "crews", "salt", "first")
+    gone = Key(key.key_id, key.workspace, key.salt, key.digest, withdrawn=True)
+    return edit_of(gone, "k1", stored.version)
+
+
+def edited(fleet, name, request, wait_ms=8_000):
+    before = len(fleet.replies)
+    fleet.order(name, request)
+    fleet.run(wait_ms, until=lambda: len(fleet.replies) > before)
+    return fleet.replies[-1][2]
+
+
+@pytest.mark.parametrize("loss", [0.0, 0.2])
+def test_withdrawn_key_stops_on_every_host_in_time(fleet, loss):
+    fleet.loss = loss
+    stopped = {}
+    for name, core in fleet.cores.items():
+        core.configuration.when_withdrawn(lambda key, at, n=name: stopped.setdefault(n, key))
+    assert isinstance(edited(fleet, "cell-1-host-5", withdrawal(fleet)), EditDone)
+    assert fleet.run(BOUND_MS, until=lambda: not serving(fleet))
+    assert stopped == dict.fromkeys(fleet.cores, "k1")
+    assert len(serving(fleet, SECOND)) == 9
+
+
+def test_host_cut_off_from_everything_stops_in_time(fleet):
+    fleet.cut = lambda a, b: "cell-1-host-2" in (a, b)
+    fleet.cut_from_store = {"cell-1-host-2"}
+    assert isinstance(edited(fleet, "cell-1-host-5", withdrawal(fleet)), EditDone)
+    assert fleet.run(BOUND_MS, until=lambda: not serving(fleet))
+
+
+def test_small_side_that_was_in_an_outage_stops_in_time(fleet):
+    lost = {"cell-1-host-1", "cell-1-host-2", "cell-1-host-3"}
+    fleet.store.up = False
+    fleet.run(5_000)
+    assert len(serving(fleet)) == 9
+    fleet.cut = lambda a, b: (a in lost) != (b in lost)
+    fleet.cut_from_store = lost
+    fleet.store.up = True
+    fleet.run(400)
+    reply = edited(fleet, "cell-1-host-5", withdrawal(fleet))
+    assert isinstance(reply, EditDone)
+    assert fleet.run(BOUND_MS, until=lambda: not serving(fleet))
+
+
+def test_paused_host_serves_nothing_on_what_it_knew(fleet):
+    fleet.paused["cell-1-host-2"] = fleet.now_ms + 4_000
+    edited(fleet, "cell-1-host-5", withdrawal(fleet))
+    fleet.run(4_000, until=lambda: fleet.now_ms >= fleet.paused["cell-1-host-2"])
+    assert not serves(fleet, "cell-1-host-2")
+
+
+def test_outage_of_the_platform_alone_stops_no_service(fleet):
+    fleet.store.up = False
+    refused = 0
+    for _ in range(200):
+        fleet.run(50)
+        refused += 9 - len(serving(fleet))
+    assert refused == 0
+    fleet.store.up = True
+    assert isinstance(edited(fleet, "cell-1-host-4", withdrawal(fleet)), EditDone)
+
+
+def test_outage_with_a_host_killed_stops_no_service(fleet):
+    fleet.store.up = False
+    fleet.run(2_000)
+    fleet.kill("cell-1-host-3")
+    for _ in range(100):
+        fleet.run(50)
+        assert len(serving(fleet)) == 8
+
+
+def test_host_on_the_small_side_takes_no_edit(fleet):
+    lost = {"cell-1-host-1", "cell-1-host-2", "cell-1-host-3"}
+    fleet.cut = lambda a, b: (a in lost) != (b in lost)
+    fleet.run(BOUND_MS)
+    reply = edited(fleet, "cell-1-host-1", withdrawal(fleet))
+    assert reply.failure.kind is FailureKind.STALE_CONFIG
+    assert reply.failure.outcome is Outcome.NOT_RUN
+
+
+def test_host_starts_from_peers_while_the_platform_is_down(fleet, new_host):
+    fleet.store.up = False
+    fleet.run(3_000)
+    fleet.add(new_host(10))
+    assert fleet.run(3_000, until=lambda: serves(fleet, "cell-1-host-10"))
+
+
+def test_empty_fleet_does_not_take_the_peers_ignorance_for_a_configuration(make_fleet):
+    fleet = make_fleet(3)
+    fleet.store.up = False
+    fleet.run(5_000)
+    assert not any(core.configuration.is_fresh(fleet.now_ms) for core in fleet.cores.values())
+
+
+def test_few_hosts_call_the_platform(fleet):
+    fleet.store.calls = 0
+    fleet.run(10_000)
+    assert fleet.store.calls <= 10 * 10
+
+
+def test_calls_do_not_pile_up_while_the_platform_is_down(fleet):
+    fleet.store.up = False
+    fleet.run(10_000)
+    fleet.store.calls = 0
+    fleet.run(20_000)
+    assert fleet.store.calls <= 10 * 20
+
+
+def test_second_of_two_operators_is_shown_what_stands(fleet):
+    version = fleet.store.objects["workspace", "crews"].version
+    first = edited(fleet, "cell-1-host-1", edit_of(Workspace("crews", 200, 50), "crews", version))
+    second = edited(fleet, "cell-1-host-9", edit_of(Workspace("crews", 300, 50), "crews", version))
+    assert isinstance(first, EditDone)
+    assert isinstance(second, EditConflict)
+    assert second.current == first.stored
+
+
+def test_lost_answer_is_settled_by_the_operation_id(fleet):
+    fleet.store.lose_put_answers = 1
+    assert isinstance(edited(fleet, "cell-1-host-1", withdrawal(fleet)), EditDone)
+
+
+def test_edit_without_an_answer_is_unknown(fleet):
+    fleet.store.up = False
+    reply = edited(fleet, "cell-1-host-1", withdrawal(fleet))
+    assert reply.failure.kind is FailureKind.PLATFORM_UNAVAILABLE
+    assert reply.failure.outcome is Outcome.UNKNOWN
+
+
+@pytest.mark.parametrize(
+    ("value", "name"),
+    [
+        (Workspace("crews", 0, 5), "crews"),
+        (Workspace("crews", 5, 0), "crews"),
+        (Workspace("crews", 5, 5), "other"),
+        (Key.from_secret("k3", "nobody", "salt", "x"), "k3"),
+        (Key("k_3", "crews", "salt", "0" * 64), "k_3"),
+        (Key("k3", "crews", "", "0" * 64), "k3"),
+        (Profile("late", ProfileMode.BOUNDED), "late"),
+        (Profile("late", ProfileMode.FRESH, 5), "late"),
+        (Service("roster", "no-such-group"), "roster"),
+        (Route("closures", "roster", "late", "crews", "select 1"), "closures"),
+    ],
+)
+def test_senseless_edit_is_refused(fleet, value, name):
+    reply = edited(fleet, "cell-1-host-1", edit_of(value, name, 0))
+    assert isinstance(reply, OperatorFailure)
+    assert reply.failure.kind is FailureKind.BAD_REQUEST
+
+
+def test_withdrawn_key_is_never_put_back(fleet):
+    edited(fleet, "cell-1-host-1", withdrawal(fleet))
+    version = fleet.store.objects["key", "k1"].version
+    again = edit_of(Key.from_secret("k1", "crews", "salt", "first"), "k1", version)
+    assert edited(fleet, "cell-1-host-1", again).failure.kind is FailureKind.BAD_REQUEST
+
+
+def test_workspace_with_keys_is_not_deleted(fleet):
+    version = fleet.store.objects["workspace", "crews"].version
+    reply = edited(fleet, "cell-1-host-1", edit_of(None, "crews", version, kind="workspace"))
+    assert reply.failure.kind is FailureKind.BAD_REQUEST
+
+
+def test_large_change_reaches_every_host(fleet):
+    for number in range(100):
+        fleet.store.put(Workspace(f"w{number}", 100, 50), f"w{number}")
+    fleet.run(BOUND_MS)
+    for core in fleet.cores.values():
+        assert len(core.configuration.snapshot.of_kind("workspace")) == 101
+
+
+@pytest.mark.parametrize(
+    "push",
+    [
+        ConfigPush(0, 2**60, ()),
+        ConfigPush(9, 4, ()),
+        ConfigPush(-1, 4, ()),
+        ConfigPush(3, 3, (ConfigObject(ObjectId("key", "k1"), 2**60, None),)),
+        ConfigPush(3, 3, (ConfigObject(ObjectId("key", "k1"), 1, None),)),
+        ConfigPush(3, 3, (ConfigObject(ObjectId("lease", "x"), 4, None),)),
+    ],
+)
+def test_absurd_or_replayed_push_changes_nothing(fleet, push):
+    before = fleet.cores["cell-1-host-1"].configuration.snapshot
+    fleet.send("cell-1-host-1", GossipReceived("cell-1-host-2", push))
+    assert fleet.cores["cell-1-host-1"].configuration.snapshot == before
+
+
+def test_gap_is_never_taken_as_complete(fleet):
+    core = fleet.cores["cell-1-host-1"]
+    own = core.configuration.snapshot.revision
+    late = ConfigObject(ObjectId("workspace", "late"), own + 5, Workspace("late", 1, 1))
+    push = ConfigPush(own + 4, own + 5, (late,))
+    fleet.send("cell-1-host-1", GossipReceived("cell-1-host-2", push))
+    assert core.configuration.snapshot.revision == own
+    assert core.configuration.workspace("late") is not None
+
+
+def test_old_answer_makes_no_host_fresh(fleet):
+    fleet.cut = lambda a, b: "cell-1-host-2" in (a, b)
+    fleet.cut_from_store = {"cell-1-host-2"}
+    recorded = [s.message for s in fleet.sent if s.address == "10.0.1.2:1"][-200:]
+    for message in recorded * 2:
+        fleet.run(10)
+        fleet.send("cell-1-host-2", GossipReceived("cell-1-host-3", message))
+    assert not serves(fleet, "cell-1-host-2")
