Time out reads of the store by its latest latency

A store that takes 400 ms made every watch fail, so the hosts fell back on patient single reads and their word aged. A read now times out after three times the last latency, 300 ms at least. A fixed 500 ms was ruled out: with a silent store the watchers' reports then come after the freshness limit of hosts that lag behind them.

--- a/packages/figcrank-coordination/src/figcrank/coordination/_watch.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_watch.py
@@ -20,7 +20,9 @@
 from figcrank.state import Host, RandomSource
 
 HOST_LIST_INTERVAL_MS = 10_000
-READ_TIMEOUT_MS = 500
+# A read that takes longer than this many times the last one has failed.
+LATENCY_FACTOR = 3
+MIN_READ_TIMEOUT_MS = 300
 # Age at which a host that is no watcher reads the store itself, and how far hosts spread out.
 SELF_READ_AGE_MS = 900
 SELF_READ_SPREAD_MS = 300
@@ -61,6 +63,7 @@
         self._spread_ms = int(random.random() * SELF_READ_SPREAD_MS)
         self._random = random
         self._in_flight = False
+        self._latency_ms = 0
         self._next_hosts_ms = 0
 
     def watchers(self) -> tuple[Host, ...]:
@@ -79,17 +82,14 @@
             return
         since = self._revision() or 0
         call = ListObjects(CONFIG_KINDS, since)
-        timeout_ms = min(READ_TIMEOUT_MS, self._settings.timings.platform_timeout_ms)
-        if self._platform.has_failed:
-            # A slow store answers a patient trial.
-            timeout_ms = self._settings.timings.platform_timeout_ms
 
         def replied(result: PlatformResult, at_ms: int) -> None:
             self._in_flight = False
             if isinstance(result, ObjectList):
+                self._latency_ms = at_ms - now_ms
                 self._on_objects(result, since, now_ms, at_ms)
 
-        self._in_flight = self._platform.read(call, timeout_ms, now_ms, replied)
+        self._in_flight = self._platform.read(call, self._timeout_ms(), now_ms, replied)
 
     def tick(self, now_ms: int) -> None:
         """Make the calls that are due."""
@@ -120,9 +120,16 @@
             if isinstance(result, ObjectList):
                 self._on_objects(result, since, _word_ms(result, now_ms, at_ms), at_ms)
 
-        timeout_ms = WATCH_WAIT_MS + READ_TIMEOUT_MS
+        timeout_ms = WATCH_WAIT_MS + self._timeout_ms()
         self._in_flight = self._platform.read(call, timeout_ms, now_ms, replied, as_watcher=True)
 
+    def _timeout_ms(self) -> int:
+        longest_ms = self._settings.timings.platform_timeout_ms
+        if self._platform.has_failed:
+            # A slow store answers a patient trial.
+            return longest_ms
+        return min(longest_ms, max(MIN_READ_TIMEOUT_MS, LATENCY_FACTOR * self._latency_ms))
+
     def _list_hosts(self, now_ms: int) -> None:
         if now_ms < self._next_hosts_ms:
             return
--- a/packages/figcrank-coordination/tests/conftest.py
+++ b/packages/figcrank-coordination/tests/conftest.py
@@ -45,6 +45,7 @@
         self.revision = 0
         self.objects = {}
         self.up = True
+        self.is_silent = False
         self.delay_ms = 2
         self.calls = 0
         self.lose_put_answers = 0
@@ -153,7 +154,8 @@
 
     def _from_store(self, name, event):
         if not self.store.up or name in self.cut_from_store:
-            return PlatformReplied(event.call_id, protocol.PlatformFailed("down"))
+            failed = PlatformReplied(event.call_id, protocol.PlatformFailed("down"))
+            return None if self.store.is_silent else failed
         result = event.result()
         return None if result is None else PlatformReplied(event.call_id, result)
 
--- a/packages/figcrank-coordination/tests/test_configuration.py
+++ b/packages/figcrank-coordination/tests/test_configuration.py
@@ -106,7 +106,11 @@
     assert not serves(fleet, "cell-1-host-2")
 
 
-def test_outage_of_the_platform_alone_stops_no_service(fleet):
+@pytest.mark.parametrize("is_silent", [False, True])
+@pytest.mark.parametrize("loss", [0.0, 0.2])
+def test_outage_of_the_platform_alone_stops_no_service(fleet, is_silent, loss):
+    fleet.loss = loss
+    fleet.store.is_silent = is_silent
     fleet.store.up = False
     refused = 0
     for _ in range(200):
@@ -117,6 +121,15 @@
     assert isinstance(edited(fleet, "cell-1-host-4", withdrawal(fleet)), EditDone)
 
 
+def test_slow_platform_stops_no_service(fleet):
+    fleet.store.delay_ms = 400
+    for _ in range(200):
+        fleet.run(50)
+        assert len(serving(fleet)) == 9
+    assert isinstance(edited(fleet, "cell-1-host-4", withdrawal(fleet)), EditDone)
+    assert fleet.run(BOUND_MS, until=lambda: not serving(fleet))
+
+
 def test_outage_with_a_host_killed_stops_no_service(fleet):
     fleet.store.up = False
     fleet.run(2_000)
