--- a/packages/figcrank-standins/src/figcrank/standins/_server_model.py
+++ b/packages/figcrank-standins/src/figcrank/standins/_server_model.py
@@ -28,7 +28,7 @@
     WorkResult,
     WriteWork,
 )
-from figcrank.standins._database import Database, RequestRecord
+from figcrank.standins._database import Database
 from figcrank.standins._errors import ServerFullError, WorkError
 from figcrank.standins._log import LogEntry, ReplicationBatch
 from figcrank.standins._replica_log import ReplicaLog
@@ -176,10 +176,6 @@
             self._snapshot = Snapshot(self._store.applied, self.database.copy())
         return self._snapshot
 
-    def find_record(self, request_id: str) -> RequestRecord | None:
-        """Return the applied record of a request, ``None`` if it is absent."""
-        return self.database.find_record(request_id)
-
     def check_read(self, min_position: Position, primary_term: int | None) -> None:
         """Check that a read may run here; see :meth:`read`.
 
@@ -222,6 +218,10 @@
         self._store.append_committed(entry)
         return WorkDone(given, position)
 
+    def holds(self, position: Position) -> bool:
+        """Return whether the log contains the entry at ``position``."""
+        return self._store.log.holds(position)
+
     def fetch_from(self) -> Position:
         """Return the position of the last entry held, after which entries are wanted."""
         return self._store.durable
