--- a/Makefile
+++ b/Makefile
@@ -6,11 +6,17 @@
 STAMP := $(VENV)/.installed
 LISTEN ?= 127.0.0.1:8080
 
-.PHONY: run test lint measure format lock
+.PHONY: run test lint measure format lock fleet load-run
 
 run: $(STAMP)
 	$(BIN)/figcrankd --embedded --listen $(LISTEN)
 
+fleet: $(STAMP)
+	examples/fleet.sh $(BIN)
+
+load-run: $(STAMP)
+	$(BIN)/python -m figcrank.cli.bench
+
 test: $(STAMP)
 	$(BIN)/pytest
 
