--- a/packages/figcrank-transport/src/figcrank/transport/_telemetry.py
+++ b/packages/figcrank-transport/src/figcrank/transport/_telemetry.py
@@ -39,8 +39,9 @@
 
     def end(self, **attributes: str) -> None:
         """Finish the span."""
-        self._span.set_attributes(attributes)
-        self._span.end()
+        if self._span.is_recording():
+            self._span.set_attributes(attributes)
+            self._span.end()
 
 
 class Telemetry:
@@ -65,8 +66,9 @@
         self._traces = _opened(trace_file)
         self._decisions = _opened(decision_file)
         resource = Resource({"host": host, "availability_zone": availability_zone})
-        sampler = sampling.ALWAYS_ON if self._traces else sampling.ALWAYS_OFF
-        self._provider = TracerProvider(sampler=sampler, resource=resource, shutdown_on_exit=False)
+        self._provider = TracerProvider(
+            sampler=sampling.ALWAYS_ON, resource=resource, shutdown_on_exit=False
+        )
         if self._traces is not None:
             self._provider.add_span_processor(_JsonLinesProcessor(self._traces))
         self._tracer = self._provider.get_tracer("figcrank")
@@ -111,10 +113,9 @@
 
         :param traceparent: W3C context of the parent; a new trace begins if it is not valid.
         """
-        span = self._tracer.start_span(name, context=_parent_context(traceparent))
-        if span.get_span_context().is_valid:
-            return Span(span)
-        return Span(NonRecordingSpan(_new_context()))
+        if self._traces is None:
+            return Span(NonRecordingSpan(_span_context(traceparent) or _new_context()))
+        return Span(self._tracer.start_span(name, context=_parent_context(traceparent)))
 
     def flush(self) -> None:
         """Write buffered lines to their files."""
@@ -189,13 +190,20 @@
     return Path(path).open("a", encoding="utf-8") if path else None
 
 
-def _parent_context(traceparent: str) -> trace.Context | None:
+def _span_context(traceparent: str) -> SpanContext | None:
     match = _TRACEPARENT.fullmatch(traceparent)
     if match is None:
-        return trace.set_span_in_context(trace.INVALID_SPAN)
+        return None
     trace_id, span_id, flags = (int(part, 16) for part in match.groups())
-    context = SpanContext(trace_id, span_id, is_remote=True, trace_flags=TraceFlags(flags))
-    return trace.set_span_in_context(NonRecordingSpan(context))
+    if not trace_id or not span_id:
+        return None
+    return SpanContext(trace_id, span_id, is_remote=True, trace_flags=TraceFlags(flags))
+
+
+def _parent_context(traceparent: str) -> trace.Context:
+    context = _span_context(traceparent)
+    parent = NonRecordingSpan(context) if context else trace.INVALID_SPAN
+    return trace.set_span_in_context(parent)
 
 
 def _new_context() -> SpanContext:
