Let replicas turn to a new primary at once

Cause: a replica whose fetch hung on a paused or cut off primary noticed its successor only after the fetch's deadline, up to 1 s, which would have stood in every failover gap measured against the stand-ins. Fixed: a change of term or primary ends the fetch under way. Also: only the contract's functions are taken out of SQL, so that group_concat works; kept results must be results; the connection that asks for silence is spared.

--- a/packages/figcrank-standins/src/figcrank/standins/_replication.py
+++ b/packages/figcrank-standins/src/figcrank/standins/_replication.py
@@ -7,6 +7,7 @@
 from typing import Any, BinaryIO
 
 import eventlet
+import greenlet
 import msgspec
 from eventlet.green import socket
 
@@ -39,7 +40,7 @@
 
 
 class EntrySource(ABC):
-    """Another server, from which entries may be fetched."""
+    """Another server, from which entries may be fetched; a fetch may be killed at any time."""
 
     @abstractmethod
     def fetch(self, request: FetchRequest) -> ReplicationBatch | None:
@@ -88,6 +89,9 @@
         except (OSError, msgspec.DecodeError):
             self._disconnect()
             return None
+        except greenlet.GreenletExit:
+            self._disconnect()
+            raise
 
     def _exchange(self, request: FetchRequest) -> ReplicationBatch | None:
         if self._socket is None:
@@ -148,17 +152,32 @@
         self._is_partitioned = is_partitioned
         self._due: collections.deque[_DueApply] = collections.deque()
         self._held = Signal()
+        self._fetching: Any = None
+        self._applying: Any = None
+
+    def start(self) -> None:
+        """Begin to fetch and to apply."""
+        self._fetching = eventlet.spawn(self._run_fetch)
+        self._applying = eventlet.spawn(self._run_apply)
+
+    def stop(self) -> None:
+        """Stop for good."""
+        self._fetching.kill()
+        self._applying.kill()
+
+    def reset(self) -> None:
+        """Turn to the present primary at once, giving up a fetch from an earlier one."""
+        self._fetching.kill()
+        self._fetching = eventlet.spawn(self._run_fetch)
 
-    def run_fetch(self) -> None:
-        """Fetch entries for ever."""
+    def _run_fetch(self) -> None:
         while True:
             if not self._can_fetch():
                 self._changed.wait(IDLE_WAIT_MS)
             elif not self._fetch_once():
                 eventlet.sleep(RETRY_MS / 1_000)
 
-    def run_apply(self) -> None:
-        """Apply held entries, each after the lag, for ever."""
+    def _run_apply(self) -> None:
         while True:
             if not self._due:
                 self._held.wait(IDLE_WAIT_MS)
--- a/packages/figcrank-standins/src/figcrank/standins/_sql_block.py
+++ b/packages/figcrank-standins/src/figcrank/standins/_sql_block.py
@@ -2,12 +2,16 @@
 
 from abc import ABC, abstractmethod
 
+import msgspec
+
 from figcrank.protocol import Statement, StatementResult, is_read
 from figcrank.standins._database import Database
 from figcrank.standins._errors import WorkError
 from figcrank.standins._server_model import ServerModel
 from figcrank.state import Position
 
+_results_decoder = msgspec.json.Decoder(tuple[StatementResult, ...])
+
 
 class SqlBlock(ABC):
     """The statements between the begin and the end of a transaction."""
@@ -30,7 +34,7 @@
     def keep_results(self, request_id: str, results: str) -> None:
         """Keep the JSON text of the request's results with its record.
 
-        :raises WorkError: if no record of the request is kept.
+        :raises WorkError: if no record of the request is kept or the text is not results.
         """
 
     @abstractmethod
@@ -91,6 +95,10 @@
     def keep_results(self, request_id: str, results: str) -> None:
         if not request_id or request_id != self._request_id:
             raise WorkError.bad_call("group_result")
+        try:
+            _results_decoder.decode(results)
+        except msgspec.DecodeError as error:
+            raise WorkError.bad_call("group_result") from error
         self._results = results
 
     def commit(self) -> Position:
--- a/packages/figcrank-standins/src/figcrank/standins/_sql_session.py
+++ b/packages/figcrank-standins/src/figcrank/standins/_sql_session.py
@@ -40,9 +40,10 @@
         """Answer a control request, waiting if it asks for that."""
 
     @abstractmethod
-    def set_knob(self, name: str, value: int) -> None:
+    def set_knob(self, name: str, value: int, pid: int) -> None:
         """Change how the stand-in misbehaves.
 
+        :param pid: session that asks.
         :raises WorkError: if there is no such knob.
         """
 
@@ -173,7 +174,7 @@
             case ("group_result", str(request_id), str(results)):
                 self._required_block().keep_results(request_id, results)
             case ("standin_set", str(name), int(value)):
-                self._port.set_knob(name, value)
+                self._port.set_knob(name, value, self.pid)
             case _:
                 raise WorkError.bad_call(call.function)
         return _ROW_OF_ONE
--- a/packages/figcrank-standins/src/figcrank/standins/_sql_text.py
+++ b/packages/figcrank-standins/src/figcrank/standins/_sql_text.py
@@ -13,8 +13,20 @@
     r"""'(?:[^']|'')*'|"(?:[^"]|"")*"|--[^\n]*|/\*.*?\*/|;|[^;'"/\-]+|.""", re.DOTALL
 )
 _COMMENT = re.compile(r"\s*(?:--[^\n]*(?:\n|$)|/\*.*?\*/)", re.DOTALL)
+_FUNCTIONS = (
+    "group_status",
+    "group_fence",
+    "group_promote",
+    "group_follow",
+    "group_lookup",
+    "group_guard_read",
+    "group_guard_write",
+    "group_record",
+    "group_result",
+    "standin_set",
+)
 _CALL = re.compile(
-    r"SELECT\s+(group_\w+|standin_set)\s*\((.*)\)(?:\s+AS\s+\w+)?", re.IGNORECASE | re.DOTALL
+    rf"SELECT\s+({'|'.join(_FUNCTIONS)})\s*\((.*)\)(?:\s+AS\s+\w+)?", re.IGNORECASE | re.DOTALL
 )
 
 
--- a/packages/figcrank-standins/src/figcrank/standins/group_server.py
+++ b/packages/figcrank-standins/src/figcrank/standins/group_server.py
@@ -56,7 +56,8 @@
         self._knobs = knobs
         self._changed = Signal()
         self._connections: dict[int, _Connection] = {}
-        self._greenlets: list[Any] = []
+        self._accepting: Any = None
+        self._replicator: Replicator | None = None
         self._listener: Any = None
         self._sources: dict[str, EntrySource] = {}
         self.feed = EntryFeed(model, self._changed, self._is_partitioned)
@@ -82,17 +83,16 @@
         :param sources: the other servers by name.
         """
         self._sources = sources
-        replicator = Replicator(
+        self._replicator = Replicator(
             self.model, self._changed, sources, self._lag_ms, self._is_partitioned
         )
-        loops = (self._accept_all, replicator.run_fetch, replicator.run_apply)
-        self._greenlets = [eventlet.spawn(loop) for loop in loops]
+        self._replicator.start()
+        self._accepting = eventlet.spawn(self._accept_all)
 
     def stop(self) -> None:
         """Drop every connection and stop; open transactions roll back, the log stays."""
-        for greenlet in self._greenlets:
-            greenlet.kill()
-        self._greenlets.clear()
+        self._accepting.kill()
+        self._replicator.stop()
         self._listener.close()
         for connection in tuple(self._connections.values()):
             connection.drop()
@@ -107,35 +107,45 @@
         """Answer a control request, waiting if it asks for that."""
         if isinstance(request, QueryStatus):
             return self._wait_for(request)
+        term, primary = self.model.term, self.model.primary
         reply = self.model.request(request)
-        self._changed.notify()
+        if (self.model.term, self.model.primary) != (term, primary):
+            self._on_new_term()
         if isinstance(request, Lookup) and request.session_pid in self._connections:
             self._connections[request.session_pid].drop()
         return reply
 
-    def set_knob(self, name: str, value: int) -> None:
+    def set_knob(self, name: str, value: int, pid: int = 0) -> None:
         """Set a knob, or make the open connections silent with ``silence``.
 
+        :param pid: session that asks, which is not made silent.
         :raises WorkError: if there is no such knob.
         """
         if name == _SILENCE:
-            self.silence(still_runs=bool(value))
+            self.silence(still_runs=bool(value), except_pid=pid)
             return
         self._knobs = self._knobs.changed(name, value)
         self.model.leaving = bool(self._knobs.leaving)
 
-    def silence(self, still_runs: bool) -> None:
+    def silence(self, still_runs: bool, except_pid: int = 0) -> None:
         """Never answer again on the connections that are open now.
 
         :param still_runs: whether queries that come on them still run.
+        :param except_pid: session that goes on.
         """
-        for connection in self._connections.values():
-            connection.silence(still_runs)
+        for pid, connection in self._connections.items():
+            if pid != except_pid:
+                connection.silence(still_runs)
 
     def notify(self) -> None:
         """Wake whoever waits for a change of the model."""
         self._changed.notify()
 
+    def _on_new_term(self) -> None:
+        self._changed.notify()
+        if self._replicator is not None:
+            self._replicator.reset()
+
     def _wait_for(self, request: QueryStatus) -> ServerReply:
         deadline = time.monotonic() + request.wait_ms / 1_000
         term = self.model.term
--- a/packages/figcrank-standins/tests/test_group_server.py
+++ b/packages/figcrank-standins/tests/test_group_server.py
@@ -2,17 +2,25 @@
 import msgspec
 import psycopg2
 import pytest
+from eventlet.event import Event
 from eventlet.hubs import trampoline
 from psycopg2 import extensions
 
-from figcrank.standins import Knobs
-from figcrank.standins.group_server import start_group
-from figcrank.state import ServerRole, ServerStatus
+from figcrank.protocol import Fence, Follow, Promote, QueryStatus
+from figcrank.standins import Knobs, ServerModel
+from figcrank.standins._replication import EntrySource
+from figcrank.standins.group_server import GroupServer, start_group
+from figcrank.state import Position, ServerRole, ServerStatus
 
 TEST_DEADLINE_S = 20
 FAST = Knobs(connect_ms=0)
 
 
+class HangingSource(EntrySource):
+    def fetch(self, request):
+        Event().wait()
+
+
 def wait_for_socket(connection):
     while True:
         state = connection.poll()
@@ -152,14 +160,33 @@
 
 def test_silent_connections_stay_silent_and_new_ones_work(group):
     old = connect(group)
-    group.servers[group.group.servers[0].name].silence(still_runs=False)
+    other = connect(group)
+    run(other, "SELECT standin_set('silence', 0)")
     answered = []
     waiting = eventlet.spawn(lambda: answered.append(run(old, "SELECT 1")))
     assert run(connect(group), "SELECT 2") == [(2,)]
+    assert run(other, "SELECT 3") == [(3,)]
     assert answered == []
     waiting.kill()
 
 
+def test_replica_turns_to_a_new_primary_while_the_old_one_hangs():
+    replica = GroupServer(ServerModel("a", ("a", "b", "c")), FAST)
+    primary = GroupServer(ServerModel("b", ("a", "b", "c")), FAST)
+    replica.listen()
+    replica.start({"b": primary.feed, "c": HangingSource()})
+    try:
+        replica.control(Follow(1, "c"))
+        eventlet.sleep(0)
+        primary.model.request(Fence(2, "host-1"))
+        primary.model.request(Promote(2, "host-1"))
+        replica.control(Follow(2, "b"))
+        reply = replica.control(QueryStatus(Position(2, 1), wait_ms=5_000))
+        assert reply.status.durable == Position(2, 1)
+    finally:
+        replica.stop()
+
+
 def test_stopped_server_comes_back_with_its_log(group):
     server = group.servers[group.group.servers[0].name]
     written = write(connect(group), "r1", "CREATE TABLE shifts (crew TEXT)")
--- a/packages/figcrank-standins/tests/test_server_model.py
+++ b/packages/figcrank-standins/tests/test_server_model.py
@@ -162,6 +162,15 @@
     assert not group[1].accept(batch, 1)
 
 
+def test_late_empty_batch_drops_nothing(group):
+    late = group[0].entries_after(1, group[1].fetch_from())
+    assert late.entries == ()
+    done = write(group[0], "r1", insert("north"))
+    replicate(group[0], group[1])
+    group[1].accept(late, 1)
+    assert group[1].holds(done.position)
+
+
 def test_replaced_primary_gives_no_entries(group):
     group[0].request(Fence(2, "host-1"))
     assert group[0].entries_after(1, ORIGIN) is None
--- a/packages/figcrank-standins/tests/test_sql_session.py
+++ b/packages/figcrank-standins/tests/test_sql_session.py
@@ -15,7 +15,7 @@
     def control(self, request):
         return self.model.request(request)
 
-    def set_knob(self, name, value):
+    def set_knob(self, name, value, pid):
         self.knobs[name] = value
 
 
@@ -91,6 +91,21 @@
     assert call.arguments == ("r'1", 3, None)
 
 
+def test_other_functions_of_a_like_name_are_sql():
+    (statement,) = parse_query("SELECT group_concat(crew) FROM (SELECT crew FROM shifts)")
+    assert statement.verb is Verb.STATEMENT
+
+
+def test_results_that_are_not_results_are_refused(client):
+    client("BEGIN; SELECT group_guard_write(1); SELECT group_record('r1')")
+    assert client("SELECT group_result('r1', 'nonsense')").sqlstate == "22023"
+
+
+def test_knob_is_set(client):
+    client("SELECT standin_set('lag_ms', 250)")
+    assert client.port.knobs == {"lag_ms": 250}
+
+
 def test_read_guard_and_read_in_one_query(client):
     answer = client("SELECT group_guard_read(1, 2, NULL); SELECT count(*) FROM shifts")
     assert answer.rows[-1] == ["0"]
