Tell a home since when no other can have had a majority

A home that took over after a crash waited for its hosts' silence and then for a lease, 1.7 s with detection. Hosts now withhold their word from a home that does not answer and tell how long they have been free, so most of that time has passed when the crash is known.

--- a/packages/figcrank-coordination/src/figcrank/coordination/_borrower.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_borrower.py
@@ -6,7 +6,7 @@
 
 from figcrank.coordination._actions import CountMetric
 from figcrank.coordination._configuration import Configuration
-from figcrank.coordination._limit_timings import HEARTBEAT_MS, MAX_WAIT_MS
+from figcrank.coordination._limit_timings import ANSWER_TIMEOUT_MS, HEARTBEAT_MS, MAX_WAIT_MS
 from figcrank.coordination._port import Port
 from figcrank.coordination._settings import CoreSettings
 from figcrank.coordination._slices import Purse
@@ -60,7 +60,7 @@
     """
 
     workspace: Workspace
-    purse: Purse = field(default_factory=Purse)
+    purse: Purse
     waiters: deque[_Waiter] = field(default_factory=deque)
     asked: int = 0
     admitted: int = 0
@@ -89,9 +89,11 @@
     """Reports to one home host.
 
     :param urgent: whether a report of waiting requests is to be sent.
+    :param answered_ms: when the newest report that was answered had been sent.
     """
 
     sent_ms: int
+    answered_ms: int | None = None
     urgent: bool = False
     sent_urgent_ms: int | None = None
 
@@ -128,7 +130,7 @@
         self, workspace: Workspace, deadline_ms: int, now_ms: int, on_decision: OnDecision
     ) -> None:
         """Admit a request, refuse it, or let it wait for a token that is due in time."""
-        account = self._account(workspace)
+        account = self._account(workspace, now_ms)
         home = self._believed_home(account, now_ms)
         account.asked += 1
         if not account.waiters and account.purse.spend(now_ms):
@@ -144,7 +146,7 @@
 
     def tick(self, now_ms: int) -> None:
         """Refuse late requests, give unused slices back and report to the homes."""
-        self._sync_accounts()
+        self._sync_accounts(now_ms)
         homes: dict[str, Host] = {}
         for account in list(self._accounts.values()):
             home = self._believed_home(account, now_ms)
@@ -162,11 +164,12 @@
         sent_ms = self._sent_ms.get(grants.seq)
         if sent_ms is None:
             return
+        self._note_answer(sender, grants.seq, sent_ms)
         for granted in grants.slices:
             account = self._accounts.get(granted.workspace)
             if account is None or self._believed_home(account, now_ms).name != sender:
                 continue
-            self._take(account, granted, grants.seq, sent_ms, now_ms)
+            self._take(account, granted, sent_ms, now_ms)
 
     def leave(self, now_ms: int) -> None:
         """Give every unspent slice back."""
@@ -191,17 +194,17 @@
 
     # Accounts
 
-    def _account(self, workspace: Workspace) -> _Account:
+    def _account(self, workspace: Workspace, now_ms: int) -> _Account:
         account = self._accounts.get(workspace.name)
         if account is None:
-            account = self._accounts[workspace.name] = _Account(workspace)
+            account = self._accounts[workspace.name] = _Account(workspace, Purse(now_ms))
         account.workspace = workspace
         return account
 
-    def _sync_accounts(self) -> None:
+    def _sync_accounts(self, now_ms: int) -> None:
         """Keep an account for every workspace, so that its home hears from this host."""
         for workspace in self._configuration.snapshot.of_kind("workspace"):
-            self._account(workspace)
+            self._account(workspace, now_ms)
 
     def _believed_home(self, account: _Account, now_ms: int) -> Host:
         home = self._find_home(account.workspace.name)
@@ -241,8 +244,14 @@
 
     # Grants
 
-    def _take(self, account: _Account, granted: Slice, seq: int, sent_ms: int, now_ms: int) -> None:
-        account.purse.acknowledge(seq)
+    def _note_answer(self, home: str, seq: int, sent_ms: int) -> None:
+        link = self._links.setdefault(home, _HomeLink(sent_ms))
+        link.answered_ms = max(sent_ms, link.answered_ms or sent_ms)
+        for account in self._accounts.values():
+            if account.purse.home == home:
+                account.purse.acknowledge(seq)
+
+    def _take(self, account: _Account, granted: Slice, sent_ms: int, now_ms: int) -> None:
         account.purse.add(granted, sent_ms + granted.lease_ms, now_ms)
         account.more_known_ms = now_ms if granted.retry_after_ms else None
         account.more_at_ms = now_ms + granted.retry_after_ms
@@ -301,10 +310,12 @@
         if link.urgent:
             link.sent_urgent_ms = now_ms
         link.urgent = False
+        answered_ms = link.answered_ms
+        gives_word = answered_ms is not None and now_ms - answered_ms < ANSWER_TIMEOUT_MS
         demands: list[Demand] = []
         seq = self._new_seq(now_ms)
         for account in self._accounts_of(home):
-            demands.extend(self._demands(account, seq, now_ms))
+            demands.extend(self._demands(account, seq, gives_word, now_ms))
             if len(demands) >= MAX_DEMANDS:
                 self._send(home, DemandReport(seq, tuple(demands)), now_ms)
                 demands = []
@@ -312,11 +323,15 @@
         if demands:
             self._send(home, DemandReport(seq, tuple(demands)), now_ms)
 
-    def _demands(self, account: _Account, seq: int, now_ms: int) -> tuple[Demand, ...]:
+    def _demands(
+        self, account: _Account, seq: int, gives_word: bool, now_ms: int
+    ) -> tuple[Demand, ...]:
         wanted_milli = len(account.waiters) * MILLI
         asked_milli = account.asked * MILLI
         account.asked = 0
-        return account.purse.demands(account.workspace.name, wanted_milli, asked_milli, seq, now_ms)
+        return account.purse.demands(
+            account.workspace.name, wanted_milli, asked_milli, seq, gives_word, now_ms
+        )
 
     def _send(self, home: Host, report: DemandReport, now_ms: int) -> None:
         self._sent_ms[report.seq] = now_ms
--- a/packages/figcrank-coordination/src/figcrank/coordination/_lender.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_lender.py
@@ -146,21 +146,25 @@
     def _check(self, name: str, tenure: _Tenure, now_ms: int) -> None:
         home = self.home(name)
         if home.name != self._own_name:
-            # A hand-over may come before this host's own news of the change.
-            if tenure.begun or now_ms >= tenure.grace_until_ms:
+            # A hand-over may come before this host's own news that the predecessor is leaving.
+            early = not tenure.begun and home.name == tenure.handed_by
+            if not early or now_ms >= tenure.grace_until_ms:
                 self._resign(name, tenure, home, now_ms)
             return
         tenure.begun = True
-        if self._voters.is_majority(tenure.support.supporters(now_ms)):
-            self._gain(name, tenure, now_ms)
+        supporters = tenure.support.supporters(now_ms)
+        if self._voters.is_majority(supporters):
+            self._gain(name, tenure, supporters, now_ms)
         elif now_ms >= tenure.grace_until_ms and tenure.ready_ms is not None:
             self._lapse(name, tenure, now_ms)
         self._open(name, tenure, now_ms)
 
-    def _gain(self, name: str, tenure: _Tenure, now_ms: int) -> None:
+    def _gain(self, name: str, tenure: _Tenure, supporters: set[str], now_ms: int) -> None:
         if tenure.ready_ms is not None:
             return
-        tenure.ready_ms = now_ms + self._quarantine_ms()
+        voting = supporters & self._voters.names()
+        exclusive_ms = tenure.support.exclusive_from_ms(voting, self._voters.majority())
+        tenure.ready_ms = max(now_ms, exclusive_ms + self._quarantine_ms())
         reason = "A majority of hosts believes in this home; earlier slices expire first."
         self._port.decide(
             now_ms, "hand-over", name, reason, home=self._own_name, ready_ms=tenure.ready_ms
@@ -220,7 +224,8 @@
         tenure = self._tenures.setdefault(demand.workspace, _Tenure())
         self._check(demand.workspace, tenure, now_ms)
         if tenure.counts(demand):
-            tenure.support.add(sender, self._pauses.heard_ms(now_ms))
+            heard_ms = self._pauses.heard_ms(now_ms)
+            tenure.support.add(sender, heard_ms, now_ms - demand.free_ms)
         if tenure.bucket is not None and demand.slice_id:
             tenure.bucket.take_spending(sender, demand, now_ms)
 
@@ -245,10 +250,10 @@
     def _answer(
         self, sender: str, report: DemandReport, slices: tuple[Slice, ...], now_ms: int
     ) -> None:
-        mentions = any(demand.slice_id or demand.wanted_milli for demand in report.demands)
-        given = tuple(s for s in slices if mentions or s.amount_milli or s.retry_after_ms)
-        if given:
-            self._send(sender, SliceGrants(report.seq, given), now_ms)
+        """Answer even without tokens, which tells that this home is alive and has heard."""
+        wanting = {demand.workspace for demand in report.demands if demand.wanted_milli}
+        given = tuple(s for s in slices if s.amount_milli or s.workspace in wanting)
+        self._send(sender, SliceGrants(report.seq, given), now_ms)
 
     def _grant_owed(self, tenure: _Tenure, now_ms: int) -> None:
         bucket = tenure.bucket
--- a/packages/figcrank-coordination/src/figcrank/coordination/_settings.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_settings.py
@@ -35,7 +35,7 @@
     server_timeout_ms: int = 200
     platform_timeout_ms: int = 1_000
     config_freshness_ms: int = 1_500
-    slice_lease_ms: int = 400
+    slice_lease_ms: int = 300
     report_interval_ms: int = 50
     transaction_idle_ms: int = 10_000
 
--- a/packages/figcrank-coordination/src/figcrank/coordination/_slices.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_slices.py
@@ -8,7 +8,9 @@
 
 # A slice that is not used up by now is given back, so that no idle host holds tokens.
 RETURN_AFTER_MS = 150
-_SEVERAL = "*"
+_NO_WORD = "*"
+# Longer freedom is of no use to a home.
+MAX_FREE_MS = 10_000
 
 
 @dataclass(slots=True)
@@ -39,8 +41,9 @@
     home they are dropped at once; what they held is lost until the lender's count of it expires.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, now_ms: int) -> None:
         self.home = ""
+        self._started_ms = now_ms
         self._held: list[_Held] = []
         self._seen: dict[tuple[str, int], int] = {}
         self._word_ms: dict[str, int] = {}
@@ -93,18 +96,29 @@
         return bool(self._held)
 
     def demands(
-        self, workspace: str, wanted_milli: int, asked_milli: int, seq: int, now_ms: int
+        self,
+        workspace: str,
+        wanted_milli: int,
+        asked_milli: int,
+        seq: int,
+        gives_word: bool,
+        now_ms: int,
     ) -> tuple[Demand, ...]:
-        """Return the entries of report ``seq``, and give the home this host's word.
+        """Return the entries of report ``seq``.
 
-        The first entry carries what is wanted; each slice has an entry until the home has
-        answered a report that called it used up or given back.
+        The first entry carries what is wanted and this host's word; each slice has an entry until
+        the home has answered a report that called it used up or given back.
+
+        :param gives_word: whether the home answers, so that it gets this host's word.
         """
-        previous = self._previous_home(now_ms)
-        self._word_ms[self.home] = now_ms
-        first = Demand(workspace, wanted_milli, 0, 0, asked_milli, 0, previous)
-        rest = [self._entry(workspace, held, seq, previous) for held in self._held]
-        return (first, *rest)
+        free_ms = self._free_ms(now_ms)
+        previous = self._previous_home(now_ms) if gives_word else _NO_WORD
+        if previous != _NO_WORD:
+            self._word_ms[self.home] = now_ms
+        first = Demand(
+            workspace, wanted_milli, 0, 0, asked_milli, 0, previous_home=previous, free_ms=free_ms
+        )
+        return (first, *(self._entry(workspace, held, seq) for held in self._held))
 
     def acknowledge(self, seq: int) -> None:
         """Forget the slices that report ``seq`` called used up or given back."""
@@ -112,7 +126,7 @@
             held for held in self._held if not (held.closed_seq and held.closed_seq <= seq)
         ]
 
-    def _entry(self, workspace: str, held: _Held, seq: int, previous: str) -> Demand:
+    def _entry(self, workspace: str, held: _Held, seq: int) -> Demand:
         if not held.left_milli and not held.closed_seq:
             held.closed_seq = seq
         return Demand(
@@ -122,7 +136,7 @@
             held.slice_id,
             0,
             held.spent_milli,
-            previous,
+            _NO_WORD,
         )
 
     def _close(self, held: _Held) -> None:
@@ -130,9 +144,17 @@
 
     def _previous_home(self, now_ms: int) -> str:
         """Return the other home that may count on this host's word."""
-        recent = {name: ms for name, ms in self._word_ms.items() if now_ms - ms < SILENCE_MS}
-        self._word_ms = recent
-        others = [name for name in recent if name != self.home]
+        others = [
+            name
+            for name, ms in self._word_ms.items()
+            if name != self.home and now_ms - ms < SILENCE_MS
+        ]
         if len(others) > 1:
-            return _SEVERAL
+            return _NO_WORD
         return others[0] if others else ""
+
+    def _free_ms(self, now_ms: int) -> int:
+        """Return for how long no other home has been able to count on this host's word."""
+        given_ms = [ms for name, ms in self._word_ms.items() if name != self.home]
+        free_from_ms = max((ms + SILENCE_MS for ms in given_ms), default=self._started_ms)
+        return min(MAX_FREE_MS, max(0, now_ms - free_from_ms))
--- a/packages/figcrank-coordination/src/figcrank/coordination/_support.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_support.py
@@ -2,8 +2,10 @@
 
 Each host gives its word to one home at a time: after it changed its belief it stays silent until
 the old home can't count on it any more (``SILENCE_MS``). Two homes with the same voters therefore
-never have a majority at the same time. A home that gains a majority waits until every slice that
-a predecessor can have lent has expired, and starts with an empty bucket. A home that was handed
+never have a majority at the same time. A host also withholds its word from a home that does not
+answer, and tells how long it has been free; so a home that gains a majority knows since when no
+other can have had one. It waits until every slice lent before has expired, and starts with an
+empty bucket. A home that was handed
 the bucket may count on hosts at once whose word was last given to the host that handed it over.
 
 Not covered: sets of voters that differ by two hosts or more while both homes are the minimum
@@ -52,10 +54,13 @@
         """Return the names of the voters."""
         return frozenset(self._seen_ms)
 
+    def majority(self) -> int:
+        """Return how many voters are more than half of them."""
+        return len(self._seen_ms) // 2 + 1
+
     def is_majority(self, hosts: set[str]) -> bool:
         """Return whether ``hosts`` holds more than half of the voters."""
-        count = sum(name in hosts for name in self._seen_ms)
-        return 2 * count > len(self._seen_ms)
+        return len(hosts & self.names()) >= self.majority()
 
 
 class PauseDetector:
@@ -88,14 +93,20 @@
 
     def __init__(self) -> None:
         self._heard_ms: dict[str, int] = {}
+        self._free_from_ms: dict[str, int] = {}
+
+    def add(self, host: str, heard_ms: int, free_from_ms: int) -> None:
+        """Count ``host`` from ``heard_ms`` on for ``SUPPORT_MS``.
 
-    def add(self, host: str, heard_ms: int) -> None:
-        """Count ``host`` from ``heard_ms`` on for ``SUPPORT_MS``."""
+        :param free_from_ms: time from which no other home could count on the host.
+        """
         self._heard_ms[host] = max(heard_ms, self._heard_ms.get(host, heard_ms))
+        self._free_from_ms[host] = free_from_ms
 
-    def remove(self, host: str) -> None:
-        """Stop counting ``host``."""
-        self._heard_ms.pop(host, None)
+    def exclusive_from_ms(self, hosts: set[str], needed: int) -> int:
+        """Return the time from which ``needed`` of ``hosts`` counted for no other home."""
+        times = sorted(self._free_from_ms[name] for name in hosts)
+        return times[needed - 1]
 
     def supporters(self, now_ms: int) -> set[str]:
         """Return the hosts that count at ``now_ms``."""
--- a/packages/figcrank-measure/src/figcrank/measure/_limit_fleet.py
+++ b/packages/figcrank-measure/src/figcrank/measure/_limit_fleet.py
@@ -147,6 +147,7 @@
         self._random = Random(seed)
         self._on_way: list[tuple[int, int, str, str, LimitMessage]] = []
         self._sent = 0
+        self._gone: set[str] = set()
 
     def member(self, name: str) -> Member:
         """Return a host by name."""
@@ -160,7 +161,8 @@
     def join(self) -> Member:
         """Add a host that every live host knows at once."""
         host = make_host(len(self.members))
-        known = (*(member.host for member in self.members if member.alive), host)
+        staying = [m.host for m in self.members if m.alive and m.host.name not in self._gone]
+        known = (*staying, host)
         self.members.append(Member(host, known, self.workspaces.values()))
         for member in self.members:
             member.view.add(host)
@@ -179,6 +181,7 @@
 
     def leave(self, member: Member) -> None:
         """Let a host leave cleanly; the others know at once."""
+        self._gone.add(member.host.name)
         for other in self.members:
             other.view.leaving.add(member.host.name)
             if other is not member:
--- a/packages/figcrank-measure/src/figcrank/measure/_limits.py
+++ b/packages/figcrank-measure/src/figcrank/measure/_limits.py
@@ -102,7 +102,11 @@
     meanwhile, after = _split(after, FAULT_MS + PAUSE_MS)
     fleet.run(meanwhile, FAULT_MS + PAUSE_MS)
     fleet.resume(paused)
-    # The resumed host goes on as home in its own view, and takes requests.
+    # The resumed host goes on as home in its own view until the others take it back.
+    separate, after = _split(after, FAULT_MS + PAUSE_MS + DETECTION_MS)
+    fleet.run(separate, FAULT_MS + PAUSE_MS + DETECTION_MS)
+    for member in fleet.members:
+        member.view.add(paused.host)
     fleet.run(after, END_MS + WARM_UP_MS)
 
 
--- a/packages/figcrank-protocol/src/figcrank/protocol/_peer.py
+++ b/packages/figcrank-protocol/src/figcrank/protocol/_peer.py
@@ -85,7 +85,7 @@
     since: int
 
 
-class Demand(msgspec.Struct, frozen=True):
+class Demand(msgspec.Struct, frozen=True, omit_defaults=True):
     """A host's need of one workspace's tokens.
 
     :param workspace: the workspace.
@@ -94,8 +94,9 @@
     :param slice_id: slice that the return refers to; 0 for none.
     :param asked_milli: milli-tokens asked for by callers since the last report.
     :param spent_milli: milli-tokens of ``slice_id`` spent so far.
-    :param previous_home: other host that may still count on the sender's word that it is home,
-        empty if there is none, ``*`` if there are several.
+    :param previous_home: other host that may still count on the sender's word that it is home;
+        empty if the receiver has the word, ``*`` if the sender gives none.
+    :param free_ms: time for which no other home has been able to count on the sender's word.
     """
 
     workspace: str
@@ -105,6 +106,7 @@
     asked_milli: int = 0
     spent_milli: int = 0
     previous_home: str = ""
+    free_ms: int = 0
 
 
 class DemandReport(msgspec.Struct, frozen=True, tag=True):
@@ -117,7 +119,7 @@
     demands: tuple[Demand, ...]
 
 
-class Slice(msgspec.Struct, frozen=True):
+class Slice(msgspec.Struct, frozen=True, omit_defaults=True):
     """Tokens lent to one host.
 
     :param workspace: the workspace.
