Trace each hop as the parent of the next and time callers' requests

A request whose body ends after SIGTERM is refused as over the limit on a fleet of one host: a leaving host drops its own vote, so that its bucket is discarded.

--- a/packages/figcrank-cli/tests/test_lifetime.py
+++ b/packages/figcrank-cli/tests/test_lifetime.py
@@ -72,3 +72,17 @@
     assert program.terminate() == 0
     for line in program.log_text().splitlines():
         assert json.loads(line)["host"]
+
+
+def test_shutdown_lets_an_open_transaction_finish(program, ready, caller, poll):
+    url = ready["caller_url"]
+    assert caller.run(url, "create table t (id integer)").status == 200
+    begun = caller.post(url, f"/v1/services/{caller.service}/transactions")
+    assert begun.status == 200, begun
+    path = f"/v1/transactions/{begun.body['transaction']}"
+    program.process.terminate()
+    poll(lambda: caller.get_status(url, "/readyz") == 503, "failing readiness")
+    body = {"statements": [{"sql": "insert into t values (1)"}]}
+    assert caller.post(url, f"{path}/statements", body).status == 200
+    assert caller.post(url, f"{path}/commit").status == 200
+    assert program.process.wait(30) == 0
--- a/packages/figcrank-transport/src/figcrank/transport/_caller_api.py
+++ b/packages/figcrank-transport/src/figcrank/transport/_caller_api.py
@@ -14,7 +14,7 @@
 )
 from figcrank.protocol import AnswerBody, Failure, OwnedAnswer, StatementsBody
 from figcrank.protocol.codecs import SessionCodec
-from figcrank.state import PresentedKey, Session
+from figcrank.state import Clock, PresentedKey, Session
 from figcrank.transport._calls import CallTable
 from figcrank.transport._driver import HostDriver
 from figcrank.transport._http_server import (
@@ -51,9 +51,13 @@
     :param driver: the host driver.
     :param sessions: codec of session tokens.
     :param telemetry: traces and metrics.
+    :param clock: clock that requests are timed by.
     """
 
-    def __init__(self, driver: HostDriver, sessions: SessionCodec, telemetry: Telemetry) -> None:
+    def __init__(
+        self, driver: HostDriver, sessions: SessionCodec, telemetry: Telemetry, clock: Clock
+    ) -> None:
+        self._clock = clock
         self._driver = driver
         self._sessions = sessions
         self._telemetry = telemetry
@@ -183,12 +187,15 @@
     ) -> None:
         response.set_header("Traceparent", span.traceparent)
         outcome = "fault"
+        started_ms = self._clock.now_ms()
         try:
             self._driver.dispatch(event)
             answer = self._calls.wait(event.call_id, event.timeout_ms + ANSWER_GRACE_MS)
             outcome = self._write(answer, response)
         finally:
             self._calls.forget(event.call_id)
+            self._telemetry.count(f"caller.{outcome}")
+            self._telemetry.time("caller.elapsed", self._clock.now_ms() - started_ms)
             span.end(outcome=outcome)
 
     def _write(self, answer: Answer | None, response: falcon.Response) -> str:
@@ -212,7 +219,9 @@
         return self._sessions.decode(token) if token else None
 
     def _span(self, name: str, request: falcon.Request) -> Span:
-        return self._telemetry.start_span(name, request.get_header("Traceparent") or "")
+        span = self._telemetry.start_span(name, request.get_header("Traceparent") or "")
+        request.context.trace_id = span.trace_id
+        return span
 
 
 def _answer_body(answer: OwnedAnswer) -> AnswerBody:
--- a/packages/figcrank-transport/src/figcrank/transport/_http_server.py
+++ b/packages/figcrank-transport/src/figcrank/transport/_http_server.py
@@ -16,6 +16,7 @@
 MAX_BODY_BYTES = 1_048_576
 MAX_CONNECTIONS = 4_096
 LISTEN_BACKLOG = 1_024
+IDLE_TIMEOUT_S = 300
 MS_PER_S = 1_000
 
 StartResponse = Callable[..., Any]
@@ -55,6 +56,7 @@
             debug=False,
             max_size=MAX_CONNECTIONS,
             keepalive=True,
+            socket_timeout=IDLE_TIMEOUT_S,
         )
 
     def drain(self) -> None:
@@ -189,5 +191,7 @@
 def _on_fault(
     request: falcon.Request, response: falcon.Response, error: Exception, params: dict
 ) -> None:
-    logging.error("A request handler failed.", exc_info=error)
+    # Handlers that trace a request note the id in its context.
+    trace_id = getattr(request.context, "trace_id", "")
+    logging.error("A request handler failed.", exc_info=error, extra={"trace_id": trace_id})
     write_failure(response, Failure.unknown("The host failed while it handled the request."))
--- a/packages/figcrank-transport/src/figcrank/transport/_peer_api.py
+++ b/packages/figcrank-transport/src/figcrank/transport/_peer_api.py
@@ -1,6 +1,7 @@
 """The HTTP API towards other hosts of the fleet."""
 
 import falcon
+import msgspec
 
 from figcrank.coordination import PeerRequestReceived, RespondPeer
 from figcrank.protocol import Failure, FailureKind, MessageError, PeerRequest
@@ -15,7 +16,7 @@
     write_failure,
     write_json,
 )
-from figcrank.transport._telemetry import Telemetry
+from figcrank.transport._telemetry import Span, Telemetry
 
 PEER_PATH = "/v1/peer"
 SIGNATURE_HEADER = "Figcrank-Signature"
@@ -58,7 +59,7 @@
         traceparent = getattr(message, "traceparent", "")
         span = self._telemetry.start_span("peer.serve", traceparent)
         try:
-            self._answer(sender, message, response)
+            self._answer(sender, with_traceparent(message, span), response)
         finally:
             span.end(sender=sender, request=type(message).__name__)
 
@@ -83,6 +84,13 @@
         write_json(response, reply)
 
 
+def with_traceparent(message: PeerRequest, span: Span) -> PeerRequest:
+    """Return ``message`` with ``span`` as the parent of what follows, if it carries a trace."""
+    if not hasattr(message, "traceparent"):
+        return message
+    return msgspec.structs.replace(message, traceparent=span.traceparent)
+
+
 def signed_bytes(sender: str, body: bytes) -> bytes:
     """Return what the signature covers: the sender's name and the body."""
     return sender.encode() + b"\n" + body
--- a/packages/figcrank-transport/src/figcrank/transport/_peer_client.py
+++ b/packages/figcrank-transport/src/figcrank/transport/_peer_client.py
@@ -1,11 +1,19 @@
 """Requests to other hosts."""
 
+from dataclasses import replace
+
 from figcrank.coordination import CallPeer, PeerFailed, PeerReplied
 from figcrank.protocol import MessageError
 from figcrank.protocol.codecs import GossipCodec, decode_peer_reply, encode
 from figcrank.transport._driver import HostDriver, spawn_logged
 from figcrank.transport._http_client import HttpCallError, HttpClient, HttpReply
-from figcrank.transport._peer_api import PEER_PATH, SENDER_HEADER, SIGNATURE_HEADER, signed_bytes
+from figcrank.transport._peer_api import (
+    PEER_PATH,
+    SENDER_HEADER,
+    SIGNATURE_HEADER,
+    signed_bytes,
+    with_traceparent,
+)
 from figcrank.transport._telemetry import Telemetry
 
 HTTP_OK = 200
@@ -36,7 +44,7 @@
     def _call(self, action: CallPeer) -> None:
         traceparent = getattr(action.request, "traceparent", "")
         span = self._telemetry.start_span("peer.call", traceparent)
-        event = self._exchange(action)
+        event = self._exchange(replace(action, request=with_traceparent(action.request, span)))
         span.end(host=action.host.name, outcome=type(event).__name__)
         self._driver.dispatch(event)
 
--- a/packages/figcrank-transport/src/figcrank/transport/_process.py
+++ b/packages/figcrank-transport/src/figcrank/transport/_process.py
@@ -74,10 +74,11 @@
         self._gossip = GossipSocket(host.gossip_address, codec, host.name, self.telemetry)
         core_settings = settings.core_settings(self._peers.address, self._gossip.address)
         core = HostCore(core_settings, random.SystemRandom())
-        self._driver = HostDriver(core, MonotonicClock(), settings.timings.tick_ms)
+        clock = MonotonicClock()
+        self._driver = HostDriver(core, clock, settings.timings.tick_ms)
         # Session tokens are signed with the last secret of their codec, messages with the first.
         sessions = SessionCodec(settings.secrets[::-1])
-        self._caller_api = CallerApi(self._driver, sessions, self.telemetry)
+        self._caller_api = CallerApi(self._driver, sessions, self.telemetry, clock)
         self._operator_api = OperatorApi(self._driver, settings.operator_keys)
         self._peer_api = PeerApi(self._driver, codec, self.telemetry)
         self._peer_client = PeerClient(self._driver, codec, host.name, self.telemetry)
--- a/packages/figcrank-transport/src/figcrank/transport/_telemetry.py
+++ b/packages/figcrank-transport/src/figcrank/transport/_telemetry.py
@@ -37,6 +37,11 @@
         flags = int(context.trace_flags)
         self.traceparent = f"00-{context.trace_id:032x}-{context.span_id:016x}-{flags:02x}"
 
+    @property
+    def trace_id(self) -> str:
+        """Return the id of the trace, in hexadecimal."""
+        return self.traceparent.split("-")[1]
+
     def end(self, **attributes: str) -> None:
         """Finish the span."""
         if self._span.is_recording():
@@ -82,10 +87,14 @@
         """Add to a counter that the core names."""
         self.count(action.name, action.amount)
 
-    def time_metric(self, action: TimeMetric) -> None:
-        """Send a timing of the core."""
+    def time(self, name: str, elapsed_ms: int) -> None:
+        """Send a timing, in milliseconds."""
         if self._statsd is not None:
-            self._statsd.timing(action.name, action.elapsed_ms)
+            self._statsd.timing(name, elapsed_ms)
+
+    def time_metric(self, action: TimeMetric) -> None:
+        """Send a timing that the core names."""
+        self.time(action.name, action.elapsed_ms)
 
     def record_decision(self, action: RecordDecision) -> None:
         """Write a decision to the decision log."""
@@ -93,7 +102,8 @@
             self._decisions.write(msgspec.json.encode(action.decision).decode() + "\n")
             return
         decision = action.decision
-        logging.info("%s %s: %s", decision.kind, decision.subject, decision.reason)
+        fields = {name: decision.inputs[name] for name in LOG_FIELDS if name in decision.inputs}
+        logging.info("%s %s: %s", decision.kind, decision.subject, decision.reason, extra=fields)
 
     def record_span(self, action: RecordSpan) -> None:
         """Write a span that the core has finished."""
