--- a/packages/figcrank-cli/src/figcrank/cli/bench.py
+++ b/packages/figcrank-cli/src/figcrank/cli/bench.py
@@ -1,12 +1,17 @@
 """Measures single reads through one embedded host: ``python -m figcrank.cli.bench``."""
 
 import argparse
+import contextlib
 import json
 import os
+import statistics
 import subprocess
 import sys
+import tempfile
 import time
 import warnings
+from collections.abc import Iterator
+from datetime import datetime
 from pathlib import Path
 
 with warnings.catch_warnings():
@@ -21,31 +26,61 @@
 from figcrank.transport import HttpClient
 
 HIGHEST_US = 60_000_000
+SIGNIFICANT_FIGURES = 3
 US_PER_MS = 1_000
+MS_PER_S = 1_000
 NS_PER_US = 1_000
 KIB = 1_024
 REQUEST_TIMEOUT_MS = 30_000
 HTTP_OK = 200
 
 
-class BenchReport(msgspec.Struct, frozen=True):
-    """What a run measured.
+class LoadReport(msgspec.Struct, frozen=True):
+    """What a load gave.
 
     :param connections: kept-alive connections that sent reads, each one after the other.
-    :param duration_s: length of the measured part.
     :param reads_per_s: reads answered each second.
     :param failed: reads that got another answer than a result.
     :param median_ms: median time from request to answer at the client.
     :param p99_ms: 99th percentile of the same.
-    :param resident_mib: resident memory of the host process at the end.
     """
 
     connections: int
-    duration_s: float
     reads_per_s: float
     failed: int
     median_ms: float
     p99_ms: float
+
+
+class PartsReport(msgspec.Struct, frozen=True):
+    """Where the time of a read goes, from the median spans of one connection.
+
+    :param client_ms: request to answer at the client.
+    :param http_ms: outside the host's handler: HTTP parsing, sockets and the client itself.
+    :param core_ms: in the handler but not at the backend server: the core, queues and waking.
+    :param backend_ms: driver, network and backend server.
+    """
+
+    client_ms: float
+    http_ms: float
+    core_ms: float
+    backend_ms: float
+
+
+class BenchReport(msgspec.Struct, frozen=True):
+    """What a run measured.
+
+    :param duration_s: length of each load.
+    :param loads: one report a load.
+    :param parts: where the time goes.
+    :param open_sessions: kept-alive connections that were open when memory was read.
+    :param resident_mib: resident memory of the host process, stand-ins included.
+    """
+
+    duration_s: float
+    loads: tuple[LoadReport, ...]
+    parts: PartsReport
+    open_sessions: int
     resident_mib: float
 
 
@@ -63,70 +98,115 @@
         self._path = f"/v1/services/{service}/statements"
         self._headers = {"Authorization": f"Bearer {key}", "Figcrank-Profile": profile}
         self._body = encode(StatementsBody((Statement("select 1"),)))
-        self._http = HttpClient()
-        self._histogram = HdrHistogram(1, HIGHEST_US, 3)
-        self._failed = 0
 
-    def run(self, connections: int, duration_s: float) -> tuple[float, float, float, int]:
-        """Run the load; return reads a second, median and 99th percentile in ms, and failures."""
-        ends = time.monotonic() + duration_s
+    def run(self, connections: int, duration_s: float) -> LoadReport:
+        """Send reads on each connection, one after the other."""
+        http = HttpClient()
+        histogram = HdrHistogram(1, HIGHEST_US, SIGNIFICANT_FIGURES)
         started = time.monotonic()
-        threads = [eventlet.spawn(self._send_until, ends) for _ in range(connections)]
-        for thread in threads:
-            thread.wait()
+        ends = started + duration_s
+        threads = [
+            eventlet.spawn(self._send_until, ends, http, histogram) for _ in range(connections)
+        ]
+        failed = sum(thread.wait() for thread in threads)
         elapsed_s = time.monotonic() - started
-        return (
-            self._histogram.get_total_count() / elapsed_s,
-            self._histogram.get_value_at_percentile(50) / US_PER_MS,
-            self._histogram.get_value_at_percentile(99) / US_PER_MS,
-            self._failed,
+        return LoadReport(
+            connections,
+            round(histogram.get_total_count() / elapsed_s, 1),
+            failed,
+            histogram.get_value_at_percentile(50) / US_PER_MS,
+            histogram.get_value_at_percentile(99) / US_PER_MS,
         )
 
-    def _send_until(self, ends: float) -> None:
+    def open_sessions(self, count: int) -> list[HttpClient]:
+        """Open ``count`` connections, send one read on each and keep them open."""
+        clients = [HttpClient() for _ in range(count)]
+        for client in clients:
+            self._send(client)
+        return clients
+
+    def _send_until(self, ends: float, http: HttpClient, histogram: HdrHistogram) -> int:
+        failed = 0
         while time.monotonic() < ends:
             started_ns = time.monotonic_ns()
-            reply = self._http.post(
-                self._address, self._path, self._body, self._headers, REQUEST_TIMEOUT_MS
-            )
-            if reply.status != HTTP_OK:
-                self._failed += 1
+            if not self._send(http):
+                failed += 1
                 continue
-            self._histogram.record_value((time.monotonic_ns() - started_ns) // NS_PER_US)
+            histogram.record_value((time.monotonic_ns() - started_ns) // NS_PER_US)
+        return failed
 
+    def _send(self, http: HttpClient) -> bool:
+        reply = http.post(self._address, self._path, self._body, self._headers, REQUEST_TIMEOUT_MS)
+        return reply.status == HTTP_OK
 
-def main() -> int:
-    """Start an embedded host, load it and print the report as JSON."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--connections", type=int, default=8)
-    parser.add_argument("--duration-s", type=float, default=10.0)
-    parser.add_argument("--profile", default="relaxed")
-    options = parser.parse_args()
+
+@contextlib.contextmanager
+def embedded_host(*arguments: str) -> Iterator[tuple[subprocess.Popen, dict]]:
+    """Run an embedded host; gives its process and its ready line."""
     command = [sys.executable, "-m", "figcrank.cli.figcrankd", "--embedded"]
-    command += ["--listen", "127.0.0.1:0"]
+    command += ["--listen", "127.0.0.1:0", *arguments]
     host = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL)
     try:
-        ready = json.loads(host.stdout.readline())
-        address = ready["caller_url"].removeprefix("http://")
-        bench = Bench(address, ready["key"], ready["service"], options.profile)
-        figures = bench.run(options.connections, options.duration_s)
-        resident_mib = _resident_mib(host.pid)
+        yield host, json.loads(host.stdout.readline())
     finally:
         host.terminate()
         host.wait()
-    reads_per_s, median_ms, p99_ms, failed = figures
-    report = BenchReport(
-        options.connections,
-        options.duration_s,
-        round(reads_per_s, 1),
-        failed,
-        median_ms,
-        p99_ms,
-        round(resident_mib, 1),
+
+
+def measure_parts(profile: str, duration_s: float) -> PartsReport:
+    """Load a traced host over one connection and split the time by its spans."""
+    with tempfile.TemporaryDirectory() as directory:
+        path = Path(directory) / "spans.jsonl"
+        with embedded_host("--trace-file", str(path)) as (_, ready):
+            load = _bench_of(ready, profile).run(1, duration_s)
+        medians = _median_spans_ms(path)
+    handler_ms = medians["caller.statements"]
+    backend_ms = medians["backend.work"]
+    return PartsReport(
+        load.median_ms,
+        round(load.median_ms - handler_ms, 3),
+        round(handler_ms - backend_ms, 3),
+        round(backend_ms, 3),
     )
+
+
+def main() -> int:
+    """Measure embedded hosts and print the report as JSON."""
+    options = _parser().parse_args()
+    with embedded_host() as (host, ready):
+        bench = _bench_of(ready, options.profile)
+        loads = tuple(bench.run(count, options.duration_s) for count in options.connections)
+        sessions = bench.open_sessions(options.open_sessions)
+        resident_mib = _resident_mib(host.pid)
+    parts = measure_parts(options.profile, options.duration_s)
+    report = BenchReport(options.duration_s, loads, parts, len(sessions), round(resident_mib, 1))
     print(msgspec.json.format(encode(report)).decode())
     return os.EX_OK
 
 
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--connections", type=int, nargs="+", default=[1, 8, 16])
+    parser.add_argument("--duration-s", type=float, default=5.0)
+    parser.add_argument("--open-sessions", type=int, default=2_000)
+    parser.add_argument("--profile", default="relaxed")
+    return parser
+
+
+def _bench_of(ready: dict, profile: str) -> Bench:
+    address = ready["caller_url"].removeprefix("http://")
+    return Bench(address, ready["key"], ready["service"], profile)
+
+
+def _median_spans_ms(path: Path) -> dict[str, float]:
+    durations: dict[str, list[float]] = {}
+    for line in path.read_text().splitlines():
+        span = json.loads(line)
+        took = datetime.fromisoformat(span["end_time"]) - datetime.fromisoformat(span["start_time"])
+        durations.setdefault(span["name"], []).append(took.total_seconds() * MS_PER_S)
+    return {name: statistics.median(values) for name, values in durations.items()}
+
+
 def _resident_mib(pid: int) -> float:
     for line in Path(f"/proc/{pid}/status").read_text().splitlines():
         if line.startswith("VmRSS:"):
