Give each HTTP connection small buffers

Each open connection held 24 KiB of read and write buffers. Requests and answers are mostly smaller than a buffer; larger ones take more system calls.

--- a/packages/figcrank-transport/src/figcrank/transport/_http_server.py
+++ b/packages/figcrank-transport/src/figcrank/transport/_http_server.py
@@ -15,6 +15,7 @@
 
 MAX_BODY_BYTES = 1_048_576
 MAX_CONNECTIONS = 4_096
+BUFFER_BYTES = 2_048
 LISTEN_BACKLOG = 1_024
 IDLE_TIMEOUT_S = 300
 MS_PER_S = 1_000
@@ -57,6 +58,7 @@
             max_size=MAX_CONNECTIONS,
             keepalive=True,
             socket_timeout=IDLE_TIMEOUT_S,
+            protocol=_Protocol,
         )
 
     def drain(self) -> None:
@@ -91,6 +93,13 @@
         return start
 
 
+class _Protocol(eventlet.wsgi.HttpProtocol):
+    """A connection whose buffers are small, because most connections of a host are idle."""
+
+    rbufsize = BUFFER_BYTES
+    wbufsize = BUFFER_BYTES
+
+
 class _CountedResponse:
     """A response body that tells when the server is done with it."""
 
