Let buckets fill before a scenario begins

Cause: new home hosts start with empty buckets, so requests in a fleet's first moments are refused; nine scenarios failed on a table that was never created. Ruled out: starting buckets full, which could admit a burst twice. Conclusion: the check that the table was created is in the load itself now.

--- a/packages/figcrank-measure/src/figcrank/measure/_load.py
+++ b/packages/figcrank-measure/src/figcrank/measure/_load.py
@@ -11,8 +11,13 @@
 
 
 def create_table(scenario: Scenario) -> Call:
-    """Create the table that loads write to."""
-    return scenario.finish(scenario.write(CREATE_TABLE))
+    """Create the table that loads write to.
+
+    :raises AssertionError: if the fleet refuses.
+    """
+    call = scenario.finish(scenario.write(CREATE_TABLE))
+    assert call.answer is not None, call.failure
+    return call
 
 
 @dataclass(slots=True)
--- a/packages/figcrank-measure/src/figcrank/measure/_scenario.py
+++ b/packages/figcrank-measure/src/figcrank/measure/_scenario.py
@@ -18,6 +18,8 @@
 )
 
 READY_WITHIN_MS = 10_000
+# Every sample workspace's burst is two seconds of its rate.
+BURST_FILL_MS = 3_000
 STEP_MS = 20
 RELAXED_STALENESS_MS = 5_000
 SECRET = "0f1e2d3c4b5a69788796a5b4c3d2e1f0"
@@ -76,8 +78,9 @@
         return f"host-{number}"
 
     def wait_until_ready(self) -> None:
-        """Let time pass until every host is ready and every group has a primary."""
+        """Let time pass until every host is ready, and for the buckets to fill."""
         self.wait_until(self._is_ready, READY_WITHIN_MS)
+        self.fleet.run_for(BURST_FILL_MS)
 
     def wait_until(self, condition: object, within_ms: int) -> None:
         """Let time pass until ``condition()`` is true.
