Ask hosts for their word only while there is demand

A home now asks silent hosts for their word while tokens are wanted. The bucket is kept over idle times: a home knows since when no other can have lent, so it refills from that time on.

--- a/packages/figcrank-coordination/src/figcrank/coordination/_borrower.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_borrower.py
@@ -6,7 +6,7 @@
 
 from figcrank.coordination._actions import CountMetric
 from figcrank.coordination._configuration import Configuration
-from figcrank.coordination._limit_timings import ANSWER_TIMEOUT_MS, HEARTBEAT_MS, MAX_WAIT_MS
+from figcrank.coordination._limit_timings import ANSWER_TIMEOUT_MS, MAX_WAIT_MS
 from figcrank.coordination._port import Port
 from figcrank.coordination._settings import CoreSettings
 from figcrank.coordination._slices import Purse
@@ -28,13 +28,15 @@
 # Least time between two reports of waiting requests to one home.
 URGENT_GAP_MS = 5
 # An unanswered report of waiting requests is repeated after this time.
-REPEAT_MS = 30
+REPEAT_MS = 15
 # What the home said of the time until more tokens is relied on for this long.
 SHORTAGE_KNOWN_MS = 100
 # Kept back from a waiting request's time, so that it can still run or be answered.
 ANSWER_MARGIN_MS = 10
 # Entries in one report; more would not fit a datagram.
 MAX_DEMANDS = 200
+# Number of a grant that answers no report but asks for one.
+SOLICITATION = 0
 IDS_PER_MS = 1_000
 _MS_PER_S = 1_000
 
@@ -147,20 +149,24 @@
     def tick(self, now_ms: int) -> None:
         """Refuse late requests, give unused slices back and report to the homes."""
         self._sync_accounts(now_ms)
-        homes: dict[str, Host] = {}
+        accounts_of: dict[Host, list[_Account]] = {}
         for account in list(self._accounts.values()):
             home = self._believed_home(account, now_ms)
-            homes[home.name] = home
-            account.purse.tick(now_ms)
-            self._expire_waiters(account, now_ms)
+            accounts_of.setdefault(home, []).append(account)
+            if account.is_active():
+                account.purse.tick(now_ms)
+                self._expire_waiters(account, now_ms)
             self._count(account)
-        for home in homes.values():
-            if self._is_due(home, now_ms):
+        for home, accounts in accounts_of.items():
+            if self._is_due(home, accounts, now_ms):
                 self._report(home, now_ms)
         self._forget_old_reports(now_ms)
 
     def on_grants(self, sender: str, grants: SliceGrants, now_ms: int) -> None:
         """Take slices; those of an unknown or too old report are dropped."""
+        if grants.seq == SOLICITATION:
+            self._on_solicitation(sender, now_ms)
+            return
         sent_ms = self._sent_ms.get(grants.seq)
         if sent_ms is None:
             return
@@ -214,6 +220,8 @@
         return home
 
     def _expire_waiters(self, account: _Account, now_ms: int) -> None:
+        if not account.waiters:
+            return
         late = [waiter for waiter in account.waiters if waiter.until_ms <= now_ms]
         if not late:
             return
@@ -244,6 +252,15 @@
 
     # Grants
 
+    def _on_solicitation(self, sender: str, now_ms: int) -> None:
+        """Give a home that is needed elsewhere this host's word."""
+        for account in self._accounts.values():
+            home = self._believed_home(account, now_ms)
+            if home.name == sender:
+                self._links.setdefault(sender, _HomeLink(now_ms)).answered_ms = now_ms
+                self._report(home, now_ms)
+                return
+
     def _note_answer(self, home: str, seq: int, sent_ms: int) -> None:
         link = self._links.setdefault(home, _HomeLink(sent_ms))
         link.answered_ms = max(sent_ms, link.answered_ms or sent_ms)
@@ -288,17 +305,15 @@
         if link.sent_urgent_ms is None or now_ms - link.sent_urgent_ms >= URGENT_GAP_MS:
             self._report(home, now_ms)
 
-    def _is_due(self, home: Host, now_ms: int) -> bool:
+    def _is_due(self, home: Host, accounts: list[_Account], now_ms: int) -> bool:
         link = self._links.get(home.name)
         if link is None or link.urgent:
             return True
-        accounts = self._accounts_of(home)
         since_ms = now_ms - link.sent_ms
         if since_ms >= REPEAT_MS and any(account.waiters for account in accounts):
             return True
         active = any(account.is_active() for account in accounts)
-        interval_ms = self._settings.timings.report_interval_ms if active else HEARTBEAT_MS
-        return since_ms >= interval_ms
+        return active and since_ms >= self._settings.timings.report_interval_ms
 
     def _accounts_of(self, home: Host) -> list[_Account]:
         return [a for a in self._accounts.values() if a.purse.home == home.name]
--- a/packages/figcrank-coordination/src/figcrank/coordination/_lender.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_lender.py
@@ -3,12 +3,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from figcrank.coordination._borrower import SOLICITATION
 from figcrank.coordination._configuration import Configuration
 from figcrank.coordination._home_buckets import HomeBucket
-from figcrank.coordination._limit_timings import LEASE_MARGIN_MS
+from figcrank.coordination._limit_timings import ACTIVE_MS, LEASE_MARGIN_MS
 from figcrank.coordination._placement import Placement
 from figcrank.coordination._port import Port
 from figcrank.coordination._settings import CoreSettings
+from figcrank.coordination._slices import MAX_FREE_MS
 from figcrank.coordination._support import PauseDetector, Support, Voters
 from figcrank.protocol import Demand, DemandReport, HomeHandover, Slice, SliceGrants
 from figcrank.state import MILLI, Host
@@ -17,6 +19,13 @@
 
 # Ids grow with the clock, so that they are unique at a host that was restarted.
 IDS_PER_MS = 1_000
+# Time between two looks at who is alive.
+VOTERS_INTERVAL_MS = 50
+# Least time between two requests for words, with a majority and without.
+SOLICIT_INTERVAL_MS = 50
+URGENT_SOLICIT_INTERVAL_MS = 10
+# Time in which the words of all hosts arrive after the first majority.
+WORDS_TRAVEL_MS = 30
 
 
 @dataclass(slots=True)
@@ -28,7 +37,11 @@
     :param ready_ms: time from which it may lend; ``None`` while it has no majority.
     :param handed_by: host that handed the bucket over, empty if none did.
     :param grace_until_ms: time until which the hand-over stands in for a majority.
-    :param bucket: present once it may lend.
+    :param bucket: kept after a lapse, since no other home may have lent before the next majority.
+    :param held_ms: newest time at which it is known to have been the only home.
+    :param active_until_ms: time until which words are asked for.
+    :param solicited_ms: when they were asked for last.
+    :param gained_ms: when it gained its majority.
     """
 
     support: Support = field(default_factory=Support)
@@ -37,6 +50,15 @@
     handed_by: str = ""
     grace_until_ms: int = 0
     bucket: HomeBucket | None = None
+    held_ms: int = -MAX_FREE_MS
+    active_until_ms: int = 0
+    solicited_ms: int = -MAX_FREE_MS
+    gained_ms: int = -MAX_FREE_MS
+
+    def may_lend(self, now_ms: int) -> bool:
+        """Return whether the bucket may be lent from, judged by the last check."""
+        is_ready = self.ready_ms is not None and now_ms >= self.ready_ms
+        return is_ready and self.bucket is not None
 
     def counts(self, demand: Demand) -> bool:
         """Return whether the sender's word is free or was last given to the predecessor."""
@@ -76,6 +98,7 @@
         self._tenures: dict[str, _Tenure] = {}
         self._taken_handovers: dict[tuple[str, str], int] = {}
         self._last_id = 0
+        self._next_refresh_ms = 0
         self._leaving = False
 
     def note_time(self, now_ms: int) -> None:
@@ -84,9 +107,12 @@
 
     def tick(self, now_ms: int) -> None:
         """Check every tenure and grant what hosts are waiting for."""
-        self._voters.refresh(now_ms)
+        if now_ms >= self._next_refresh_ms:
+            self._next_refresh_ms = now_ms + VOTERS_INTERVAL_MS
+            self._voters.refresh(now_ms)
         for name, tenure in list(self._tenures.items()):
             self._check(name, tenure, now_ms)
+            self._solicit(name, tenure, now_ms)
             if self._may_lend(name, tenure, now_ms):
                 self._grant_owed(tenure, now_ms)
 
@@ -111,7 +137,7 @@
         self._taken_handovers[key] = handover.handover_id
         workspace = self._configuration.workspace(handover.workspace)
         tenure = self._tenures.setdefault(handover.workspace, _Tenure())
-        if workspace is None or tenure.bucket is not None:
+        if workspace is None or tenure.may_lend(now_ms):
             return
         lease_ms = self._settings.timings.slice_lease_ms
         level_milli = min(handover.level_milli, workspace.burst * MILLI)
@@ -119,6 +145,7 @@
         expires_ms = now_ms + handover.lent_ms
         tenure.bucket.count_as_lent(self._new_id(now_ms), handover.lent_milli, expires_ms, now_ms)
         tenure.ready_ms = now_ms
+        tenure.active_until_ms = now_ms + ACTIVE_MS
         tenure.handed_by = sender
         tenure.grace_until_ms = now_ms + self._quarantine_ms()
         reason = f"Took over the bucket from {sender}."
@@ -157,14 +184,25 @@
             self._gain(name, tenure, supporters, now_ms)
         elif now_ms >= tenure.grace_until_ms and tenure.ready_ms is not None:
             self._lapse(name, tenure, now_ms)
+        if tenure.may_lend(now_ms):
+            tenure.held_ms = now_ms
         self._open(name, tenure, now_ms)
 
     def _gain(self, name: str, tenure: _Tenure, supporters: set[str], now_ms: int) -> None:
-        if tenure.ready_ms is not None:
+        if tenure.ready_ms is not None and now_ms >= tenure.ready_ms:
             return
+        if tenure.ready_ms is None:
+            tenure.gained_ms = now_ms
         voting = supporters & self._voters.names()
         exclusive_ms = tenure.support.exclusive_from_ms(voting, self._voters.majority())
-        tenure.ready_ms = max(now_ms, exclusive_ms + self._quarantine_ms())
+        if tenure.bucket is not None and exclusive_ms <= tenure.held_ms:
+            tenure.ready_ms = now_ms
+            return
+        tenure.bucket = None
+        ready_ms = max(exclusive_ms, tenure.held_ms) + self._quarantine_ms()
+        if ready_ms == tenure.ready_ms:
+            return
+        tenure.ready_ms = ready_ms
         reason = "A majority of hosts believes in this home; earlier slices expire first."
         self._port.decide(
             now_ms, "hand-over", name, reason, home=self._own_name, ready_ms=tenure.ready_ms
@@ -178,9 +216,9 @@
     def _lapse(self, name: str, tenure: _Tenure, now_ms: int) -> None:
         tenure.ready_ms = None
         tenure.handed_by = ""
-        tenure.bucket = None
-        reason = "No majority of hosts believes in this home; its bucket is discarded."
-        self._port.decide(now_ms, "hand-over", name, reason, home=self._own_name)
+        if now_ms < tenure.active_until_ms:
+            reason = "No majority of hosts believes in this home; it stops lending."
+            self._port.decide(now_ms, "hand-over", name, reason, home=self._own_name)
 
     def _open(self, name: str, tenure: _Tenure, now_ms: int) -> None:
         """Start the bucket, empty, once a predecessor's slices have expired."""
@@ -189,15 +227,16 @@
             return
         if tenure.bucket is None:
             lease_ms = self._settings.timings.slice_lease_ms
-            tenure.bucket = HomeBucket(workspace, lease_ms, 0, now_ms)
+            tenure.bucket = HomeBucket(workspace, lease_ms, 0, tenure.ready_ms)
         tenure.bucket.change(workspace, now_ms)
 
     def _resign(self, name: str, tenure: _Tenure, home: Host, now_ms: int) -> None:
         """Stop being home; pass the bucket on if this host may still lend."""
         self._tenures.pop(name, None)
         bucket, tenure.bucket = tenure.bucket, None
+        may_lend = tenure.ready_ms is not None and now_ms >= tenure.ready_ms
         supported = self._voters.is_majority(tenure.support.supporters(now_ms))
-        if bucket is None or not (supported or now_ms < tenure.grace_until_ms):
+        if bucket is None or not may_lend or not (supported or now_ms < tenure.grace_until_ms):
             return
         handover = HomeHandover(
             name,
@@ -214,7 +253,19 @@
         )
 
     def _may_lend(self, name: str, tenure: _Tenure, now_ms: int) -> bool:
-        return tenure.bucket is not None and self.home(name).name == self._own_name
+        return tenure.may_lend(now_ms) and self.home(name).name == self._own_name
+
+    def _solicit(self, name: str, tenure: _Tenure, now_ms: int) -> None:
+        """Ask silent voters for their word while there is demand."""
+        if now_ms >= tenure.active_until_ms or self.home(name).name != self._own_name:
+            return
+        lends = tenure.may_lend(now_ms)
+        interval_ms = SOLICIT_INTERVAL_MS if lends else URGENT_SOLICIT_INTERVAL_MS
+        if now_ms - tenure.solicited_ms < interval_ms:
+            return
+        tenure.solicited_ms = now_ms
+        for host in tenure.support.silent(self._voters.names(), now_ms):
+            self._send(host, SliceGrants(SOLICITATION, ()), now_ms)
 
     # Reports
 
@@ -226,6 +277,9 @@
         if tenure.counts(demand):
             heard_ms = self._pauses.heard_ms(now_ms)
             tenure.support.add(sender, heard_ms, now_ms - demand.free_ms)
+        if demand.wanted_milli or demand.asked_milli:
+            tenure.active_until_ms = now_ms + ACTIVE_MS
+            self._solicit(demand.workspace, tenure, now_ms)
         if tenure.bucket is not None and demand.slice_id:
             tenure.bucket.take_spending(sender, demand, now_ms)
 
@@ -244,7 +298,9 @@
     def _no_slice(self, name: str, tenure: _Tenure | None, now_ms: int) -> Slice:
         retry_after_ms = 0
         if tenure is not None and tenure.ready_ms is not None:
-            retry_after_ms = max(0, tenure.ready_ms - now_ms)
+            # Words that are still on their way may make it earlier.
+            settled = now_ms - tenure.gained_ms >= WORDS_TRAVEL_MS
+            retry_after_ms = max(0, tenure.ready_ms - now_ms) if settled else 0
         return Slice(name, 0, 0, 0, retry_after_ms)
 
     def _answer(
--- a/packages/figcrank-coordination/src/figcrank/coordination/_limit_timings.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_limit_timings.py
@@ -16,8 +16,10 @@
 LEASE_MARGIN_MS = 20
 # Hosts that disappeared still count towards the majority for this long.
 VOTER_MEMORY_MS = 30_000
-# Time between two reports of an idle host to each home.
-HEARTBEAT_MS = 100
+# A home asks for the word of hosts that it has not heard from for this long.
+SOLICIT_AGE_MS = 150
+# A home keeps asking for words for this long after it was last asked for tokens.
+ACTIVE_MS = 5_000
 # Longest time that a request waits for a token.
 MAX_WAIT_MS = 300
 # Tokens are lent ahead for the demand of this time.
--- a/packages/figcrank-coordination/src/figcrank/coordination/_placement.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_placement.py
@@ -22,6 +22,7 @@
         self._hosts: tuple[Host, ...] = ()
         self._rankings: dict[str, tuple[Host, ...]] = {}
         self._owners: dict[str, tuple[Host, ...]] = {}
+        self._homes: dict[tuple[str, str], Host] = {}
 
     def hosts(self) -> tuple[Host, ...]:
         """Return the hosts that assignments are made to."""
@@ -55,8 +56,12 @@
         :param without: name of a host to leave out, if it is not the only one.
         """
         self._refresh()
-        ranked = self._ranked(f"workspace:{workspace}")
-        return next((host for host in ranked if host.name != without), ranked[0])
+        home = self._homes.get((workspace, without))
+        if home is None:
+            ranked = self._ranked(f"workspace:{workspace}")
+            home = next((host for host in ranked if host.name != without), ranked[0])
+            self._homes[workspace, without] = home
+        return home
 
     def _refresh(self) -> None:
         hosts = self._membership.hosts()
@@ -65,6 +70,7 @@
         if hosts != self._hosts:
             self._rankings.clear()
             self._owners.clear()
+            self._homes.clear()
         self._hosts = hosts
 
     def _ranked(self, subject: str) -> tuple[Host, ...]:
--- a/packages/figcrank-coordination/src/figcrank/coordination/_slices.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_slices.py
@@ -10,7 +10,7 @@
 RETURN_AFTER_MS = 150
 _NO_WORD = "*"
 # Longer freedom is of no use to a home.
-MAX_FREE_MS = 10_000
+MAX_FREE_MS = 600_000
 
 
 @dataclass(slots=True)
@@ -80,7 +80,7 @@
     def tick(self, now_ms: int) -> None:
         """Forget what has expired and give back what lies unused."""
         self._held = [held for held in self._held if held.expires_ms > now_ms]
-        if any(expires_ms <= now_ms for expires_ms in self._seen.values()):
+        if self._seen and next(iter(self._seen.values())) <= now_ms:
             self._seen = {key: ms for key, ms in self._seen.items() if ms > now_ms}
         for held in self._held:
             if now_ms - held.received_ms >= RETURN_AFTER_MS:
--- a/packages/figcrank-coordination/src/figcrank/coordination/_support.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_support.py
@@ -4,8 +4,9 @@
 the old home can't count on it any more (``SILENCE_MS``). Two homes with the same voters therefore
 never have a majority at the same time. A host also withholds its word from a home that does not
 answer, and tells how long it has been free; so a home that gains a majority knows since when no
-other can have had one. It waits until every slice lent before has expired, and starts with an
-empty bucket. A home that was handed
+other can have had one. Once every slice lent before has expired, it starts with an empty bucket
+that refills from that time on; if none can have had one since its own majority lapsed, it keeps
+its own. Words are asked for only while there is demand. A home that was handed
 the bucket may count on hosts at once whose word was last given to the host that handed it over.
 
 Not covered: sets of voters that differ by two hosts or more while both homes are the minimum
@@ -17,6 +18,7 @@
 from figcrank.coordination._limit_timings import (
     BACKLOG_MS,
     PAUSE_MS,
+    SOLICIT_AGE_MS,
     SUPPORT_MS,
     VOTER_MEMORY_MS,
 )
@@ -103,6 +105,11 @@
         self._heard_ms[host] = max(heard_ms, self._heard_ms.get(host, heard_ms))
         self._free_from_ms[host] = free_from_ms
 
+    def silent(self, names: frozenset[str], now_ms: int) -> list[str]:
+        """Return those of ``names`` that were not heard of for ``SOLICIT_AGE_MS``."""
+        oldest_ms = now_ms - SOLICIT_AGE_MS
+        return [name for name in names if self._heard_ms.get(name, oldest_ms) <= oldest_ms]
+
     def exclusive_from_ms(self, hosts: set[str], needed: int) -> int:
         """Return the time from which ``needed`` of ``hosts`` counted for no other home."""
         times = sorted(self._free_from_ms[name] for name in hosts)
--- a/packages/figcrank-coordination/tests/test_limits.py
+++ b/packages/figcrank-coordination/tests/test_limits.py
@@ -10,8 +10,13 @@
 
 
 def settled_fleet(network=None, workspaces=(CREW,), size=9):
+    """Return a fleet with full buckets whose homes have been asked for tokens lately."""
     fleet = LimitFleet(workspaces, 3, network, size)
     fleet.run([], SETTLED_MS)
+    for workspace in workspaces:
+        fleet.ask(workspace.name, 0)
+    fleet.run([], SETTLED_MS + 500)
+    fleet.outcomes.clear()
     return fleet
 
 
@@ -44,6 +49,23 @@
     assert admitted(fleet) == CREW.burst
 
 
+@pytest.mark.parametrize("host", range(9))
+def test_a_whole_burst_is_admitted_after_any_idle_time(host):
+    fleet = LimitFleet([CREW], 3)
+    fleet.run([], 60_000)
+    ask(fleet, CREW.burst, host)
+    fleet.run([], fleet.now_ms + 50)
+    assert admitted(fleet) == CREW.burst
+
+
+def test_an_idle_fleet_sends_nothing():
+    fleet = settled_fleet()
+    fleet.run([], fleet.now_ms + 10_000)
+    fleet.messages = 0
+    fleet.run([], fleet.now_ms + 5_000)
+    assert fleet.messages == 0
+
+
 def test_a_burst_spread_over_hosts_is_admitted():
     fleet = settled_fleet()
     for host in range(9):
--- a/packages/figcrank-measure/src/figcrank/measure/_limit_fleet.py
+++ b/packages/figcrank-measure/src/figcrank/measure/_limit_fleet.py
@@ -146,7 +146,7 @@
         self.outcomes: dict[str, Outcomes] = defaultdict(Outcomes)
         self._random = Random(seed)
         self._on_way: list[tuple[int, int, str, str, LimitMessage]] = []
-        self._sent = 0
+        self.messages = 0
         self._gone: set[str] = set()
 
     def member(self, name: str) -> Member:
@@ -253,8 +253,8 @@
                 continue
             spread_ms = self.network.max_delay_ms - self.network.min_delay_ms
             delay_ms = self.network.min_delay_ms + round(spread_ms * self._random.random())
-            self._sent += 1
-            item = (self.now_ms + delay_ms, self._sent, sender, action.address, action.message)
+            self.messages += 1
+            item = (self.now_ms + delay_ms, self.messages, sender, action.address, action.message)
             heapq.heappush(self._on_way, item)
 
     def _deliver_due(self) -> None:
