--- a/packages/figcrank-cli/tests/conftest.py
+++ b/packages/figcrank-cli/tests/conftest.py
@@ -129,3 +129,13 @@
 def poll():
     """Return what waits for a condition with a deadline."""
     return wait_until
+
+
+@pytest.fixture(scope="module")
+def embedded_host(tmp_path_factory):
+    """Start one embedded host for the tests of a module; return what it printed."""
+    log_path = tmp_path_factory.mktemp("embedded") / "figcrankd.log"
+    arguments = ["figcrank.cli.figcrankd", "--embedded", "--listen", "127.0.0.1:0"]
+    program = Program(arguments, log_path)
+    yield program.read_ready()
+    program.close()
