--- a/packages/figcrank-coordination/src/figcrank/coordination/_placement.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_placement.py
@@ -22,6 +22,7 @@
         self._hosts: tuple[Host, ...] = ()
         self._rankings: dict[str, tuple[Host, ...]] = {}
         self._owners: dict[str, tuple[Host, ...]] = {}
+        self._homes: dict[tuple[str, str], Host] = {}
         self._probers: dict[str, tuple[Host, ...]] = {}
 
     def hosts(self) -> tuple[Host, ...]:
@@ -66,8 +67,12 @@
         :param without: name of a host to leave out, if it is not the only one.
         """
         self._refresh()
-        ranked = self._ranked(f"workspace:{workspace}")
-        return next((host for host in ranked if host.name != without), ranked[0])
+        home = self._homes.get((workspace, without))
+        if home is None:
+            ranked = self._ranked(f"workspace:{workspace}")
+            home = next((host for host in ranked if host.name != without), ranked[0])
+            self._homes[workspace, without] = home
+        return home
 
     def _refresh(self) -> None:
         hosts = self._membership.hosts()
@@ -76,6 +81,7 @@
         if hosts != self._hosts:
             self._rankings.clear()
             self._owners.clear()
+            self._homes.clear()
             self._probers.clear()
         self._hosts = hosts
 
