--- a/packages/figcrank-coordination/src/figcrank/coordination/_configuration.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_configuration.py
@@ -28,6 +28,7 @@
 from figcrank.state import (
     ConfigObject,
     ConfigSnapshot,
+    Host,
     Key,
     PresentedKey,
     RandomSource,
@@ -110,6 +111,10 @@
             return self.snapshot.revision
         return self._spread.revision_of(host)
 
+    def watchers(self) -> tuple[Host, ...]:
+        """Return the hosts that watch the platform's store for this cell."""
+        return self._watch.watchers()
+
     def digest(self, now_ms: int) -> Digest:
         """Return what this host knows, to be carried by probes."""
         age_ms = self._freshness.age_ms(now_ms)
@@ -277,7 +282,7 @@
         interval_ms = OUTAGE_ASK_INTERVAL_MS if is_shown else ASK_INTERVAL_MS
         self._next_ask_ms = now_ms + interval_ms
         mine = self._settings.host.name
-        watchers = [host for host in self._watch.watchers() if host.name != mine]
+        watchers = [host for host in self.watchers() if host.name != mine]
         asked = watchers + list(self._membership.contacts())
         if asked:
             self._asked += 1
