--- a/packages/figcrank-coordination/src/figcrank/coordination/_placement.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_placement.py
@@ -22,6 +22,7 @@
         self._hosts: tuple[Host, ...] = ()
         self._rankings: dict[str, tuple[Host, ...]] = {}
         self._owners: dict[str, tuple[Host, ...]] = {}
+        self._probers: dict[str, tuple[Host, ...]] = {}
 
     def hosts(self) -> tuple[Host, ...]:
         """Return the hosts that assignments are made to."""
@@ -49,6 +50,16 @@
             self._owners[group] = owners
         return owners
 
+    def probers(self, group: str) -> tuple[Host, ...]:
+        """Return the hosts that probe a group's servers: its owners and one more, best first."""
+        self._refresh()
+        probers = self._probers.get(group)
+        if probers is None:
+            ranked = self._ranked(f"group:{group}")
+            probers = _spread_over_zones(ranked)[: self._settings.owners_per_group + 1]
+            self._probers[group] = probers
+        return probers
+
     def home(self, workspace: str, without: str = "") -> Host:
         """Return the host that lends a workspace's tokens.
 
@@ -65,6 +76,7 @@
         if hosts != self._hosts:
             self._rankings.clear()
             self._owners.clear()
+            self._probers.clear()
         self._hosts = hosts
 
     def _ranked(self, subject: str) -> tuple[Host, ...]:
