Keep the cost of a host's control independent of the fleet

Seeds were spread as news though every peer has them, members of other cells were spread within the cell, and full cells' hosts were probed again and again. The majority for lent tokens was counted over the seeds of all cells, which no cell can reach, and walked through on every tick.

Seeds are no news now, other cells stay unspread, hosts that can't be taken in aren't probed, the sorted-out members are kept until the table changes, and the majority is the cell's. One test of replayed answers ran only as long as there were recorded messages; it now always outlasts the freshness limit.

--- a/packages/figcrank-coordination/src/figcrank/coordination/_lender.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_lender.py
@@ -71,7 +71,8 @@
         self._configuration = configuration
         self._on_local_grants = on_local_grants
         self._own_name = settings.host.name
-        self._voters = Voters(placement, settings.seeds)
+        cell = tuple(seed for seed in settings.seeds if seed.cell == settings.host.cell)
+        self._voters = Voters(placement, cell)
         self._pauses = PauseDetector()
         self._tenures: dict[str, _Tenure] = {}
         self._taken_handovers: dict[tuple[str, str], int] = {}
--- a/packages/figcrank-coordination/src/figcrank/coordination/_member_table.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_member_table.py
@@ -69,6 +69,45 @@
     return 0 <= update.incarnation <= MAX_INCARNATION
 
 
+@dataclass(frozen=True, slots=True)
+class MemberViews:
+    """The members of a table, sorted out.
+
+    :param workers: hosts of the cell that may be given work, this one included, by name.
+    :param peers: other hosts of the cell that are not dead, leaving ones included.
+    :param contacts: hosts of other cells.
+    :param cell: members and tombstones of the cell, this host included.
+    :param suspects: members under suspicion.
+    :param dead: tombstones.
+    """
+
+    workers: tuple[Host, ...]
+    peers: tuple[Host, ...]
+    contacts: tuple[Host, ...]
+    cell: tuple[Member, ...]
+    suspects: tuple[Member, ...]
+    dead: tuple[Member, ...]
+
+    @classmethod
+    def from_members(cls, members: Iterable[Member], myself: Host) -> "MemberViews":
+        """Return the views of ``members`` as the host ``myself`` has them."""
+        every = tuple(members)
+        cell = tuple(m for m in every if m.host.cell == myself.cell)
+        usable = [m.host for m in cell if m.state in (HostState.ALIVE, HostState.SUSPECT)]
+        return cls(
+            workers=tuple(sorted(usable, key=lambda host: host.name)),
+            peers=tuple(m.host for m in cell if not m.is_dead and m.host.name != myself.name),
+            contacts=tuple(m.host for m in every if m.host.cell != myself.cell),
+            cell=cell,
+            suspects=tuple(m for m in every if m.state is HostState.SUSPECT),
+            dead=tuple(m for m in every if m.is_dead),
+        )
+
+    def contacts_of(self, cell: str) -> int:
+        """Return the number of contacts in ``cell``."""
+        return sum(1 for host in self.contacts if host.cell == cell)
+
+
 class MemberTable:
     """Members of this host's cell, and a few contacts in each other cell.
 
@@ -77,31 +116,44 @@
     """
 
     def __init__(self, myself: Host, suspicion_ms: int) -> None:
+        self._myself = myself
         self._cell = myself.cell
         self._suspicion_ms = suspicion_ms
         self._members = {myself.name: Member(myself, HostState.ALIVE, 0, 0)}
         self._unspread: dict[str, int] = {}
+        self._views: MemberViews | None = None
 
     def get(self, name: str) -> Member | None:
         """Return a member or its tombstone."""
         return self._members.get(name)
 
-    def members(self) -> tuple[Member, ...]:
-        """Return every member and tombstone."""
-        return tuple(self._members.values())
-
-    def add(self, member: Member) -> bool:
+    def add(self, member: Member, is_news: bool = True) -> bool:
         """Take in a host not known so far, unless its cell has contacts enough.
 
+        :param is_news: whether peers are to be told of it.
         :returns: whether the table changed.
         """
         name = member.host.name
-        if name in self._members or not self._has_room(member.host.cell):
+        if name in self._members or not self.has_room(member.host.cell):
             return False
         self._members[name] = member
-        self._spread(name)
+        self._views = None
+        if is_news:
+            self._spread(name)
         return True
 
+    def has_room(self, cell: str) -> bool:
+        """Return whether one more host of ``cell`` can be taken in."""
+        if cell == self._cell:
+            return True
+        return self.views().contacts_of(cell) < CONTACTS_PER_CELL
+
+    def views(self) -> MemberViews:
+        """Return the members sorted out; the same object until the table changes."""
+        if self._views is None:
+            self._views = MemberViews.from_members(self._members.values(), self._myself)
+        return self._views
+
     def apply(self, update: MemberUpdate, now_ms: int) -> bool:
         """Take an update about a known host if it overrides what is believed.
 
@@ -136,6 +188,7 @@
             return False
         if known.is_dead:
             self._members[name] = replace(known, is_gone=True)
+            self._views = None
             return False
         self._put(replace(known, state=HostState.DEAD, is_gone=True), now_ms)
         return True
@@ -150,20 +203,21 @@
 
         :returns: the members that were declared dead.
         """
-        late = [m for m in self.members() if self._is_past_suspicion(m, now_ms)]
+        views = self.views()
+        late = [m for m in views.suspects if self._is_past_suspicion(m, now_ms)]
         for member in late:
             self.mark(member.host.name, HostState.DEAD, now_ms)
-        old = [m for m in self.members() if m.is_dead and now_ms - m.since_ms >= TOMBSTONE_MS]
+        old = [m for m in views.dead if now_ms - m.since_ms >= TOMBSTONE_MS]
         for member in old:
             self._forget(member.host.name)
         return tuple(late)
 
     def postpone(self, gap_ms: int) -> None:
         """Give suspected hosts ``gap_ms`` milliseconds more."""
-        for member in self.members():
-            if member.state is HostState.SUSPECT:
-                later = replace(member, since_ms=member.since_ms + gap_ms)
-                self._members[member.host.name] = later
+        for member in self.views().suspects:
+            later = replace(member, since_ms=member.since_ms + gap_ms)
+            self._members[member.host.name] = later
+        self._views = None
 
     def take_updates(self, first: Iterable[str] = ()) -> tuple[MemberUpdate, ...]:
         """Return the updates for one message, the least spread ones after ``first``.
@@ -187,9 +241,12 @@
         if member.state in (HostState.ALIVE, HostState.SUSPECT):
             is_gone = False
         self._members[name] = replace(member, since_ms=now_ms, is_gone=is_gone)
+        self._views = None
         self._spread(name)
 
     def _spread(self, name: str) -> None:
+        if self._members[name].host.cell != self._cell:
+            return
         self._unspread[name] = SPREAD_FACTOR * len(self._members).bit_length()
 
     def _count_down(self, name: str) -> None:
@@ -201,17 +258,10 @@
 
     def _forget(self, name: str) -> None:
         self._members.pop(name, None)
+        self._views = None
         self._unspread.pop(name, None)
 
-    def _has_room(self, cell: str) -> bool:
-        if cell == self._cell:
-            return True
-        contacts = sum(1 for member in self.members() if member.host.cell == cell)
-        return contacts < CONTACTS_PER_CELL
-
     def _is_past_suspicion(self, member: Member, now_ms: int) -> bool:
-        if member.state is not HostState.SUSPECT:
-            return False
         return now_ms - member.since_ms >= self._suspicion_ms
 
 
--- a/packages/figcrank-coordination/src/figcrank/coordination/_membership.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_membership.py
@@ -75,12 +75,11 @@
         self._quorum = Quorum(settings.host, settings.timings.config_freshness_ms, others)
         self._last_tick_ms: int | None = None
         for seed in settings.seeds:
-            self._table.add(Member(seed, HostState.ALIVE, 0, 0))
+            self._table.add(Member(seed, HostState.ALIVE, 0, 0), is_news=False)
 
     def hosts(self) -> tuple[Host, ...]:
         """Return the hosts that may be given work, this one included, sorted by name."""
-        usable = [m.host for m in self._table.members() if self._may_work(m)]
-        return tuple(sorted(usable, key=lambda host: host.name))
+        return self._table.views().workers
 
     def host(self, name: str) -> Host | None:
         """Return a known host that is not dead, whether or not it may be given work."""
@@ -99,17 +98,15 @@
 
     def peers(self) -> tuple[Host, ...]:
         """Return the other hosts of the cell that are not dead, leaving ones included."""
-        members = self._table.members()
-        return tuple(m.host for m in members if self._is_peer(m) and not m.is_dead)
+        return self._table.views().peers
 
     def contacts(self) -> tuple[Host, ...]:
         """Return the known hosts of other cells."""
-        members = self._table.members()
-        return tuple(m.host for m in members if m.host.cell != self._myself.cell)
+        return self._table.views().contacts
 
     def hears_majority(self, now_ms: int) -> bool:
         """Return whether most hosts of the cell that did not leave are heard, this one included."""
-        return self._quorum.holds(self._table.members(), now_ms)
+        return self._quorum.holds(self._table.views(), now_ms)
 
     def start(self, now_ms: int) -> None:
         """Begin probing."""
@@ -202,7 +199,7 @@
                 self.ask(peer, now_ms)
 
     def _join_updates(self) -> tuple[MemberUpdate, ...]:
-        names = [m.host.name for m in self._table.members() if self._may_work(m)]
+        names = [host.name for host in self.hosts()]
         chosen = shuffled(names, self._random)[:FIRST_JOIN_UPDATES]
         members = (self._table.get(name) for name in chosen)
         return tuple(member.to_update() for member in members if member is not None)
@@ -313,7 +310,7 @@
     def _probe_aside(self, now_ms: int) -> None:
         self._reconsider_seed()
         names = [host.name for host in self.contacts()]
-        names += [m.host.name for m in self._table.members() if m.is_dead]
+        names += [member.host.name for member in self._table.views().dead]
         name = self._side_rotation.next(names)
         member = self._table.get(name) if name else None
         if member is not None:
@@ -321,9 +318,9 @@
             self._probe(member.host, purpose, now_ms)
 
     def _reconsider_seed(self) -> None:
-        lost = {s.name: s for s in self._settings.seeds if self._table.get(s.name) is None}
-        for name in shuffled(lost, self._random)[:1]:
-            self._add_candidate(lost[name])
+        seeds = self._settings.seeds
+        if seeds:
+            self._add_candidate(seeds[int(self._random.random() * len(seeds))])
 
     def _probe(self, host: Host, purpose: ProbePurpose, now_ms: int) -> None:
         self._send_ping(self._probes.open(host, purpose, now_ms), now_ms)
@@ -374,7 +371,7 @@
     # Candidates
 
     def _add_candidate(self, host: Host) -> None:
-        if host.name != self._myself.name and self._table.get(host.name) is None:
+        if self._table.get(host.name) is None and self._table.has_room(host.cell):
             self._candidates.add(host)
 
     def _probe_candidates(self, now_ms: int) -> None:
@@ -383,14 +380,5 @@
 
     # Views
 
-    def _may_work(self, member: Member) -> bool:
-        if member.host.cell != self._myself.cell:
-            return False
-        return member.state in (HostState.ALIVE, HostState.SUSPECT)
-
-    def _is_peer(self, member: Member) -> bool:
-        same_cell = member.host.cell == self._myself.cell
-        return same_cell and member.host.name != self._myself.name
-
     def _alive_peers(self) -> Iterable[Host]:
         return [peer for peer in self.peers() if self.state(peer.name) is HostState.ALIVE]
--- a/packages/figcrank-coordination/src/figcrank/coordination/_quorum.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_quorum.py
@@ -1,9 +1,8 @@
 """Whether this host hears most of the fleet, or is on the small side of a partition."""
 
 from collections import deque
-from collections.abc import Iterable
 
-from figcrank.coordination._member_table import Member
+from figcrank.coordination._member_table import MemberViews
 from figcrank.coordination._probes import Probe, ProbePurpose
 from figcrank.state import Host, HostState
 
@@ -39,15 +38,13 @@
         elif probe.purpose is ProbePurpose.MEMBER:
             self._outcomes.append((probe.sent_ms, answered))
 
-    def holds(self, members: Iterable[Member], now_ms: int) -> bool:
-        """Return whether most of ``members``, this host included, are heard."""
-        cell = [m for m in members if m.host.cell == self._myself.cell]
-        voters = sum(1 for m in cell if not m.is_gone)
-        alive = sum(1 for m in cell if m.state is HostState.ALIVE)
+    def holds(self, views: MemberViews, now_ms: int) -> bool:
+        """Return whether most hosts of the cell, this one included, are heard."""
+        voters = sum(1 for m in views.cell if not m.is_gone)
+        alive = sum(1 for m in views.cell if m.state is HostState.ALIVE)
         if alive * 2 <= voters or not self._hears_other_cells(now_ms):
             return False
-        peers = sum(1 for m in cell if not m.is_dead and m.host.name != self._myself.name)
-        return self._reaches(peers, voters, now_ms)
+        return self._reaches(len(views.peers), voters, now_ms)
 
     def _hears_other_cells(self, now_ms: int) -> bool:
         return not self._knows_other_cells or self._contact_heard_ms > now_ms - self._window_ms
--- a/packages/figcrank-coordination/src/figcrank/coordination/_watch.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_watch.py
@@ -65,16 +65,16 @@
         self._in_flight = False
         self._latency_ms = 0
         self._next_hosts_ms = 0
+        self._ranked_hosts: tuple[Host, ...] = ()
+        self._watchers: tuple[Host, ...] = ()
 
     def watchers(self) -> tuple[Host, ...]:
         """Return the watchers of the cell, from different availability zones where possible."""
-        ranked = sorted(self._membership.hosts(), key=self._weight, reverse=True)
-        if not ranked:
-            return ()
-        zone = ranked[0].availability_zone
-        elsewhere = [host for host in ranked[1:] if host.availability_zone != zone]
-        rest = [host for host in ranked[1:] if host.availability_zone == zone]
-        return tuple([ranked[0], *elsewhere, *rest][:WATCHERS_PER_CELL])
+        hosts = self._membership.hosts()
+        if hosts is not self._ranked_hosts:
+            self._ranked_hosts = hosts
+            self._watchers = _best_of(hosts)
+        return self._watchers
 
     def read_now(self, now_ms: int) -> None:
         """Read what is new in the store, subject to budget and back-off."""
@@ -142,8 +142,19 @@
         if self._platform.read(ListHosts(), timeout_ms, now_ms, replied, as_watcher=True):
             self._next_hosts_ms = now_ms + HOST_LIST_INTERVAL_MS
 
-    def _weight(self, host: Host) -> int:
-        return xxhash.xxh64_intdigest(f"watch:{host.cell}|{host.name}".encode())
+
+def _best_of(hosts: tuple[Host, ...]) -> tuple[Host, ...]:
+    ranked = sorted(hosts, key=_weight, reverse=True)
+    if not ranked:
+        return ()
+    zone = ranked[0].availability_zone
+    elsewhere = [host for host in ranked[1:] if host.availability_zone != zone]
+    rest = [host for host in ranked[1:] if host.availability_zone == zone]
+    return tuple([ranked[0], *elsewhere, *rest][:WATCHERS_PER_CELL])
+
+
+def _weight(host: Host) -> int:
+    return xxhash.xxh64_intdigest(f"watch:{host.cell}|{host.name}".encode())
 
 
 def _word_ms(result: ObjectList, sent_ms: int, answered_ms: int) -> int:
--- a/packages/figcrank-coordination/tests/test_configuration.py
+++ b/packages/figcrank-coordination/tests/test_configuration.py
@@ -270,7 +270,8 @@
     fleet.cut = lambda a, b: "cell-1-host-2" in (a, b)
     fleet.cut_from_store = {"cell-1-host-2"}
     recorded = [s.message for s in fleet.sent if s.address == "10.0.1.2:1"][-200:]
-    for message in recorded * 2:
+    for number in range(BOUND_MS // 10):
         fleet.run(10)
+        message = recorded[number % len(recorded)]
         fleet.send("cell-1-host-2", GossipReceived("cell-1-host-3", message))
     assert not serves(fleet, "cell-1-host-2")
