Test a commit under way at a host that is killed

The answer must agree with what is read afterwards, whenever the kill comes. A commit whose owner is lost is answered as unknown, which the test permits with either end.

--- a/packages/figcrank-cli/tests/test_fleet.py
+++ b/packages/figcrank-cli/tests/test_fleet.py
@@ -1,8 +1,11 @@
 """Three hosts and their stand-ins, each a process of its own."""
 
+import concurrent.futures
 import json
 import socket
+import time
 
+import psycopg2
 import pytest
 
 GROUP = "roster-1"
@@ -76,7 +79,7 @@
 
     def __init__(self, programs):
         self._programs = programs
-        servers = start_servers(programs)
+        self.servers = servers = start_servers(programs)
         platform = programs("figcrank.standins.platform", "--sample").read_ready()["address"]
         fields = zip(
             HOSTS, ZONES, free_addresses(3), free_addresses(3, socket.SOCK_DGRAM), strict=True
@@ -93,6 +96,15 @@
         path.write_text(json.dumps(settings_of(peer, peers, servers, platform)))
         return self._programs("figcrank.cli.figcrankd", "--config", str(path))
 
+    def slow_down(self, latency_ms):
+        """Make every backend server answer later."""
+        for address in self.servers.values():
+            ip, port = address.split(":")
+            connection = psycopg2.connect(host=ip, port=port, sslmode="disable")
+            connection.autocommit = True
+            connection.cursor().execute(f"SELECT standin_set('latency_ms', {latency_ms})")
+            connection.close()
+
     def others(self, name):
         return [url for host, url in self.urls.items() if host != name]
 
@@ -154,6 +166,39 @@
     assert read.rows == [[2]]
 
 
+@pytest.mark.parametrize("delay_ms", [0, 60, 120, 180])
+def test_commit_under_way_at_a_killed_owner_ends_as_it_is_told(
+    fleet, caller, table, poll, delay_ms
+):
+    transaction = begin(fleet, caller, fleet.urls["host-1"])
+    owner = transaction.split("~")[0]
+    path = f"/v1/transactions/{transaction}"
+    body = {"statements": [{"sql": f"insert into {table} values (1)"}]}
+    assert caller.post(fleet.urls[owner], f"{path}/statements", body).status == 200
+    url = fleet.others(owner)[0]
+    fleet.slow_down(60)
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        committing = pool.submit(caller.post, url, f"{path}/commit")
+        # The moment of the kill is what is varied; every one of them must end consistently.
+        time.sleep(delay_ms / 1_000)
+        fleet.hosts[owner].kill()
+        answer = committing.result()
+    fleet.slow_down(0)
+    poll(
+        lambda: caller.run(url, f"insert into {table} values (2)").status == 200,
+        "write after the loss of a host",
+    )
+    rows = caller.run(url, f"select id from {table} order by id", profile="fresh").rows
+    outcome = "done" if answer.status == 200 else answer.failure["outcome"]
+    committed, rolled_back = [[1], [2]], [[2]]
+    possible = {
+        "done": [committed],
+        "not_run": [rolled_back],
+        "unknown": [committed, rolled_back],
+    }
+    assert rows in possible[outcome], answer
+
+
 def test_remaining_hosts_answer_every_request_after_a_kill(fleet, caller, table, poll):
     fleet.hosts["host-2"].kill()
     for url in fleet.others("host-2"):
