Yield the loop before each request of a connection

A connection whose next request had already arrived was served again and again without a turn for any other connection or for the core's ticks, because a green socket only yields when it has to wait.

--- a/packages/figcrank-transport/src/figcrank/transport/_http_server.py
+++ b/packages/figcrank-transport/src/figcrank/transport/_http_server.py
@@ -73,6 +73,8 @@
 
     def _serve(self, environ: dict, start_response: StartResponse) -> Iterable[bytes]:
         self._in_flight += 1
+        # A connection whose next request is there already would otherwise never yield the loop.
+        eventlet.sleep(0)
         try:
             chunks = self._app(environ, self._closing_response(start_response))
         except BaseException:
--- a/packages/figcrank-transport/tests/test_http.py
+++ b/packages/figcrank-transport/tests/test_http.py
@@ -7,6 +7,7 @@
 from figcrank.transport._http_server import MAX_BODY_BYTES, HttpServer, new_app, read_body
 
 TIMEOUT_MS = 5_000
+PIPELINED = 300
 
 
 class Echo:
@@ -75,6 +76,16 @@
     assert b'"unknown"' in reply.body
 
 
+def test_busy_connection_leaves_others_their_turn(server, echo):
+    ip, port = server.address.split(":")
+    busy = eventlet.connect((ip, int(port)))
+    busy.sendall(b"POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n" * PIPELINED)
+    reply = HttpClient().post(server.address, "/echo", b"other", {}, TIMEOUT_MS)
+    assert reply.body == b"other"
+    assert echo.requests < PIPELINED
+    busy.close()
+
+
 def test_refused_connection_was_not_sent():
     server = HttpServer("127.0.0.1:0")
     address = server.address
