--- a/packages/figcrank-standins/src/figcrank/standins/_virtual_loop.py
+++ b/packages/figcrank-standins/src/figcrank/standins/_virtual_loop.py
@@ -17,6 +17,7 @@
         self._clock = ManualClock()
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._next_number = 0
+        self._exact_now_ms = 0.0
         self.random = random.Random(seed)
 
     @property
@@ -32,15 +33,19 @@
     def after(self, delay_ms: float, action: Callable[[], None]) -> None:
         """Run ``action`` once ``delay_ms`` has passed."""
         self._next_number += 1
-        heapq.heappush(self._queue, (self.now_ms + delay_ms, self._next_number, action))
+        heapq.heappush(self._queue, (self._exact_now_ms + delay_ms, self._next_number, action))
 
     def run_until(self, end_ms: int) -> None:
         """Run everything that is due before or at ``end_ms``."""
         while self._queue and self._queue[0][0] <= end_ms:
             due_ms, _, action = heapq.heappop(self._queue)
-            self._clock.advance_to(int(due_ms))
+            self._advance(due_ms)
             action()
-        self._clock.advance_to(end_ms)
+        self._advance(end_ms)
+
+    def _advance(self, now_ms: float) -> None:
+        self._exact_now_ms = max(self._exact_now_ms, now_ms)
+        self._clock.advance_to(int(now_ms))
 
     def run_for(self, span_ms: int) -> None:
         """Run for ``span_ms`` of virtual time."""
