Test the write path of a group; leave requests to owners with slots

With fewer slots than owners the last owner held requests that it could never send until it refused them at their deadline; it now names itself no owner, so that the entry host turns to another one. Found by test_what_cannot_start_in_time_is_refused_at_once.

--- a/packages/figcrank-coordination/src/figcrank/coordination/_owner.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_owner.py
@@ -7,7 +7,7 @@
 from figcrank.coordination._group_view import GroupView
 from figcrank.coordination._majority import MajorityWait
 from figcrank.coordination._placement import Placement
-from figcrank.coordination._pool import Pool
+from figcrank.coordination._pool import Pool, Share
 from figcrank.coordination._port import Port
 from figcrank.coordination._reports import Reports
 from figcrank.coordination._routing import Reads
@@ -206,15 +206,11 @@
     def _refusal(self, now_ms: int) -> Failure | None:
         if self._leaving:
             return Failure.not_run(FailureKind.LEAVING, "This host is leaving.", RETRY_AFTER_MS)
-        if self._is_owner() and not self._lacks_share(now_ms):
+        if self._rank is not None and not self._lacks_share(now_ms):
             return None
         message = "This host does not own the database group."
         return Failure.not_run(FailureKind.NO_OWNER, message, RETRY_AFTER_MS)
 
-    def _is_owner(self) -> bool:
-        owners = self._placement.owners(self._group.name)
-        return any(host.name == self._settings.host.name for host in owners)
-
     def _lacks_share(self, now_ms: int) -> bool:
         if self._pool.share.slots > 0 or self._started_ms is None:
             return False
@@ -228,8 +224,9 @@
         place = probers.index(me) if me in probers else None
         if self._leaving:
             return place
-        owns = place is not None and place < self._settings.owners_per_group
-        rank = place if owns else None
+        # With fewer slots than owners, the last owners have none and leave requests to the others.
+        slots = Share.from_rank(self._settings, self._group, place).slots
+        rank = place if slots > 0 else None
         if rank is None and self._rank is not None:
             message = "This host does not own the database group any more."
             failure = Failure.not_run(FailureKind.NO_OWNER, message, RETRY_AFTER_MS)
--- /dev/null
+++ b/packages/figcrank-coordination/tests/groups/test_writes.py
@@ -0,0 +1,129 @@
+import pytest
+
+from figcrank.protocol import FailureKind, Outcome, WorkFailed, WorkFailureKind
+
+COUNT = "SELECT count(*) FROM change"
+
+
+def lose_results(fleet, kind, count=1):
+    """Let the next results of work be lost on their way back from the servers."""
+    real = fleet.fleet._finish
+    left = [count]
+
+    def finish(entry, action, result):
+        if left[0] and type(action.work).__name__ == kind and not isinstance(result, WorkFailed):
+            left[0] -= 1
+            result = WorkFailed(WorkFailureKind.LOST, "answer lost", commit_sent=True)
+        real(entry, action, result)
+
+    fleet.fleet._finish = finish
+
+
+def test_a_write_whose_answer_was_lost_is_answered_from_its_record(make_group_fleet):
+    fleet = make_group_fleet()
+    lose_results(fleet, "WriteWork")
+    assert fleet.finish(fleet.insert(1)).answer is not None
+    assert fleet.final_ids() == [1]
+    assert [d.inputs["found"] for d in fleet.fleet.decisions("settlement")] == ["True"]
+
+
+def test_a_write_that_was_lost_before_it_ran_runs_once(make_group_fleet):
+    fleet = make_group_fleet()
+    fleet.run_for(1_000)
+    for host in fleet.fleet.hosts.values():
+        for connection in host.connections.values():
+            fleet.group.servers[connection.server].model.close_session(connection.session_pid)
+    assert fleet.finish(fleet.insert(1)).answer is not None
+    assert fleet.final_ids() == [1]
+
+
+def test_a_repeated_key_gives_the_kept_answer(make_group_fleet):
+    fleet = make_group_fleet()
+    first = fleet.finish(fleet.insert(1, idempotency_key="order-1"))
+    again = fleet.finish(fleet.insert(1, idempotency_key="order-1", host="host-2"))
+    assert (first.answer.replayed, again.answer.replayed) == (False, True)
+    assert again.answer.results == first.answer.results
+    assert fleet.final_ids() == [1]
+
+
+def test_a_failed_statement_did_not_run(make_group_fleet):
+    fleet = make_group_fleet()
+    failed = fleet.finish(fleet.write("INSERT INTO change (id) VALUES (1)", "INSERT INTO nowhere"))
+    assert failed.failure.kind is FailureKind.STATEMENT_FAILED
+    assert failed.failure.outcome is Outcome.NOT_RUN
+    assert fleet.final_ids() == []
+
+
+def test_no_write_is_acknowledged_before_a_majority_holds_it(make_group_fleet):
+    fleet = make_group_fleet()
+    for name in fleet.replicas:
+        fleet.group.kill(name)
+    written = fleet.finish(fleet.insert(1, timeout_ms=1_000))
+    assert written.failure.outcome is Outcome.UNKNOWN
+
+
+def test_a_write_held_without_a_primary_is_refused_as_not_run(make_group_fleet):
+    fleet = make_group_fleet()
+    for name in list(fleet.group.servers):
+        fleet.group.kill(name)
+    fleet.run_for(300)
+    held = fleet.finish(fleet.insert(1, timeout_ms=1_000))
+    assert held.failure.outcome is Outcome.NOT_RUN
+    assert held.failure.retry_after_ms > 0
+    assert held.answered_ms - held.sent_ms <= 1_002
+
+
+def test_what_cannot_start_in_time_is_refused_at_once(make_group_fleet):
+    fleet = make_group_fleet(slots=1)
+    calls = [fleet.insert(number, timeout_ms=150) for number in range(1, 200)]
+    fleet.run_for(1_000)
+    refused = [call for call in calls if call.failure is not None]
+    assert refused
+    assert min(call.answered_ms - call.sent_ms for call in refused) < 50
+    fleet.assert_nothing_lost_or_doubled()
+
+
+def test_a_silent_connection_is_given_up_while_new_ones_work(make_group_fleet):
+    fleet = make_group_fleet()
+    fleet.run_for(1_000)
+    silent = {
+        connection.session_pid
+        for host in fleet.fleet.hosts.values()
+        for connection in host.connections.values()
+    }
+    real = fleet.group.run
+
+    def run(name, session_pid, work, reply):
+        if session_pid not in silent:
+            real(name, session_pid, work, reply)
+
+    fleet.group.run = run
+    assert fleet.finish(fleet.insert(1, timeout_ms=2_000)).answer is not None
+    assert fleet.final_ids() == [1]
+
+
+@pytest.mark.parametrize("interval_ms", [1, 5])
+def test_held_writes_are_released_no_faster_than_slots_take_them(make_group_fleet, interval_ms):
+    fleet = make_group_fleet(slots=3)
+    most = [0]
+    real = fleet.group.run
+
+    def run(name, session_pid, work, reply):
+        running.append(session_pid)
+        most[0] = max(most[0], len(running))
+
+        def done(result):
+            running.remove(session_pid)
+            reply(result)
+
+        real(name, session_pid, work, done)
+
+    running = []
+    fleet.start_load(1_500, interval_ms=interval_ms)
+    fleet.run_for(300)
+    fleet.group.kill(fleet.primary)
+    fleet.run_for(100)
+    fleet.group.run = run
+    fleet.run_for(8_000)
+    assert 0 < most[0] <= 3
+    fleet.assert_nothing_lost_or_doubled()
