--- /dev/null
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_open_transactions.py
@@ -0,0 +1,84 @@
+"""Open transactions, the steps under way in them, and why a step is refused."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from figcrank.coordination._pool import Connection
+from figcrank.protocol import (
+    Failure,
+    FailureKind,
+    OwnedAnswer,
+    TransactionStep,
+    WorkFailed,
+    WorkFailureKind,
+)
+
+OnAnswer = Callable[[OwnedAnswer | Failure, int], None]
+
+
+@dataclass(slots=True, eq=False)
+class OpenTransaction:
+    """An open transaction.
+
+    :param term: term of the primary that it runs on.
+    :param step: step under way, ``None`` between steps.
+    """
+
+    name: str
+    workspace: str
+    key_id: str
+    connection: Connection
+    term: int
+    idle_since_ms: int
+    step: "Step | None" = None
+    ended: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Step:
+    """A step in hand.
+
+    :param commit_sent: whether a commit was sent, so that it may have taken effect.
+    """
+
+    step: TransactionStep
+    deadline_ms: int
+    on_answer: OnAnswer
+    transaction: OpenTransaction | None = None
+    commit_sent: bool = False
+    answered: bool = False
+
+
+def refusal_of(step: TransactionStep, transaction: OpenTransaction | None) -> Failure | None:
+    """Return why a step of a transaction is not taken, ``None`` if it is."""
+    if transaction is None:
+        return unknown_transaction()
+    if transaction.workspace != step.workspace:
+        message = "The transaction belongs to another workspace."
+        return Failure.not_run(FailureKind.FOREIGN_WORKSPACE, message)
+    if transaction.key_id != step.key_id:
+        message = "The transaction was begun with another key."
+        return Failure.not_run(FailureKind.BAD_KEY, message)
+    if transaction.step is not None:
+        message = "The transaction's previous step is still running."
+        return Failure.not_run(FailureKind.BAD_REQUEST, message)
+    return None
+
+
+def unknown_transaction() -> Failure:
+    """Return the failure of a step of no open transaction."""
+    return Failure.not_run(FailureKind.UNKNOWN_TRANSACTION, "There is no such transaction.")
+
+
+def step_failure(failed: WorkFailed) -> Failure:
+    """Return what the caller is told of work whose transaction rolled back."""
+    if failed.kind is WorkFailureKind.SQL:
+        message = f"{failed.message} The transaction is rolled back."
+        return Failure.not_run(FailureKind.STATEMENT_FAILED, message)
+    return transaction_lost("Its connection or its primary was lost.")
+
+
+def transaction_lost(reason: str) -> Failure:
+    """Return the failure of a step whose transaction was rolled back for ``reason``."""
+    message = f"The transaction is rolled back. {reason}"
+    return Failure.not_run(FailureKind.TRANSACTION_LOST, message)
--- a/packages/figcrank-coordination/src/figcrank/coordination/_transactions.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_transactions.py
@@ -1,10 +1,18 @@
 """Open transactions of callers, each pinned to one connection to the primary."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from figcrank.coordination._group_view import GroupView
 from figcrank.coordination._majority import MajorityWait
+from figcrank.coordination._open_transactions import (
+    OnAnswer,
+    OpenTransaction,
+    Step,
+    refusal_of,
+    step_failure,
+    transaction_lost,
+    unknown_transaction,
+)
 from figcrank.coordination._pool import Connection, Pool
 from figcrank.coordination._port import Port
 from figcrank.coordination._queues import FairQueue, Queued
@@ -36,44 +44,9 @@
 )
 from figcrank.state import ORIGIN, Group, Position
 
-OnAnswer = Callable[[OwnedAnswer | Failure, int], None]
-
 ROLLBACK_TIMEOUT_MS = 200
 
 
-@dataclass(slots=True, eq=False)
-class _Transaction:
-    """An open transaction.
-
-    :param term: term of the primary that it runs on.
-    :param step: step under way, ``None`` between steps.
-    """
-
-    name: str
-    workspace: str
-    key_id: str
-    connection: Connection
-    term: int
-    idle_since_ms: int
-    step: "_Step | None" = None
-    ended: bool = False
-
-
-@dataclass(slots=True, eq=False)
-class _Step:
-    """A step in hand.
-
-    :param commit_sent: whether a commit was sent, so that it may have taken effect.
-    """
-
-    step: TransactionStep
-    deadline_ms: int
-    on_answer: OnAnswer
-    transaction: _Transaction | None = None
-    commit_sent: bool = False
-    answered: bool = False
-
-
 class Transactions:
     """Begins, runs and ends callers' transactions.
 
@@ -106,10 +79,10 @@
         self._majority = majority
         self._settlement = settlement
         self._writes = writes
-        self._open: dict[str, _Transaction] = {}
-        self._begins: FairQueue[_Step] = FairQueue(MAX_QUEUED_PER_WORKSPACE)
-        self._steps: FairQueue[_Step] = FairQueue(MAX_QUEUED_PER_WORKSPACE)
-        self._running: set[_Step] = set()
+        self._open: dict[str, OpenTransaction] = {}
+        self._begins: FairQueue[Step] = FairQueue(MAX_QUEUED_PER_WORKSPACE)
+        self._steps: FairQueue[Step] = FairQueue(MAX_QUEUED_PER_WORKSPACE)
+        self._running: set[Step] = set()
 
     @property
     def in_hand(self) -> int:
@@ -120,14 +93,14 @@
         self, step: TransactionStep, deadline_ms: int, now_ms: int, on_answer: OnAnswer
     ) -> None:
         """Take a step; calls back exactly once."""
-        taken = _Step(step, deadline_ms, on_answer)
+        taken = Step(step, deadline_ms, on_answer)
         if step.action == "begin":
             self._enqueue(self._begins, taken, now_ms)
             return
         transaction = self._open.get(step.transaction)
-        refusal = _refusal(step, transaction)
+        refusal = refusal_of(step, transaction)
         if refusal is not None or transaction is None:
-            on_answer(refusal or _unknown_transaction(), now_ms)
+            on_answer(refusal or unknown_transaction(), now_ms)
             return
         taken.transaction = transaction
         transaction.step = taken
@@ -181,7 +154,7 @@
 
     # Steps
 
-    def _enqueue(self, queue: FairQueue[_Step], step: _Step, now_ms: int) -> None:
+    def _enqueue(self, queue: FairQueue[Step], step: Step, now_ms: int) -> None:
         asked = step.step
         deadline_ms = step.deadline_ms - ANSWER_MARGIN_MS
         if queue.push(Queued(asked.workspace, asked.weight, asked.key_id, deadline_ms, step)):
@@ -204,7 +177,7 @@
             if entry is not None:
                 self._answer(entry.item, failure, now_ms)
 
-    def _begin(self, step: _Step, server: str, term: int, now_ms: int) -> None:
+    def _begin(self, step: Step, server: str, term: int, now_ms: int) -> None:
         connection = self._pool.acquire(server)
         connection.pinned = True
         self._running.add(step)
@@ -220,16 +193,16 @@
 
         self._run(step, connection, BeginWork(term), now_ms, finished)
 
-    def _opened(self, step: _Step, connection: Connection, term: int, now_ms: int) -> None:
+    def _opened(self, step: Step, connection: Connection, term: int, now_ms: int) -> None:
         name = f"{self._settings.host.name}~{self._group.name}~{self._port.new_id()}"
-        transaction = _Transaction(
+        transaction = OpenTransaction(
             name, step.step.workspace, step.step.key_id, connection, term, now_ms
         )
         self._open[name] = transaction
         self._answer(step, self._answer_of(transaction, (), ORIGIN), now_ms)
 
     def _begin_failed(
-        self, step: _Step, connection: Connection, result: WorkResult, now_ms: int
+        self, step: Step, connection: Connection, result: WorkResult, now_ms: int
     ) -> None:
         if step.answered:
             self._pool.close(connection)
@@ -237,11 +210,11 @@
         if isinstance(result, WorkFailed) and result.kind is WorkFailureKind.STALE_TERM:
             self._writes.hold(now_ms)
         if isinstance(result, WorkFailed) and result.kind is WorkFailureKind.SQL:
-            self._answer(step, _step_failure(result), now_ms)
+            self._answer(step, step_failure(result), now_ms)
             return
         self._enqueue(self._begins, step, now_ms)
 
-    def _run_step(self, step: _Step, transaction: _Transaction, now_ms: int) -> None:
+    def _run_step(self, step: Step, transaction: OpenTransaction, now_ms: int) -> None:
         if step.answered or transaction.ended:
             return
         action = step.step.action
@@ -262,7 +235,7 @@
 
     def _run(
         self,
-        step: _Step,
+        step: Step,
         connection: Connection,
         work: Work,
         now_ms: int,
@@ -272,7 +245,7 @@
         self._pool.run(connection, work, timeout_ms, step.step.traceparent, now_ms, finished)
 
     def _on_result(
-        self, step: _Step, transaction: _Transaction, result: WorkResult, now_ms: int
+        self, step: Step, transaction: OpenTransaction, result: WorkResult, now_ms: int
     ) -> None:
         if step.commit_sent:
             self._on_commit(step, transaction, result, now_ms)
@@ -288,12 +261,12 @@
             return
         self._end(transaction)
         self._release(transaction, result)
-        self._answer(step, _step_failure(result), now_ms)
+        self._answer(step, step_failure(result), now_ms)
 
     # Ends
 
     def _on_commit(
-        self, step: _Step, transaction: _Transaction, result: WorkResult, now_ms: int
+        self, step: Step, transaction: OpenTransaction, result: WorkResult, now_ms: int
     ) -> None:
         connection = transaction.connection
         self._end(transaction)
@@ -308,12 +281,12 @@
             self._settle(step, transaction, connection.session_pid, now_ms)
             return
         self._running.discard(step)
-        self._answer(step, _step_failure(result), now_ms)
+        self._answer(step, step_failure(result), now_ms)
 
     def _await_majority(
         self,
-        step: _Step,
-        transaction: _Transaction,
+        step: Step,
+        transaction: OpenTransaction,
         server: str,
         position: Position,
         session_pid: int | None,
@@ -331,7 +304,7 @@
         self._majority.wait(server, position, now_ms, held, replaced)
 
     def _settle(
-        self, step: _Step, transaction: _Transaction, session_pid: int | None, now_ms: int
+        self, step: Step, transaction: OpenTransaction, session_pid: int | None, now_ms: int
     ) -> None:
         request_id = step.step.request_id
         server = transaction.connection.server
@@ -349,11 +322,11 @@
 
         self._settlement.settle(attempt, step.deadline_ms, now_ms, settled)
 
-    def _answer_rollback(self, step: _Step, transaction: _Transaction, now_ms: int) -> None:
+    def _answer_rollback(self, step: Step, transaction: OpenTransaction, now_ms: int) -> None:
         self._roll_back(transaction, "", now_ms)
         self._answer(step, OwnedAnswer((), ORIGIN, "", self._group.name), now_ms)
 
-    def _roll_back(self, transaction: _Transaction, reason: str, now_ms: int) -> None:
+    def _roll_back(self, transaction: OpenTransaction, reason: str, now_ms: int) -> None:
         self._end(transaction)
         connection = transaction.connection
         if reason:
@@ -376,9 +349,9 @@
             self._end(transaction)
             self._pool.close(transaction.connection)
             if step is not None:
-                self._answer(step, _lost("The primary was replaced."), now_ms)
+                self._answer(step, transaction_lost("The primary was replaced."), now_ms)
 
-    def _release(self, transaction: _Transaction, result: WorkResult) -> None:
+    def _release(self, transaction: OpenTransaction, result: WorkResult) -> None:
         """Give a connection back, unless its session may still hold the transaction."""
         clean = isinstance(result, WorkDone) or result.kind is not WorkFailureKind.LOST
         if clean:
@@ -386,13 +359,13 @@
         else:
             self._pool.close(transaction.connection)
 
-    def _end(self, transaction: _Transaction) -> None:
+    def _end(self, transaction: OpenTransaction) -> None:
         transaction.ended = True
         self._open.pop(transaction.name, None)
 
     # Answers
 
-    def _expire(self, step: _Step, now_ms: int) -> None:
+    def _expire(self, step: Step, now_ms: int) -> None:
         """Answer a step whose time has passed; a transaction with an open step is ended."""
         if step.answered:
             return
@@ -405,10 +378,10 @@
         if transaction is not None and not transaction.ended and not step.commit_sent:
             self._end(transaction)
             self._pool.close(transaction.connection)
-            failure = _lost("A step of it was not done in time.")
+            failure = transaction_lost("A step of it was not done in time.")
         self._answer(step, failure, now_ms)
 
-    def _answer(self, step: _Step, answer: OwnedAnswer | Failure, now_ms: int) -> None:
+    def _answer(self, step: Step, answer: OwnedAnswer | Failure, now_ms: int) -> None:
         self._running.discard(step)
         if step.answered:
             return
@@ -416,40 +389,9 @@
         step.on_answer(answer, now_ms)
 
     def _answer_of(
-        self, transaction: _Transaction, results: tuple[StatementResult, ...], position: Position
+        self, transaction: OpenTransaction, results: tuple[StatementResult, ...], position: Position
     ) -> OwnedAnswer:
         server = transaction.connection.server
         return OwnedAnswer(
             results, position, server, self._group.name, transaction=transaction.name
         )
-
-
-def _refusal(step: TransactionStep, transaction: _Transaction | None) -> Failure | None:
-    if transaction is None:
-        return _unknown_transaction()
-    if transaction.workspace != step.workspace:
-        message = "The transaction belongs to another workspace."
-        return Failure.not_run(FailureKind.FOREIGN_WORKSPACE, message)
-    if transaction.key_id != step.key_id:
-        message = "The transaction was begun with another key."
-        return Failure.not_run(FailureKind.BAD_KEY, message)
-    if transaction.step is not None:
-        message = "The transaction's previous step is still running."
-        return Failure.not_run(FailureKind.BAD_REQUEST, message)
-    return None
-
-
-def _unknown_transaction() -> Failure:
-    return Failure.not_run(FailureKind.UNKNOWN_TRANSACTION, "There is no such transaction.")
-
-
-def _step_failure(failed: WorkFailed) -> Failure:
-    if failed.kind is WorkFailureKind.SQL:
-        message = f"{failed.message} The transaction is rolled back."
-        return Failure.not_run(FailureKind.STATEMENT_FAILED, message)
-    return _lost("Its connection or its primary was lost.")
-
-
-def _lost(reason: str) -> Failure:
-    message = f"The transaction is rolled back. {reason}"
-    return Failure.not_run(FailureKind.TRANSACTION_LOST, message)
--- a/packages/figcrank-measure/src/figcrank/measure/_load.py
+++ b/packages/figcrank-measure/src/figcrank/measure/_load.py
@@ -122,7 +122,7 @@
     def _send(self) -> None:
         if not self.running:
             return
-        host = len(self.calls) % 9 + 1
+        host = len(self.calls) % self.scenario.size.hosts + 1
         call = self.scenario.read(
             "SELECT count(*) FROM change", host=host, workspace=2, profile=self.profile
         )
