Let a new home lend at once beside what may still be out

A new home lent nothing until a lease time after its majority. A home now lets at most half the burst be out, so a successor counts that half as lent and fills the other half from the time on since when no other can lend.

--- a/packages/figcrank-coordination/src/figcrank/coordination/_borrower.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_borrower.py
@@ -275,6 +275,9 @@
         self._serve_waiters(account, now_ms)
         if granted.retry_after_ms:
             self._refuse_hopeless(account, now_ms)
+        elif account.waiters and granted.amount_milli:
+            # The home lends more once it knows that this slice is spent.
+            self._ask_soon(self._believed_home(account, now_ms), now_ms)
 
     def _serve_waiters(self, account: _Account, now_ms: int) -> None:
         while account.waiters:
--- a/packages/figcrank-coordination/src/figcrank/coordination/_home_buckets.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_home_buckets.py
@@ -141,15 +141,15 @@
         self._settle(now_ms)
         borrower = self._borrowers[holder]
         before_milli = self._owed_before_milli(holder, now_ms)
-        available_milli = self._bucket.level_milli(now_ms) - before_milli
+        level_milli = self._bucket.level_milli(now_ms) - before_milli
+        lendable_milli = most_lent_milli(self._workspace) - self._out_milli()
+        available_milli = min(level_milli, lendable_milli)
         urgent_milli = min(borrower.owed_milli, whole_tokens(available_milli))
         borrower.owed_milli -= urgent_milli
         retry_after_ms = 0
         ahead_milli = 0
         if borrower.owed_milli:
-            missing_milli = max(0, MILLI - available_milli + urgent_milli)
-            retry_after_ms = max(1, self._earned_in_ms(missing_milli))
-            self._limit_owed(borrower, retry_after_ms)
+            retry_after_ms = self._limit_owed(borrower, level_milli - urgent_milli)
         else:
             ahead_milli = self._ahead_milli(holder, available_milli - urgent_milli, now_ms)
         amount_milli = urgent_milli + ahead_milli
@@ -191,11 +191,18 @@
             if borrower.owed_until_ms <= now_ms:
                 borrower.owed_milli = 0
 
-    def _limit_owed(self, borrower: _Borrower, first_ms: int) -> None:
-        """Owe a host no more than is earned before its requests stop waiting."""
-        left_ms = max(0, MAX_WAIT_MS - first_ms)
-        due_milli = MILLI + left_ms * self._workspace.rate_per_s if left_ms else 0
+    def _limit_owed(self, borrower: _Borrower, level_milli: int) -> int:
+        """Owe a host no more than is earned before its requests stop waiting.
+
+        Return the time until the next token is earned, 0 if all of it waits only for other
+        slices to come back.
+        """
+        due_milli = level_milli + MAX_WAIT_MS * self._workspace.rate_per_s
+        is_enough = level_milli >= borrower.owed_milli
         borrower.owed_milli = min(borrower.owed_milli, whole_tokens(due_milli))
+        if is_enough:
+            return 0
+        return max(1, self._earned_in_ms(max(0, MILLI - level_milli)))
 
     def _ahead_milli(self, holder: str, available_milli: int, now_ms: int) -> int:
         expected_milli = self._borrowers[holder].rate.expected_milli(LENDING_HORIZON_MS)
@@ -243,6 +250,15 @@
         return sum(lent.unspent_milli for lent in self._lent.values())
 
 
+def most_lent_milli(workspace: Workspace) -> int:
+    """Return the most that a home lets be out at a time.
+
+    Half the burst, so that a successor may fill the other half while it must assume that the
+    first is still out.
+    """
+    return max(MILLI, whole_tokens(workspace.burst * MILLI // 2))
+
+
 def _bucket(workspace: Workspace, level_milli: int, now_ms: int) -> TokenBucket:
     bucket = TokenBucket(workspace.rate_per_s, workspace.burst, now_ms)
     bucket.drain(now_ms)
--- a/packages/figcrank-coordination/src/figcrank/coordination/_lender.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_lender.py
@@ -5,7 +5,7 @@
 
 from figcrank.coordination._borrower import SOLICITATION
 from figcrank.coordination._configuration import Configuration
-from figcrank.coordination._home_buckets import HomeBucket
+from figcrank.coordination._home_buckets import HomeBucket, most_lent_milli
 from figcrank.coordination._limit_timings import ACTIVE_MS, LEASE_MARGIN_MS
 from figcrank.coordination._placement import Placement
 from figcrank.coordination._port import Port
@@ -13,7 +13,7 @@
 from figcrank.coordination._slices import MAX_FREE_MS
 from figcrank.coordination._support import PauseDetector, Support, Voters
 from figcrank.protocol import Demand, DemandReport, HomeHandover, Slice, SliceGrants
-from figcrank.state import MILLI, Host
+from figcrank.state import MILLI, Host, Workspace
 
 OnGrants = Callable[[str, SliceGrants, int], None]
 
@@ -199,11 +199,11 @@
             tenure.ready_ms = now_ms
             return
         tenure.bucket = None
-        ready_ms = max(exclusive_ms, tenure.held_ms) + self._quarantine_ms()
+        ready_ms = max(exclusive_ms, tenure.held_ms)
         if ready_ms == tenure.ready_ms:
             return
         tenure.ready_ms = ready_ms
-        reason = "A majority of hosts believes in this home; earlier slices expire first."
+        reason = "A majority of hosts believes in this home; earlier slices may still be out."
         self._port.decide(
             now_ms, "hand-over", name, reason, home=self._own_name, ready_ms=tenure.ready_ms
         )
@@ -221,15 +221,27 @@
             self._port.decide(now_ms, "hand-over", name, reason, home=self._own_name)
 
     def _open(self, name: str, tenure: _Tenure, now_ms: int) -> None:
-        """Start the bucket, empty, once a predecessor's slices have expired."""
+        """Start the bucket, empty, from the time since when no other home lends."""
         workspace = self._configuration.workspace(name)
         if workspace is None or tenure.ready_ms is None or now_ms < tenure.ready_ms:
             return
         if tenure.bucket is None:
-            lease_ms = self._settings.timings.slice_lease_ms
-            tenure.bucket = HomeBucket(workspace, lease_ms, 0, tenure.ready_ms)
+            tenure.bucket = self._new_bucket(workspace, tenure.ready_ms, now_ms)
         tenure.bucket.change(workspace, now_ms)
 
+    def _new_bucket(self, workspace: Workspace, from_ms: int, now_ms: int) -> HomeBucket:
+        """Return a bucket that refills from ``from_ms``, next to what was lent before."""
+        lease_ms = self._settings.timings.slice_lease_ms
+        expired_ms = from_ms + self._quarantine_ms()
+        lent_milli = most_lent_milli(workspace)
+        if now_ms < expired_ms:
+            bucket = HomeBucket(workspace, lease_ms, 0, from_ms)
+            bucket.count_as_lent(self._new_id(now_ms), lent_milli, expired_ms, from_ms)
+            return bucket
+        earned_milli = workspace.rate_per_s * (expired_ms - from_ms)
+        room_milli = max(0, workspace.burst * MILLI - lent_milli)
+        return HomeBucket(workspace, lease_ms, min(earned_milli, room_milli), expired_ms)
+
     def _resign(self, name: str, tenure: _Tenure, home: Host, now_ms: int) -> None:
         """Stop being home; pass the bucket on if this host may still lend."""
         self._tenures.pop(name, None)
--- a/packages/figcrank-coordination/src/figcrank/coordination/_support.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_support.py
@@ -4,15 +4,17 @@
 the old home can't count on it any more (``SILENCE_MS``). Two homes with the same voters therefore
 never have a majority at the same time. A host also withholds its word from a home that does not
 answer, and tells how long it has been free; so a home that gains a majority knows since when no
-other can have had one. Once every slice lent before has expired, it starts with an empty bucket
-that refills from that time on; if none can have had one since its own majority lapsed, it keeps
-its own. Words are asked for only while there is demand. A home that was handed
-the bucket may count on hosts at once whose word was last given to the host that handed it over.
+other can have had one. It starts with an empty bucket that refills from that time on, and counts
+the most that a home lets be out as lent until every slice from before has expired. If no other
+can have had a majority since its own lapsed, it keeps its own bucket. Words are asked for only
+while there is demand. A home that was handed the bucket may count on hosts at once whose word
+was last given to the host that handed it over.
 
 Not covered: sets of voters that differ by two hosts or more while both homes are the minimum
 majority of their own set, as when most of the fleet is out of reach for ``VOTER_MEMORY_MS``;
 datagrams that reach a running process more than ``MAX_DELAY_MS`` after they were sent; clocks
-whose rates differ by more than ``LEASE_MARGIN_MS`` within one lease.
+whose rates differ by more than ``LEASE_MARGIN_MS`` within one lease; a process that comes back
+under the name of one that was home; and homes in different cells, which each lend the whole rate.
 """
 
 from figcrank.coordination._limit_timings import (
--- /dev/null
+++ b/packages/figcrank-coordination/tests/test_support.py
@@ -0,0 +1,41 @@
+from figcrank.coordination._limit_timings import BACKLOG_MS, SUPPORT_MS, VOTER_MEMORY_MS
+from figcrank.coordination._support import PauseDetector, Support, Voters
+from figcrank.measure._limit_fleet import View, make_host
+
+HOSTS = tuple(make_host(number) for number in range(9))
+
+
+def test_messages_read_after_a_pause_are_as_old_as_the_pause():
+    pauses = PauseDetector()
+    for now_ms in (0, 10, 210):
+        pauses.note(now_ms)
+    assert pauses.heard_ms(210) == 10
+    assert pauses.heard_ms(210 + BACKLOG_MS + 1) == 210 + BACKLOG_MS + 1
+
+
+def test_word_counts_for_a_limited_time():
+    support = Support()
+    support.add("host-1", 100, 0)
+    assert support.supporters(100 + SUPPORT_MS - 1) == {"host-1"}
+    assert support.supporters(100 + SUPPORT_MS) == set()
+
+
+def test_exclusive_from_is_when_the_last_of_the_needed_hosts_became_free():
+    support = Support()
+    for name, free_from_ms in (("host-1", 10), ("host-2", 70), ("host-3", 40)):
+        support.add(name, 100, free_from_ms)
+    assert support.exclusive_from_ms({"host-1", "host-2", "host-3"}, 2) == 40
+
+
+def test_lost_hosts_count_for_a_while_and_leaving_hosts_do_not():
+    view = View(HOSTS)
+    voters = Voters(view, HOSTS)
+    voters.refresh(0)
+    view.remove("host-1")
+    view.leaving.add("host-2")
+    voters.refresh(VOTER_MEMORY_MS)
+    assert len(voters.names()) == 8
+    assert not voters.is_majority({f"host-{n}" for n in range(3, 7)})
+    voters.refresh(VOTER_MEMORY_MS + 1)
+    assert len(voters.names()) == 7
+    assert voters.is_majority({f"host-{n}" for n in range(3, 7)})
