Withhold a host's word from a silent home after 150 ms

The wait for a lost home's word to lapse made up a third of the time until its successor could lend.

--- a/packages/figcrank-coordination/src/figcrank/coordination/_limit_timings.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_limit_timings.py
@@ -7,7 +7,7 @@
 # A host that believes in a new home gives its word only after the old home's has run out.
 SILENCE_MS = SUPPORT_MS + MAX_DELAY_MS
 # A home that has not answered a report of this age gets no word until it does.
-ANSWER_TIMEOUT_MS = 250
+ANSWER_TIMEOUT_MS = 150
 # Two events further apart show that the process was paused.
 PAUSE_MS = 60
 # Datagrams that waited in the socket during a pause are read within this time after it.
