Question suspected hosts until they refute

Whoever suspects a host now probes it every 100 ms, and the probe carries the suspicion. A longer suspicion was ruled out, since it delays every hand-over.

--- a/packages/figcrank-coordination/src/figcrank/coordination/_membership.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_membership.py
@@ -26,6 +26,7 @@
 INDIRECT_PROBES = 3
 # A tick that comes this late means that this host itself was paused.
 PAUSE_MS = 150
+QUESTION_INTERVAL_MS = 100
 SIDE_PROBE_EVERY = 5
 # Age given to a digest that may have been under way for any time.
 UNKNOWN_AGE_MS = 2**31
@@ -70,6 +71,7 @@
         # Members that have acknowledged a probe, and hence know this host's address.
         self._acquainted: set[str] = set()
         self._next_probe_ms = 0
+        self._next_question_ms = 0
         self._probe_count = 0
         others = any(seed.cell != settings.host.cell for seed in settings.seeds)
         self._quorum = Quorum(settings.host, settings.timings.config_freshness_ms, others)
@@ -125,6 +127,7 @@
         for member in self._table.expire(now_ms):
             self._on_dead(member, "It did not refute the suspicion in time.", now_ms)
         self._probe_candidates(now_ms)
+        self._question_suspects(now_ms)
         if now_ms >= self._next_probe_ms:
             self._next_probe_ms = now_ms + self._timings.probe_interval_ms
             self._probe_next(now_ms)
@@ -307,6 +310,14 @@
         if host is not None:
             self._probe(host, ProbePurpose.MEMBER, now_ms)
 
+    def _question_suspects(self, now_ms: int) -> None:
+        # Each question carries the suspicion, so that the answer refutes it.
+        if now_ms < self._next_question_ms:
+            return
+        self._next_question_ms = now_ms + QUESTION_INTERVAL_MS
+        for member in self._table.views().suspects:
+            self.ask(member.host, now_ms)
+
     def _probe_aside(self, now_ms: int) -> None:
         self._reconsider_seed()
         names = [host.name for host in self.contacts()]
--- a/packages/figcrank-coordination/tests/test_membership.py
+++ b/packages/figcrank-coordination/tests/test_membership.py
@@ -31,6 +31,14 @@
     assert fleet.run(5_000, until=lambda: views(fleet) == expected)
 
 
+def test_lost_datagrams_kill_no_host(make_fleet):
+    fleet = make_fleet(9)
+    fleet.loss = 0.2
+    for _ in range(300):
+        fleet.run(100)
+        assert all(len(names(core)) == 9 for core in fleet.cores.values())
+
+
 def test_newcomer_becomes_known_to_all_from_one_seed(make_fleet, new_host):
     fleet = make_fleet(5)
     fleet.run(1_000)
