--- /dev/null
+++ b/packages/figcrank-coordination/tests/test_quorum.py
@@ -0,0 +1,59 @@
+import pytest
+
+from figcrank.coordination._member_table import Member, MemberViews
+from figcrank.coordination._probes import Probe, ProbePurpose
+from figcrank.coordination._quorum import Quorum
+from figcrank.state import HostState
+
+NOW_MS = 10_000
+WINDOW_MS = 1_500
+
+
+def views_of(hosts, dead=0, gone=0):
+    alive = len(hosts) - dead - gone
+    states = [HostState.ALIVE] * alive + [HostState.DEAD] * (dead + gone)
+    members = [
+        Member(host, state, 0, 0, is_gone=number >= alive + dead)
+        for number, (host, state) in enumerate(zip(hosts, states, strict=True))
+    ]
+    return MemberViews.from_members(members, hosts[0])
+
+
+def probe_of(host, sent_ms=NOW_MS - 500):
+    return Probe(1, host, ProbePurpose.MEMBER, sent_ms)
+
+
+@pytest.fixture
+def hosts(new_host):
+    return [new_host(number) for number in range(1, 10)]
+
+
+@pytest.mark.parametrize(
+    ("dead", "gone", "holds"), [(0, 0, True), (4, 0, True), (5, 0, False), (0, 6, True)]
+)
+def test_majority_is_of_those_that_did_not_leave(hosts, dead, gone, holds):
+    quorum = Quorum(hosts[0], WINDOW_MS, False)
+    assert quorum.holds(views_of(hosts, dead, gone), NOW_MS) is holds
+
+
+@pytest.mark.parametrize(("answered", "holds"), [(7, True), (4, True), (3, False), (0, False)])
+def test_unanswered_probes_count_before_states_change(hosts, answered, holds):
+    quorum = Quorum(hosts[0], WINDOW_MS, False)
+    for number in range(8):
+        quorum.note(probe_of(hosts[1]), answered=number < answered)
+    assert quorum.holds(views_of(hosts), NOW_MS) is holds
+
+
+def test_old_probes_do_not_count(hosts):
+    quorum = Quorum(hosts[0], WINDOW_MS, False)
+    quorum.note(probe_of(hosts[1], NOW_MS - WINDOW_MS - 1), answered=False)
+    assert quorum.holds(views_of(hosts), NOW_MS)
+
+
+def test_other_cell_must_be_heard_once_known(hosts, new_host):
+    quorum = Quorum(hosts[0], WINDOW_MS, True)
+    views = views_of(hosts)
+    assert not quorum.holds(views, NOW_MS)
+    quorum.note(probe_of(new_host(1, cell="cell-2")), answered=True)
+    assert quorum.holds(views, NOW_MS)
+    assert not quorum.holds(views, NOW_MS + WINDOW_MS)
