Refuse incarnations that a host can't have reached

An update with an absurd incarnation, up to a million, was believed, and its subject had to climb past it. What is more than 100,000 above the known one is now dropped, for this host as well.

--- a/packages/figcrank-coordination/src/figcrank/coordination/_member_table.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_member_table.py
@@ -7,7 +7,7 @@
 from figcrank.state import Host, HostState
 
 CONTACTS_PER_CELL = 2
-MAX_INCARNATION = 1_000_000
+MAX_INCARNATION_STEP = 100_000
 MAX_UPDATES = 6
 SPREAD_FACTOR = 3
 TOMBSTONE_MS = 600_000
@@ -66,7 +66,14 @@
     """Return whether an update can have come from a working host."""
     if not update.host or ":" not in update.gossip_address or ":" not in update.peer_address:
         return False
-    return 0 <= update.incarnation <= MAX_INCARNATION
+    return update.incarnation >= 0
+
+
+def is_possible(update: MemberUpdate, known: Member) -> bool:
+    """Return whether an update can be about the very host that is ``known``."""
+    if update.gossip_address != known.host.gossip_address:
+        return False
+    return update.incarnation <= known.incarnation + MAX_INCARNATION_STEP
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,7 +167,7 @@
         :returns: whether the table changed.
         """
         known = self._members.get(update.host)
-        if known is None or known.host.gossip_address != update.gossip_address:
+        if known is None or not is_possible(update, known):
             return False
         if _rank(update.incarnation, update.state) <= _rank(known.incarnation, known.state):
             return False
--- a/packages/figcrank-coordination/src/figcrank/coordination/_membership.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_membership.py
@@ -5,7 +5,13 @@
 import msgspec
 
 from figcrank.coordination._candidates import Candidates
-from figcrank.coordination._member_table import Member, MemberTable, host_of, is_plausible
+from figcrank.coordination._member_table import (
+    Member,
+    MemberTable,
+    host_of,
+    is_plausible,
+    is_possible,
+)
 from figcrank.coordination._port import Port
 from figcrank.coordination._probes import (
     Probe,
@@ -282,7 +288,7 @@
 
     def _on_own_update(self, update: MemberUpdate, now_ms: int) -> None:
         mine = self._table.get(self._myself.name)
-        if mine is None or update.gossip_address != self._myself.gossip_address:
+        if mine is None or not is_possible(update, mine):
             return
         if update.state not in (HostState.SUSPECT, HostState.DEAD):
             return
--- a/packages/figcrank-coordination/tests/test_membership.py
+++ b/packages/figcrank-coordination/tests/test_membership.py
@@ -117,6 +117,18 @@
     assert core.membership.incarnation("cell-1-host-2") == 0
 
 
+@pytest.mark.parametrize(("incarnation", "expected"), [(0, 1), (7, 8), (2**40, 0), (-1, 0)])
+def test_host_refutes_only_what_can_have_been_said(make_fleet, incarnation, expected):
+    fleet = make_fleet(3)
+    fleet.run(500)
+    core = fleet.cores["cell-1-host-1"]
+    rumour = update_of(fleet.hosts["cell-1-host-1"], HostState.DEAD, incarnation)
+    fleet.send("cell-1-host-1", GossipReceived("cell-1-host-2", Ping(1, DIGEST, (rumour,))))
+    assert core.membership.incarnation("cell-1-host-1") == expected
+    fleet.send("cell-1-host-1", GossipReceived("cell-1-host-2", Ping(1, DIGEST, (rumour,))))
+    assert core.membership.incarnation("cell-1-host-1") == expected
+
+
 def test_member_that_answers_no_probe_is_never_taken_in(make_fleet, new_host):
     fleet = make_fleet(3)
     fleet.run(500)
