--- a/packages/figcrank-coordination/src/figcrank/coordination/_membership.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_membership.py
@@ -5,7 +5,13 @@
 import msgspec
 
 from figcrank.coordination._candidates import Candidates
-from figcrank.coordination._member_table import Member, MemberTable, host_of, is_plausible
+from figcrank.coordination._member_table import (
+    Member,
+    MemberTable,
+    host_of,
+    is_plausible,
+    is_possible,
+)
 from figcrank.coordination._port import Port
 from figcrank.coordination._probes import (
     Probe,
@@ -26,6 +32,7 @@
 INDIRECT_PROBES = 3
 # A tick that comes this late means that this host itself was paused.
 PAUSE_MS = 150
+QUESTION_INTERVAL_MS = 100
 SIDE_PROBE_EVERY = 5
 # Age given to a digest that may have been under way for any time.
 UNKNOWN_AGE_MS = 2**31
@@ -70,6 +77,7 @@
         # Members that have acknowledged a probe, and hence know this host's address.
         self._acquainted: set[str] = set()
         self._next_probe_ms = 0
+        self._next_question_ms = 0
         self._probe_count = 0
         others = any(seed.cell != settings.host.cell for seed in settings.seeds)
         self._quorum = Quorum(settings.host, settings.timings.config_freshness_ms, others)
@@ -125,6 +133,7 @@
         for member in self._table.expire(now_ms):
             self._on_dead(member, "It did not refute the suspicion in time.", now_ms)
         self._probe_candidates(now_ms)
+        self._question_suspects(now_ms)
         if now_ms >= self._next_probe_ms:
             self._next_probe_ms = now_ms + self._timings.probe_interval_ms
             self._probe_next(now_ms)
@@ -279,7 +288,7 @@
 
     def _on_own_update(self, update: MemberUpdate, now_ms: int) -> None:
         mine = self._table.get(self._myself.name)
-        if mine is None or update.gossip_address != self._myself.gossip_address:
+        if mine is None or not is_possible(update, mine):
             return
         if update.state not in (HostState.SUSPECT, HostState.DEAD):
             return
@@ -307,6 +316,14 @@
         if host is not None:
             self._probe(host, ProbePurpose.MEMBER, now_ms)
 
+    def _question_suspects(self, now_ms: int) -> None:
+        # Each question carries the suspicion, so that the answer refutes it.
+        if now_ms < self._next_question_ms:
+            return
+        self._next_question_ms = now_ms + QUESTION_INTERVAL_MS
+        for member in self._table.views().suspects:
+            self.ask(member.host, now_ms)
+
     def _probe_aside(self, now_ms: int) -> None:
         self._reconsider_seed()
         names = [host.name for host in self.contacts()]
