--- a/packages/figcrank-cli/src/figcrank/cli/bench.py
+++ b/packages/figcrank-cli/src/figcrank/cli/bench.py
@@ -41,12 +41,14 @@
     :param connections: kept-alive connections that sent reads, each one after the other.
     :param reads_per_s: reads answered each second.
     :param failed: reads that got another answer than a result.
+    :param cpu_ms: processor time of the host process for each read, stand-ins included.
     :param median_ms: median time from request to answer at the client.
     :param p99_ms: 99th percentile of the same.
     """
 
     connections: int
     reads_per_s: float
+    cpu_ms: float
     failed: int
     median_ms: float
     p99_ms: float
@@ -91,10 +93,12 @@
     :param key: caller's key.
     :param service: service to read from.
     :param profile: read profile.
+    :param pid: process id of the host.
     """
 
-    def __init__(self, address: str, key: str, service: str, profile: str) -> None:
+    def __init__(self, address: str, key: str, service: str, profile: str, pid: int) -> None:
         self._address = address
+        self._pid = pid
         self._path = f"/v1/services/{service}/statements"
         self._headers = {"Authorization": f"Bearer {key}", "Figcrank-Profile": profile}
         self._body = encode(StatementsBody((Statement("select 1"),)))
@@ -103,6 +107,7 @@
         """Send reads on each connection, one after the other."""
         http = HttpClient()
         histogram = HdrHistogram(1, HIGHEST_US, SIGNIFICANT_FIGURES)
+        cpu_before_ms = _cpu_ms(self._pid)
         started = time.monotonic()
         ends = started + duration_s
         threads = [
@@ -110,9 +115,11 @@
         ]
         failed = sum(thread.wait() for thread in threads)
         elapsed_s = time.monotonic() - started
+        count = max(1, histogram.get_total_count())
         return LoadReport(
             connections,
-            round(histogram.get_total_count() / elapsed_s, 1),
+            round(count / elapsed_s, 1),
+            round((_cpu_ms(self._pid) - cpu_before_ms) / count, 3),
             failed,
             histogram.get_value_at_percentile(50) / US_PER_MS,
             histogram.get_value_at_percentile(99) / US_PER_MS,
@@ -157,8 +164,8 @@
     """Load a traced host over one connection and split the time by its spans."""
     with tempfile.TemporaryDirectory() as directory:
         path = Path(directory) / "spans.jsonl"
-        with embedded_host("--trace-file", str(path)) as (_, ready):
-            load = _bench_of(ready, profile).run(1, duration_s)
+        with embedded_host("--trace-file", str(path)) as (host, ready):
+            load = _bench_of(host, ready, profile).run(1, duration_s)
         medians = _median_spans_ms(path)
     handler_ms = medians["caller.statements"]
     backend_ms = medians["backend.work"]
@@ -174,7 +181,7 @@
     """Measure embedded hosts and print the report as JSON."""
     options = _parser().parse_args()
     with embedded_host() as (host, ready):
-        bench = _bench_of(ready, options.profile)
+        bench = _bench_of(host, ready, options.profile)
         loads = tuple(bench.run(count, options.duration_s) for count in options.connections)
         sessions = bench.open_sessions(options.open_sessions)
         resident_mib = _resident_mib(host.pid)
@@ -193,9 +200,9 @@
     return parser
 
 
-def _bench_of(ready: dict, profile: str) -> Bench:
+def _bench_of(host: subprocess.Popen, ready: dict, profile: str) -> Bench:
     address = ready["caller_url"].removeprefix("http://")
-    return Bench(address, ready["key"], ready["service"], profile)
+    return Bench(address, ready["key"], ready["service"], profile, host.pid)
 
 
 def _median_spans_ms(path: Path) -> dict[str, float]:
@@ -207,6 +214,13 @@
     return {name: statistics.median(values) for name, values in durations.items()}
 
 
+def _cpu_ms(pid: int) -> float:
+    """Return the processor time that a process has used, in user and system mode."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    user_ticks, system_ticks = int(fields[11]), int(fields[12])
+    return (user_ticks + system_ticks) * MS_PER_S / os.sysconf("SC_CLK_TCK")
+
+
 def _resident_mib(pid: int) -> float:
     for line in Path(f"/proc/{pid}/status").read_text().splitlines():
         if line.startswith("VmRSS:"):
