--- /dev/null
+++ b/packages/figcrank-coordination/tests/groups/test_group_view.py
@@ -0,0 +1,109 @@
+import pytest
+
+from figcrank.coordination import CallServer, CoreSettings, ServerReplied
+from figcrank.coordination._group_view import GroupView
+from figcrank.coordination._majority import MajorityWait
+from figcrank.coordination._port import Port
+from figcrank.protocol import ServerFailure, ServerFailureKind, StatusReply
+from figcrank.standins.samples import group_of
+from figcrank.state import Host, Position, ServerRole, ServerStatus
+
+ZONES = ("zone-1", "zone-2", "zone-3")
+GROUP = group_of("roster", ZONES, 5, 35)
+HOST = Host("host-1", "zone-1", "g", "p")
+SETTINGS = CoreSettings("test", HOST, (HOST,), (GROUP,))
+P, R, F = ServerRole.PRIMARY, ServerRole.REPLICA, ServerRole.FENCED
+LOST = ServerFailure(ServerFailureKind.TIMEOUT, "late")
+
+
+def status(letter, role, term, durable, applied=None):
+    held = Position(*durable)
+    return ServerStatus(f"roster-{letter}", role, term, 1, held, applied or held)
+
+
+def run_round(replies, now_ms=100):
+    """Run one round in which the servers a, b and c give ``replies``."""
+    port = Port()
+    view = GroupView(SETTINGS, port, GROUP)
+    view.tick(now_ms)
+    calls = [action for action in port.drain() if isinstance(action, CallServer)]
+    for call, reply in zip(calls, replies, strict=True):
+        answer = StatusReply(reply) if isinstance(reply, ServerStatus) else reply
+        port.on_reply(ServerReplied(call.call_id, answer), now_ms + 3)
+    return view
+
+
+@pytest.mark.parametrize(
+    ("replies", "covering"),
+    [
+        ((status("a", P, 2, (2, 9)), status("b", R, 2, (2, 7)), status("c", R, 2, (2, 5))), (2, 7)),
+        # A server that did not report may hold all that the primary holds.
+        ((status("a", P, 2, (2, 9)), status("b", R, 2, (2, 7)), LOST), (2, 9)),
+        ((status("a", P, 2, (2, 9)), LOST, LOST), None),
+        ((LOST, status("b", R, 2, (2, 7)), status("c", R, 2, (2, 5))), None),
+        ((status("a", P, 2, (2, 9)), status("b", F, 3, (2, 7)), status("c", R, 3, (3, 8))), None),
+        ((status("a", P, 2, (2, 9)), status("b", F, 3, (2, 7)), status("c", R, 2, (2, 8))), (2, 8)),
+    ],
+)
+def test_a_round_covers_acknowledged_writes_only_if_its_majority_proves_it(replies, covering):
+    view = run_round(replies)
+    assert view.bound_since(100) == (Position(*covering) if covering else None)
+
+
+def test_a_round_says_nothing_of_later_times():
+    view = run_round([status("a", P, 2, (2, 9)), status("b", R, 2, (2, 9)), LOST])
+    assert view.bound_since(101) is None
+
+
+@pytest.mark.parametrize(
+    ("replies", "primary"),
+    [
+        ((status("a", P, 1, (1, 9)), status("b", P, 2, (2, 9)), LOST), "roster-b"),
+        ((status("a", P, 1, (1, 9)), status("b", F, 2, (1, 9)), LOST), "roster-a"),
+        ((status("a", P, 1, (1, 9)), status("b", F, 2, (1, 9)), status("c", F, 2, (1, 9))), None),
+    ],
+)
+def test_the_primary_is_that_of_the_highest_term_no_majority_has_passed(replies, primary):
+    found = run_round(replies).primary()
+    assert (found.server if found else None) == primary
+
+
+@pytest.mark.parametrize(
+    ("holder", "held"),
+    [
+        (status("b", R, 2, (2, 9)), True),
+        (status("b", R, 2, (2, 8)), False),
+        # The end of a log of an earlier term says nothing of this one.
+        (status("b", R, 2, (1, 20)), False),
+        # Fenced in a later term: what it acknowledges now counts for nothing in the old one.
+        (status("b", F, 3, (2, 9)), False),
+    ],
+)
+def test_a_position_counts_only_where_it_is_held_in_its_own_term(holder, held):
+    view = GroupView(SETTINGS, Port(), GROUP)
+    waits = MajorityWait(SETTINGS, Port(), GROUP, view)
+    told = []
+    waits.wait("roster-a", Position(2, 9), 0, told.append, lambda at_ms: None)
+    view.take(holder, 5)
+    assert bool(told) is held
+
+
+def test_a_wait_ends_when_a_later_term_begins():
+    view = GroupView(SETTINGS, Port(), GROUP)
+    waits = MajorityWait(SETTINGS, Port(), GROUP, view)
+    replaced = []
+    waits.wait("roster-a", Position(2, 9), 0, lambda at_ms: None, replaced.append)
+    view.take(status("b", P, 3, (3, 10)), 5)
+    assert replaced == [5]
+
+
+def test_replicas_without_progress_count_as_a_stall():
+    view = GroupView(SETTINGS, Port(), GROUP)
+    for letter in "bc":
+        view.take(status(letter, R, 2, (2, 5)), 0)
+    view.take(status("a", P, 2, (2, 5)), 0)
+    assert view.stalled_ms(100) == 0
+    view.take(status("a", P, 2, (2, 6)), 100)
+    assert view.stalled_ms(300) == 200
+    view.take(status("b", R, 2, (2, 6)), 300)
+    assert view.stalled_ms(400) == 0
