Say "unknown" where a lost owner host may have run a request

After an owner host was lost with the request in hand, the entry host passed on the "not run" of the next owner, which knows nothing of the first one's attempt. Named regression test: test_what_a_lost_owner_may_have_run_is_not_said_to_be_not_run (failed before: NOT_RUN, passes after).

--- a/packages/figcrank-coordination/src/figcrank/coordination/_entry.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_entry.py
@@ -23,6 +23,7 @@
 from figcrank.protocol import (
     Failure,
     FailureKind,
+    Outcome,
     OwnedAnswer,
     OwnedFailure,
     OwnedRequest,
@@ -55,6 +56,7 @@
     """A caller's request that has passed its checks.
 
     :param tried: owner hosts that it was given to, the latest last.
+    :param may_have_run: whether one of them was lost after it had got the request.
     """
 
     call_id: int
@@ -64,6 +66,7 @@
     started_ms: int
     deadline_ms: int
     tried: tuple[str, ...] = ()
+    may_have_run: bool = False
 
     def left_ms(self, now_ms: int) -> int:
         """Return the time left, in milliseconds."""
@@ -362,6 +365,7 @@
         if isinstance(call.request, TransactionStep):
             self._finish(call, _lost_step(call.request, failed), now_ms)
             return
+        call = replace(call, may_have_run=call.may_have_run or failed.sent)
         if self._may_retry(call) and call.left_ms(now_ms) > FORWARD_MARGIN_MS:
             self._dispatch(call, now_ms)
             return
@@ -390,6 +394,7 @@
             return
         outcome = "answered"
         if isinstance(answer, Failure):
+            answer = _as_certain(call, answer)
             outcome = str(answer.kind)
             subject = call.request.request_id
             self._port.decide(now_ms, "refusal", subject, answer.message, failure=answer.kind)
@@ -439,6 +444,16 @@
     return Failure.not_run(FailureKind.HELD_TOO_LONG, message, RETRY_AFTER_MS)
 
 
+def _as_certain(call: _Call, failure: Failure) -> Failure:
+    """Return a failure that claims no more than is certain after every owner host tried."""
+    if failure.outcome is not Outcome.NOT_RUN or not call.may_have_run:
+        return failure
+    if _is_harmless(call.request):
+        return failure
+    message = "An owner host was lost before it answered."
+    return Failure.unknown(message, failure.retry_after_ms)
+
+
 def _is_harmless(request: OwnedRequest | TransactionStep) -> bool:
     if isinstance(request, TransactionStep):
         return request.action != "commit"
--- a/packages/figcrank-coordination/tests/groups/test_writes.py
+++ b/packages/figcrank-coordination/tests/groups/test_writes.py
@@ -127,3 +127,20 @@
     fleet.run_for(8_000)
     assert 0 < most[0] <= 3
     fleet.assert_nothing_lost_or_doubled()
+
+
+def test_what_a_lost_owner_may_have_run_is_not_said_to_be_not_run(make_group_fleet):
+    fleet = make_group_fleet()
+    entry = fleet.entry
+    zone = fleet.fleet.hosts[entry].host.availability_zone
+    owners = [fleet.fleet.hosts[name].host for name in fleet.owners]
+    first = min(owners, key=lambda host: host.availability_zone != zone)
+    call = fleet.insert(1, host=entry, timeout_ms=4_000)
+
+    def lose_owner_and_servers():
+        fleet.fleet.kill(first.name)
+        for name in fleet.group.servers:
+            fleet.group.kill(name)
+
+    fleet.fleet.loop.after(6, lose_owner_and_servers)
+    assert fleet.finish(call).failure.outcome is Outcome.UNKNOWN
