Take a missing record for proof only once its term is sure to stay

A record missing on the primary of a later term was taken for proof that the write had not run. Until a majority holds the beginning of that term, yet another term can begin on the log of the replaced primary, which may hold the record, so "not run" could have been wrong. The look-up's answer now waits for that majority. Regression test: test_a_record_missing_in_a_later_term_is_proof_once_a_majority_holds_that_term.

--- a/packages/figcrank-coordination/src/figcrank/coordination/_owner.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_owner.py
@@ -63,7 +63,7 @@
         self._view = GroupView(settings, port, group)
         self._pool = Pool(settings, port, group)
         self._majority = MajorityWait(settings, port, group, self._view)
-        self._settlement = Settlement(settings, port, group, self._view)
+        self._settlement = Settlement(settings, port, group, self._view, self._majority)
         self._reads = Reads(settings, port, group, self._view, self._pool)
         self._writes = Writes(
             settings, port, group, self._view, self._pool, self._majority, self._settlement
--- a/packages/figcrank-coordination/src/figcrank/coordination/_settlement.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_settlement.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from figcrank.coordination._group_view import GroupView
+from figcrank.coordination._majority import MajorityWait
 from figcrank.coordination._port import Port
 from figcrank.coordination._settings import CoreSettings
 from figcrank.protocol import Lookup, RecordReply, ServerReply
@@ -45,20 +46,31 @@
 class Settlement:
     """Looks records up on the primary, in this term or the next.
 
-    A record that is missing on the primary of a later term, or on the primary of the same term
-    once the session was ended, proves that the attempt did not commit and never will.
+    A record that is missing on the primary of the same term, once the session was ended, proves
+    that the attempt did not commit and never will. One that is missing on the primary of a later
+    term proves it once a majority holds the beginning of that term: before, yet another term could
+    begin on a log that has it.
 
     :param settings: static settings of this host.
     :param port: way out of the core.
     :param group: the group.
     :param view: statuses of its servers.
+    :param majority: waits for durable positions.
     """
 
-    def __init__(self, settings: CoreSettings, port: Port, group: Group, view: GroupView) -> None:
+    def __init__(
+        self,
+        settings: CoreSettings,
+        port: Port,
+        group: Group,
+        view: GroupView,
+        majority: MajorityWait,
+    ) -> None:
         self._timeout_ms = settings.timings.server_timeout_ms
         self._port = port
         self._group = group
         self._view = view
+        self._majority = majority
         self._waiting: deque[_Case] = deque()
         self._running = 0
 
@@ -117,7 +129,18 @@
         )
         position = _in_term(reply.position, primary)
         record = RecordReply(reply.found, position, reply.results)
-        case.on_record(record, primary.server, now_ms)
+        if reply.found or primary.term == case.attempt.term:
+            case.on_record(record, primary.server, now_ms)
+            return
+
+        def confirmed(at_ms: int) -> None:
+            case.on_record(record, primary.server, at_ms)
+
+        def replaced(at_ms: int) -> None:
+            self.settle(case.attempt, case.deadline_ms, at_ms, case.on_record)
+
+        began = Position(primary.term, primary.term_start)
+        self._majority.wait(primary.server, began, now_ms, confirmed, replaced)
 
 
 def _in_term(position: Position, primary: ServerStatus) -> Position:
--- /dev/null
+++ b/packages/figcrank-coordination/tests/groups/test_settlement.py
@@ -0,0 +1,90 @@
+import pytest
+
+from figcrank.coordination import CallServer, CoreSettings, ServerReplied
+from figcrank.coordination._group_view import GroupView
+from figcrank.coordination._majority import MajorityWait
+from figcrank.coordination._port import Port
+from figcrank.coordination._settlement import Attempt, Settlement
+from figcrank.protocol import Lookup, RecordReply, ServerFailure, ServerFailureKind
+from figcrank.standins.samples import group_of
+from figcrank.state import Host, Position, ServerRole, ServerStatus
+
+GROUP = group_of("roster", ("zone-1", "zone-2", "zone-3"), 5, 35)
+HOST = Host("host-1", "zone-1", "g", "p")
+SETTINGS = CoreSettings("test", HOST, (HOST,), (GROUP,))
+LOST = ServerFailure(ServerFailureKind.TIMEOUT, "late")
+
+
+def status(letter, role, term, durable, term_start=1):
+    held = Position(*durable)
+    return ServerStatus(f"roster-{letter}", role, term, term_start, held, held)
+
+
+class Bench:
+    """One attempt of term 1 on server a, with server b or a as primary."""
+
+    def __init__(self, primary):
+        self.port = Port()
+        self.view = GroupView(SETTINGS, self.port, GROUP)
+        waits = MajorityWait(SETTINGS, self.port, GROUP, self.view)
+        self.settlement = Settlement(SETTINGS, self.port, GROUP, self.view, waits)
+        self.records = []
+        self.view.take(primary, 0)
+        attempt = Attempt("id-1", "roster-a", 1, 77)
+        self.settlement.settle(attempt, 5_000, 0, lambda *found: self.records.append(found))
+
+    def lookups(self):
+        calls = [a for a in self.port.drain() if isinstance(a, CallServer)]
+        return [call for call in calls if isinstance(call.request, Lookup)]
+
+    def reply(self, call, answer, now_ms=5):
+        self.port.on_reply(ServerReplied(call.call_id, answer), now_ms)
+
+
+@pytest.mark.parametrize(
+    ("primary", "session_pid"),
+    [
+        (status("a", ServerRole.PRIMARY, 1, (1, 9)), 77),
+        (status("b", ServerRole.PRIMARY, 2, (2, 9)), None),
+    ],
+)
+def test_the_session_is_ended_where_it_ran(primary, session_pid):
+    (call,) = Bench(primary).lookups()
+    assert call.request == Lookup("id-1", primary.term, session_pid)
+
+
+def test_a_record_missing_in_the_same_term_is_proof():
+    bench = Bench(status("a", ServerRole.PRIMARY, 1, (1, 9)))
+    (call,) = bench.lookups()
+    bench.reply(call, RecordReply(found=False))
+    assert len(bench.records) == 1
+
+
+def test_a_record_missing_in_a_later_term_is_proof_once_a_majority_holds_that_term():
+    bench = Bench(status("b", ServerRole.PRIMARY, 2, (2, 9), term_start=9))
+    (call,) = bench.lookups()
+    bench.reply(call, RecordReply(found=False))
+    assert bench.records == []
+    bench.view.take(status("c", ServerRole.REPLICA, 2, (1, 8)), 10)
+    assert bench.records == []
+    bench.view.take(status("c", ServerRole.REPLICA, 2, (2, 9)), 20)
+    assert len(bench.records) == 1
+
+
+def test_a_record_missing_in_a_term_that_ended_is_looked_up_again():
+    bench = Bench(status("b", ServerRole.PRIMARY, 2, (2, 9), term_start=9))
+    (call,) = bench.lookups()
+    bench.reply(call, RecordReply(found=False))
+    bench.view.take(status("a", ServerRole.PRIMARY, 3, (3, 10), term_start=10), 10)
+    (again,) = bench.lookups()
+    assert (again.server.name, again.request.term) == ("roster-a", 3)
+    bench.reply(again, RecordReply(True, Position(1, 9)), 15)
+    assert bench.records[0][0].position == Position(3, 10)
+
+
+def test_a_lookup_that_failed_is_repeated():
+    bench = Bench(status("a", ServerRole.PRIMARY, 1, (1, 9)))
+    (call,) = bench.lookups()
+    bench.reply(call, LOST)
+    bench.settlement.tick(100)
+    assert len(bench.lookups()) == 1
