--- a/packages/figcrank-coordination/tests/groups/test_routing.py
+++ b/packages/figcrank-coordination/tests/groups/test_routing.py
@@ -72,3 +72,19 @@
     reads = [fleet.read(COUNT, "relaxed") for _ in range(5)]
     for read in reads:
         assert fleet.finish(read).answer is not None, read.failure
+
+
+@pytest.mark.parametrize("profile", ["fresh", "relaxed"])
+def test_the_server_is_told_the_position_that_a_read_must_see(make_group_fleet, profile):
+    fleet = make_group_fleet()
+    written = fleet.finish(fleet.insert(1))
+    fleet.run_for(1_200)
+    real, told = fleet.group.run, []
+
+    def run(name, session_pid, work, reply):
+        told.append(work.min_position)
+        real(name, session_pid, work, reply)
+
+    fleet.group.run = run
+    fleet.finish(fleet.read(COUNT, profile))
+    assert min(told) >= written.answer.position
--- a/packages/figcrank-coordination/tests/groups/test_writes.py
+++ b/packages/figcrank-coordination/tests/groups/test_writes.py
@@ -2,8 +2,6 @@
 
 from figcrank.protocol import FailureKind, Outcome, WorkFailed, WorkFailureKind
 
-COUNT = "SELECT count(*) FROM change"
-
 
 def lose_results(fleet, kind, count=1):
     """Let the next results of work be lost on their way back from the servers."""
@@ -22,7 +20,7 @@
 def test_a_write_whose_answer_was_lost_is_answered_from_its_record(make_group_fleet):
     fleet = make_group_fleet()
     lose_results(fleet, "WriteWork")
-    assert fleet.finish(fleet.insert(1)).answer is not None
+    assert fleet.finish(fleet.insert(1)).answer.replayed is False
     assert fleet.final_ids() == [1]
     assert [d.inputs["found"] for d in fleet.fleet.decisions("settlement")] == ["True"]
 
