--- a/packages/figcrank-coordination/tests/groups/test_writes.py
+++ b/packages/figcrank-coordination/tests/groups/test_writes.py
@@ -2,8 +2,6 @@
 
 from figcrank.protocol import FailureKind, Outcome, WorkFailed, WorkFailureKind
 
-COUNT = "SELECT count(*) FROM change"
-
 
 def lose_results(fleet, kind, count=1):
     """Let the next results of work be lost on their way back from the servers."""
@@ -22,7 +20,7 @@
 def test_a_write_whose_answer_was_lost_is_answered_from_its_record(make_group_fleet):
     fleet = make_group_fleet()
     lose_results(fleet, "WriteWork")
-    assert fleet.finish(fleet.insert(1)).answer is not None
+    assert fleet.finish(fleet.insert(1)).answer.replayed is False
     assert fleet.final_ids() == [1]
     assert [d.inputs["found"] for d in fleet.fleet.decisions("settlement")] == ["True"]
 
@@ -127,3 +125,20 @@
     fleet.run_for(8_000)
     assert 0 < most[0] <= 3
     fleet.assert_nothing_lost_or_doubled()
+
+
+def test_what_a_lost_owner_may_have_run_is_not_said_to_be_not_run(make_group_fleet):
+    fleet = make_group_fleet()
+    entry = fleet.entry
+    zone = fleet.fleet.hosts[entry].host.availability_zone
+    owners = [fleet.fleet.hosts[name].host for name in fleet.owners]
+    first = min(owners, key=lambda host: host.availability_zone != zone)
+    call = fleet.insert(1, host=entry, timeout_ms=4_000)
+
+    def lose_owner_and_servers():
+        fleet.fleet.kill(first.name)
+        for name in fleet.group.servers:
+            fleet.group.kill(name)
+
+    fleet.fleet.loop.after(6, lose_owner_and_servers)
+    assert fleet.finish(call).failure.outcome is Outcome.UNKNOWN
