Ask holders for their spending when the half that may be out is used up

A burst spread over all hosts waited for the next regular reports once half of it was out. The order in which silent hosts are asked followed the hash seed, so equal input gave unequal runs; it is sorted now.

--- a/packages/figcrank-coordination/src/figcrank/coordination/_home_buckets.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_home_buckets.py
@@ -169,6 +169,13 @@
             level_milli -= borrower.owed_milli
         return owed
 
+    def blocking(self, now_ms: int) -> list[str]:
+        """Return the hosts whose slices keep others waiting that the level would serve."""
+        waiting = any(borrower.owed_milli for borrower in self._borrowers.values())
+        if not waiting or self.level_milli(now_ms) < MILLI:
+            return []
+        return sorted({lent.holder for lent in self._lent.values() if lent.holder})
+
     def seq_of(self, holder: str) -> int:
         """Return the number of the newest report taken from a host."""
         return self._borrowers[holder].seq
--- a/packages/figcrank-coordination/src/figcrank/coordination/_lender.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_lender.py
@@ -330,6 +330,9 @@
             granted = bucket.grant(holder, self._new_id(now_ms), now_ms)
             if granted.amount_milli:
                 self._send(holder, SliceGrants(bucket.seq_of(holder), (granted,)), now_ms)
+        for holder in bucket.blocking(now_ms):
+            # Its report tells what of its slices is spent and no longer out.
+            self._send(holder, SliceGrants(SOLICITATION, ()), now_ms)
 
     def _send(self, holder: str, grants: SliceGrants, now_ms: int) -> None:
         if holder == self._own_name:
--- a/packages/figcrank-coordination/src/figcrank/coordination/_support.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_support.py
@@ -110,7 +110,7 @@
     def silent(self, names: frozenset[str], now_ms: int) -> list[str]:
         """Return those of ``names`` that were not heard of for ``SOLICIT_AGE_MS``."""
         oldest_ms = now_ms - SOLICIT_AGE_MS
-        return [name for name in names if self._heard_ms.get(name, oldest_ms) <= oldest_ms]
+        return [name for name in sorted(names) if self._heard_ms.get(name, oldest_ms) <= oldest_ms]
 
     def exclusive_from_ms(self, hosts: set[str], needed: int) -> int:
         """Return the time from which ``needed`` of ``hosts`` counted for no other home."""
