--- a/packages/figcrank-measure/src/figcrank/measure/_limits.py
+++ b/packages/figcrank-measure/src/figcrank/measure/_limits.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterator
 from random import Random
 
+from figcrank.measure._fairness import worst_workspace_share
 from figcrank.measure._limit_fleet import Arrival, LimitFleet, Network
 from figcrank.measure._limit_rivals import fixed_shares_refused
 from figcrank.measure._limit_traffic import (
@@ -10,11 +11,11 @@
     PickHost,
     conforming,
     even,
-    flooding,
     merged,
     skewed,
 )
 from figcrank.measure._report import Limit, Measure
+from figcrank.standins.samples import herdtrace, patna
 
 HOSTS = 9
 SEED = 20
@@ -25,10 +26,8 @@
 # Time from a host's death until every host believes in it.
 DETECTION_MS = 800
 PAUSE_MS = 2_000
-FLOOD_TIMES_RATE = 8
 _MS_PER_S = 1_000
 
-FAIR_SHARE = 0.99
 REFUSED_STEADY = 0.001
 REFUSED_KILLED = 0.01
 
@@ -37,7 +36,8 @@
 
 def limits() -> Iterator[Measure]:
     """Yield every measure of the limits."""
-    yield worst_workspace_share()
+    for size, name in ((patna(), "Pătna"), (herdtrace(), "Herdtrace")):
+        yield worst_workspace_share(size, name)
     for scenario, (pick_host, fault, bound) in _SCENARIOS.items():
         fleet = run_scenario(pick_host, fault)
         yield _wrongful(scenario, fleet, bound)
@@ -59,22 +59,6 @@
     yield Measure.from_value("platform_calls_per_s", name, calls_per_s, "calls/s", Limit.REPORT)
 
 
-def worst_workspace_share() -> Measure:
-    """Return the worst share of answers while another workspace sends 8 times its rate."""
-    random = Random(SEED)
-    flood, *others = WORKSPACES
-    pick_host = even(HOSTS)
-    streams = [conforming(w, pick_host, WARM_UP_MS, END_MS, random) for w in others]
-    streams.append(flooding(flood, FLOOD_TIMES_RATE, pick_host, WARM_UP_MS, END_MS, random))
-    fleet = LimitFleet(WORKSPACES, SEED)
-    fleet.run(merged(streams), END_MS + WARM_UP_MS)
-    share = min(1 - fleet.outcomes[workspace.name].refused_share for workspace in others)
-    scenario = "one workspace at 8 times its rate, admission only"
-    return Measure.from_value(
-        "worst_workspace_share", scenario, round(share, 5), "share", Limit.AT_LEAST, FAIR_SHARE
-    )
-
-
 def run_scenario(pick_host: PickHost, fault: Fault) -> LimitFleet:
     """Return a fleet after conforming traffic of every workspace and a fault."""
     random = Random(SEED)
