Test that a lease counts from the report and only the home may lend

A change of either passed every test: slices lie unused for at most half a lease before they are given back, which hid a lease that ran too long.

--- a/packages/figcrank-coordination/tests/test_limits.py
+++ b/packages/figcrank-coordination/tests/test_limits.py
@@ -1,8 +1,8 @@
 import pytest
 
-from figcrank.coordination import RecordDecision
+from figcrank.coordination import RecordDecision, SendGossip
 from figcrank.measure._limit_fleet import LimitFleet, Network, make_host
-from figcrank.protocol import FailureKind
+from figcrank.protocol import FailureKind, Slice, SliceGrants
 from figcrank.state import Workspace
 
 CREW = Workspace("crew", 100, 50)
@@ -238,6 +238,33 @@
     assert fleet.over_admission("crew") == 0
 
 
+@pytest.mark.parametrize(("after_ms", "expected"), [(299, 1), (300, 0)])
+def test_a_lease_counts_from_when_the_report_was_sent(after_ms, expected):
+    fleet = LimitFleet([CREW], 3, size=2)
+    home = fleet.home("crew")
+    entry = next(member for member in fleet.members if member is not home)
+    decisions = []
+    entry.limiter.admit(CREW, 9_000, 0, lambda failure, at_ms: decisions.append(failure))
+    report = next(a.message for a in entry.port.drain() if isinstance(a, SendGossip))
+    grants = SliceGrants(report.seq, (Slice("crew", 1, 2_000, 300),))
+    entry.limiter.on_gossip(home.host.name, grants, 250)
+    assert decisions == [None]
+    entry.limiter.admit(CREW, 9_000, after_ms, lambda failure, at_ms: decisions.append(failure))
+    assert len(decisions) - 1 == expected
+
+
+def test_slices_of_another_host_than_the_home_are_dropped():
+    fleet = LimitFleet([CREW], 3, size=3)
+    home = fleet.home("crew")
+    entry, stranger = (member for member in fleet.members if member is not home)
+    decisions = []
+    entry.limiter.admit(CREW, 9_000, 0, lambda failure, at_ms: decisions.append(failure))
+    report = next(a.message for a in entry.port.drain() if isinstance(a, SendGossip))
+    grants = SliceGrants(report.seq, (Slice("crew", 1, 2_000, 300),))
+    entry.limiter.on_gossip(stranger.host.name, grants, 5)
+    assert decisions == []
+
+
 def test_changes_of_home_are_in_the_decision_log():
     fleet = settled_fleet()
     home = fleet.home("crew")
--- a/packages/figcrank-coordination/tests/test_support.py
+++ b/packages/figcrank-coordination/tests/test_support.py
@@ -39,3 +39,11 @@
     voters.refresh(VOTER_MEMORY_MS + 1)
     assert len(voters.names()) == 7
     assert voters.is_majority({f"host-{n}" for n in range(3, 7)})
+
+
+def test_silent_hosts_are_named_in_an_order_that_repeats():
+    support = Support()
+    support.add("host-3", 100, 0)
+    names = frozenset(host.name for host in HOSTS)
+    expected = [f"host-{n}" for n in range(9) if n != 3]
+    assert support.silent(names, 110) == expected
