--- a/packages/figcrank-coordination/tests/test_fault_search.py
+++ b/packages/figcrank-coordination/tests/test_fault_search.py
@@ -160,15 +160,23 @@
     return isinstance(entry.value, Key) and not entry.value.withdrawn
 
 
+@pytest.fixture(scope="module")
+def finished_runs():
+    return {}
+
+
 @pytest.fixture
-def fault_run(make_fleet, sample_objects):
+def fault_run(make_fleet, sample_objects, finished_runs):
     def make(seed):
+        if seed in finished_runs:
+            return finished_runs[seed]
         fleet = make_fleet(9, seed=seed)
         for value in sample_objects:
             fleet.store.put(value, value.key_id if isinstance(value, Key) else value.name)
         fleet.run(2_500)
         run = FaultRun(fleet, seed)
         run.run()
+        finished_runs[seed] = run
         return run
 
     return make
--- a/packages/figcrank-coordination/tests/test_quorum.py
+++ b/packages/figcrank-coordination/tests/test_quorum.py
@@ -44,6 +44,16 @@
     assert quorum.holds(views_of(hosts), NOW_MS) is holds
 
 
+def test_most_hosts_heard_outweigh_lost_probes(hosts):
+    quorum = Quorum(hosts[0], WINDOW_MS, False)
+    for _ in range(20):
+        quorum.note(probe_of(hosts[1]), answered=False)
+    for host in hosts[1:5]:
+        assert not quorum.holds(views_of(hosts), NOW_MS)
+        quorum.note(probe_of(host), answered=True)
+    assert quorum.holds(views_of(hosts), NOW_MS)
+
+
 def test_old_probes_do_not_count(hosts):
     quorum = Quorum(hosts[0], WINDOW_MS, False)
     quorum.note(probe_of(hosts[1], NOW_MS - WINDOW_MS - 1), answered=False)
