Confirm a push at once

A host that pushed a change learned who had it only from the next round of probes, up to 1.6 s in a cell of nine, repeated the push meanwhile, and an operator who waits for the spread waited too. The receiver of a push that moved it on now probes the sender, whose digest confirms the revision.

--- a/packages/figcrank-coordination/src/figcrank/coordination/_configuration.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_configuration.py
@@ -178,8 +178,8 @@
         self._take(message, now_ms)
         if self.snapshot.revision < message.revision:
             self._pull_from(sender, now_ms)
-        if self.snapshot.revision > own and self._is_elsewhere(sender):
-            self._push_since(own, now_ms)
+        if self.snapshot.revision > own:
+            self._on_pushed(sender, own, now_ms)
 
     def on_pull(self, pull: ConfigPull) -> ConfigPush:
         """Answer a pull that came as a peer request."""
@@ -253,9 +253,14 @@
     def _push_since(self, since: int, now_ms: int) -> None:
         self._spread.push(self._ledger.changes_since(since), now_ms)
 
-    def _is_elsewhere(self, sender: str) -> bool:
+    def _on_pushed(self, sender: str, since: int, now_ms: int) -> None:
         host = self._membership.host(sender)
-        return host is not None and host.cell != self._settings.host.cell
+        if host is None:
+            return
+        # The probe's digest confirms the revision.
+        self._membership.ask(host, now_ms)
+        if host.cell != self._settings.host.cell:
+            self._push_since(since, now_ms)
 
     def _lacks_first(self, digest: Digest) -> bool:
         return not self._ledger.is_loaded and digest.config_revision > 0
--- a/packages/figcrank-coordination/tests/test_configuration.py
+++ b/packages/figcrank-coordination/tests/test_configuration.py
@@ -231,6 +231,28 @@
     assert reply.failure.kind is FailureKind.BAD_REQUEST
 
 
+def test_editor_hears_at_once_who_has_the_change(fleet):
+    editor = fleet.cores["cell-1-host-5"].configuration
+    version = edited(fleet, "cell-1-host-5", withdrawal(fleet)).stored.version
+    assert fleet.run(
+        50, until=lambda: all(editor.revision_of(name) >= version for name in fleet.cores)
+    )
+
+
+def test_change_crosses_cells(make_fleet, new_host):
+    fleet = make_fleet(0)
+    fleet.seeds = tuple(new_host(n, cell=f"cell-{c}") for c in (1, 2) for n in (1, 2, 3))
+    for host in fleet.seeds:
+        fleet.add(host)
+    fleet.run(3_000)
+    fleet.cut_from_store = {name for name in fleet.cores if name.startswith("cell-2")}
+    fleet.store.put(Workspace("crews", 5, 5), "crews")
+    assert fleet.run(
+        BOUND_MS,
+        until=lambda: all(c.configuration.workspace("crews") for c in fleet.cores.values()),
+    )
+
+
 def test_large_change_reaches_every_host(fleet):
     for number in range(100):
         fleet.store.put(Workspace(f"w{number}", 100, 50), f"w{number}")
