--- a/packages/figcrank-coordination/src/figcrank/coordination/_borrower.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_borrower.py
@@ -6,7 +6,7 @@
 
 from figcrank.coordination._actions import CountMetric
 from figcrank.coordination._configuration import Configuration
-from figcrank.coordination._limit_timings import HEARTBEAT_MS, MAX_WAIT_MS
+from figcrank.coordination._limit_timings import ANSWER_TIMEOUT_MS, MAX_WAIT_MS
 from figcrank.coordination._port import Port
 from figcrank.coordination._settings import CoreSettings
 from figcrank.coordination._slices import Purse
@@ -28,13 +28,15 @@
 # Least time between two reports of waiting requests to one home.
 URGENT_GAP_MS = 5
 # An unanswered report of waiting requests is repeated after this time.
-REPEAT_MS = 30
+REPEAT_MS = 15
 # What the home said of the time until more tokens is relied on for this long.
 SHORTAGE_KNOWN_MS = 100
 # Kept back from a waiting request's time, so that it can still run or be answered.
 ANSWER_MARGIN_MS = 10
 # Entries in one report; more would not fit a datagram.
 MAX_DEMANDS = 200
+# Number of a grant that answers no report but asks for one.
+SOLICITATION = 0
 IDS_PER_MS = 1_000
 _MS_PER_S = 1_000
 
@@ -60,7 +62,7 @@
     """
 
     workspace: Workspace
-    purse: Purse = field(default_factory=Purse)
+    purse: Purse
     waiters: deque[_Waiter] = field(default_factory=deque)
     asked: int = 0
     admitted: int = 0
@@ -89,9 +91,11 @@
     """Reports to one home host.
 
     :param urgent: whether a report of waiting requests is to be sent.
+    :param answered_ms: when the newest report that was answered had been sent.
     """
 
     sent_ms: int
+    answered_ms: int | None = None
     urgent: bool = False
     sent_urgent_ms: int | None = None
 
@@ -128,7 +132,7 @@
         self, workspace: Workspace, deadline_ms: int, now_ms: int, on_decision: OnDecision
     ) -> None:
         """Admit a request, refuse it, or let it wait for a token that is due in time."""
-        account = self._account(workspace)
+        account = self._account(workspace, now_ms)
         home = self._believed_home(account, now_ms)
         account.asked += 1
         if not account.waiters and account.purse.spend(now_ms):
@@ -144,29 +148,34 @@
 
     def tick(self, now_ms: int) -> None:
         """Refuse late requests, give unused slices back and report to the homes."""
-        self._sync_accounts()
-        homes: dict[str, Host] = {}
+        self._sync_accounts(now_ms)
+        accounts_of: dict[Host, list[_Account]] = {}
         for account in list(self._accounts.values()):
             home = self._believed_home(account, now_ms)
-            homes[home.name] = home
-            account.purse.tick(now_ms)
-            self._expire_waiters(account, now_ms)
+            accounts_of.setdefault(home, []).append(account)
+            if account.is_active():
+                account.purse.tick(now_ms)
+                self._expire_waiters(account, now_ms)
             self._count(account)
-        for home in homes.values():
-            if self._is_due(home, now_ms):
+        for home, accounts in accounts_of.items():
+            if self._is_due(home, accounts, now_ms):
                 self._report(home, now_ms)
         self._forget_old_reports(now_ms)
 
     def on_grants(self, sender: str, grants: SliceGrants, now_ms: int) -> None:
         """Take slices; those of an unknown or too old report are dropped."""
+        if grants.seq == SOLICITATION:
+            self._on_solicitation(sender, now_ms)
+            return
         sent_ms = self._sent_ms.get(grants.seq)
         if sent_ms is None:
             return
+        self._note_answer(sender, grants.seq, sent_ms)
         for granted in grants.slices:
             account = self._accounts.get(granted.workspace)
             if account is None or self._believed_home(account, now_ms).name != sender:
                 continue
-            self._take(account, granted, grants.seq, sent_ms, now_ms)
+            self._take(account, granted, sent_ms, now_ms)
 
     def leave(self, now_ms: int) -> None:
         """Give every unspent slice back."""
@@ -191,17 +200,17 @@
 
     # Accounts
 
-    def _account(self, workspace: Workspace) -> _Account:
+    def _account(self, workspace: Workspace, now_ms: int) -> _Account:
         account = self._accounts.get(workspace.name)
         if account is None:
-            account = self._accounts[workspace.name] = _Account(workspace)
+            account = self._accounts[workspace.name] = _Account(workspace, Purse(now_ms))
         account.workspace = workspace
         return account
 
-    def _sync_accounts(self) -> None:
+    def _sync_accounts(self, now_ms: int) -> None:
         """Keep an account for every workspace, so that its home hears from this host."""
         for workspace in self._configuration.snapshot.of_kind("workspace"):
-            self._account(workspace)
+            self._account(workspace, now_ms)
 
     def _believed_home(self, account: _Account, now_ms: int) -> Host:
         home = self._find_home(account.workspace.name)
@@ -211,6 +220,8 @@
         return home
 
     def _expire_waiters(self, account: _Account, now_ms: int) -> None:
+        if not account.waiters:
+            return
         late = [waiter for waiter in account.waiters if waiter.until_ms <= now_ms]
         if not late:
             return
@@ -241,14 +252,32 @@
 
     # Grants
 
-    def _take(self, account: _Account, granted: Slice, seq: int, sent_ms: int, now_ms: int) -> None:
-        account.purse.acknowledge(seq)
+    def _on_solicitation(self, sender: str, now_ms: int) -> None:
+        """Give a home that is needed elsewhere this host's word."""
+        for account in self._accounts.values():
+            home = self._believed_home(account, now_ms)
+            if home.name == sender:
+                self._links.setdefault(sender, _HomeLink(now_ms)).answered_ms = now_ms
+                self._report(home, now_ms)
+                return
+
+    def _note_answer(self, home: str, seq: int, sent_ms: int) -> None:
+        link = self._links.setdefault(home, _HomeLink(sent_ms))
+        link.answered_ms = max(sent_ms, link.answered_ms or sent_ms)
+        for account in self._accounts.values():
+            if account.purse.home == home:
+                account.purse.acknowledge(seq)
+
+    def _take(self, account: _Account, granted: Slice, sent_ms: int, now_ms: int) -> None:
         account.purse.add(granted, sent_ms + granted.lease_ms, now_ms)
         account.more_known_ms = now_ms if granted.retry_after_ms else None
         account.more_at_ms = now_ms + granted.retry_after_ms
         self._serve_waiters(account, now_ms)
         if granted.retry_after_ms:
             self._refuse_hopeless(account, now_ms)
+        elif account.waiters and granted.amount_milli:
+            # The home lends more once it knows that this slice is spent.
+            self._ask_soon(self._believed_home(account, now_ms), now_ms)
 
     def _serve_waiters(self, account: _Account, now_ms: int) -> None:
         while account.waiters:
@@ -279,17 +308,15 @@
         if link.sent_urgent_ms is None or now_ms - link.sent_urgent_ms >= URGENT_GAP_MS:
             self._report(home, now_ms)
 
-    def _is_due(self, home: Host, now_ms: int) -> bool:
+    def _is_due(self, home: Host, accounts: list[_Account], now_ms: int) -> bool:
         link = self._links.get(home.name)
         if link is None or link.urgent:
             return True
-        accounts = self._accounts_of(home)
         since_ms = now_ms - link.sent_ms
         if since_ms >= REPEAT_MS and any(account.waiters for account in accounts):
             return True
         active = any(account.is_active() for account in accounts)
-        interval_ms = self._settings.timings.report_interval_ms if active else HEARTBEAT_MS
-        return since_ms >= interval_ms
+        return active and since_ms >= self._settings.timings.report_interval_ms
 
     def _accounts_of(self, home: Host) -> list[_Account]:
         return [a for a in self._accounts.values() if a.purse.home == home.name]
@@ -301,10 +328,12 @@
         if link.urgent:
             link.sent_urgent_ms = now_ms
         link.urgent = False
+        answered_ms = link.answered_ms
+        gives_word = answered_ms is not None and now_ms - answered_ms < ANSWER_TIMEOUT_MS
         demands: list[Demand] = []
         seq = self._new_seq(now_ms)
         for account in self._accounts_of(home):
-            demands.extend(self._demands(account, seq, now_ms))
+            demands.extend(self._demands(account, seq, gives_word, now_ms))
             if len(demands) >= MAX_DEMANDS:
                 self._send(home, DemandReport(seq, tuple(demands)), now_ms)
                 demands = []
@@ -312,11 +341,15 @@
         if demands:
             self._send(home, DemandReport(seq, tuple(demands)), now_ms)
 
-    def _demands(self, account: _Account, seq: int, now_ms: int) -> tuple[Demand, ...]:
+    def _demands(
+        self, account: _Account, seq: int, gives_word: bool, now_ms: int
+    ) -> tuple[Demand, ...]:
         wanted_milli = len(account.waiters) * MILLI
         asked_milli = account.asked * MILLI
         account.asked = 0
-        return account.purse.demands(account.workspace.name, wanted_milli, asked_milli, seq, now_ms)
+        return account.purse.demands(
+            account.workspace.name, wanted_milli, asked_milli, seq, gives_word, now_ms
+        )
 
     def _send(self, home: Host, report: DemandReport, now_ms: int) -> None:
         self._sent_ms[report.seq] = now_ms
