Test old suspicions and pauses of the own process

Neither guard's removal made a test fail: an old suspicion must not lower the incarnation, and a host that was paused must not suspect its peers.

--- a/packages/figcrank-coordination/tests/test_membership.py
+++ b/packages/figcrank-coordination/tests/test_membership.py
@@ -129,6 +129,27 @@
     assert core.membership.incarnation("cell-1-host-1") == expected
 
 
+def test_old_suspicion_lowers_no_incarnation(make_fleet):
+    fleet = make_fleet(3)
+    fleet.run(500)
+    core = fleet.cores["cell-1-host-1"]
+    for incarnation in (7, 0):
+        rumour = update_of(fleet.hosts["cell-1-host-1"], HostState.SUSPECT, incarnation)
+        fleet.send("cell-1-host-1", GossipReceived("cell-1-host-2", Ping(1, DIGEST, (rumour,))))
+    assert core.membership.incarnation("cell-1-host-1") == 8
+
+
+def test_paused_host_blames_no_peer_for_its_own_silence(make_fleet):
+    fleet = make_fleet(5)
+    fleet.run(1_000)
+    for span_ms in (150, 230, 310, 470, 650):
+        fleet.paused["cell-1-host-3"] = fleet.now_ms + span_ms
+        for _ in range(100):
+            fleet.run(10)
+            membership = fleet.cores["cell-1-host-3"].membership
+            assert {membership.state(name) for name in fleet.cores} == {HostState.ALIVE}
+
+
 def test_member_that_answers_no_probe_is_never_taken_in(make_fleet, new_host):
     fleet = make_fleet(3)
     fleet.run(500)
