Show and explain the drain of a backend server

A server that an operator drained was still listed with leaving=false by the status of the host that took the order: the status carried the servers' own reports, and only what is gossiped was marked. An order for a server that the group does not have was accepted and kept. Neither order left a decision.

The status now marks every server that gets no new work. Unknown servers are refused as bad_request. Drain and restore are written to the decision log with the server as subject and its group as input.

--- a/packages/figcrank-coordination/src/figcrank/coordination/_core.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_core.py
@@ -243,13 +243,23 @@
             message = f"There is no group {request.group!r}."
             return OperatorFailure(Failure.not_run(FailureKind.BAD_REQUEST, message))
         if isinstance(request, DrainServer):
-            owner.drain_server(request.server, request.draining, now_ms)
-            return Accepted(f"{request.server}: draining is {request.draining}.")
+            return self._drain_server(owner, request, now_ms)
         failure = owner.switch(request.server, now_ms)
         if failure is not None:
             return OperatorFailure(failure)
         return Accepted(f"{request.group}: the primary is being switched.")
 
+    def _drain_server(self, owner: GroupOwner, request: DrainServer, now_ms: int) -> OperatorReply:
+        if not owner.has_server(request.server):
+            message = f"The group {request.group!r} has no server {request.server!r}."
+            return OperatorFailure(Failure.not_run(FailureKind.BAD_REQUEST, message))
+        owner.drain_server(request.server, request.draining, now_ms)
+        done = "gets no new work" if request.draining else "may get work again"
+        reason = f"An operator asked this host: the server {done}."
+        kind = "drain" if request.draining else "restore"
+        self._port.decide(now_ms, kind, request.server, reason, group=request.group)
+        return Accepted(f"{request.server} {done}.")
+
     def _fleet_status(self, now_ms: int) -> FleetStatus:
         hosts = tuple(self._host_status(host) for host in self.membership.hosts())
         groups = tuple(owner.status() for owner in self.owners.values())
--- a/packages/figcrank-coordination/src/figcrank/coordination/_owner.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_owner.py
@@ -1,6 +1,7 @@
 """One database group at one of its owner hosts: connections, routing, writes, failover."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from figcrank.coordination._events import ConnectionFailed, ConnectionOpened, WorkFinished
 from figcrank.coordination._failover import Failover
@@ -175,6 +176,10 @@
             return Failure.not_run(FailureKind.NO_OWNER, message)
         return self._failover.switch(server, now_ms)
 
+    def has_server(self, name: str) -> bool:
+        """Return whether the group has a server called ``name``."""
+        return any(server.name == name for server in self._group.servers)
+
     def drain_server(self, server: str, draining: bool, now_ms: int) -> None:
         """Give a server no new work, or take it back into use.
 
@@ -194,12 +199,16 @@
         """Return what is believed of the group."""
         owners = tuple(host.name for host in self._placement.owners(self._group.name))
         primary = self._view.primary()
+        statuses = tuple(
+            replace(status, leaving=self._view.is_leaving(status.server))
+            for status in self._view.statuses
+        )
         return GroupStatus(
             self._group.name,
             primary.term if primary else self._view.highest_term,
             primary.server if primary else "",
             owners,
-            self._view.statuses,
+            statuses,
             self._writes.queued,
         )
 
