--- a/packages/figcrank-cli/src/figcrank/cli/_ctl_client.py
+++ b/packages/figcrank-cli/src/figcrank/cli/_ctl_client.py
@@ -1,204 +1,198 @@
-"""The operators' client: one request to one host's operator API."""
+"""Requests to the operator APIs of one or more hosts."""
 
-import time
-import warnings
-from dataclasses import dataclass
-from typing import TypeVar
-from urllib.parse import urlsplit
+import ipaddress
+from collections.abc import Iterable
+from typing import Any, TypeVar
 
 import msgspec
 
-with warnings.catch_warnings():
-    warnings.filterwarnings("ignore", message=r"(?s)\s*Eventlet is deprecated")
-    from figcrank.transport import HttpCallError, HttpClient
-
+from figcrank.cli._ctl_errors import (
+    RefusedError,
+    UnansweredError,
+    UnexpectedReplyError,
+    UnreachableError,
+    UsageError,
+)
 from figcrank.protocol import (
-    ConfigList,
-    FigcrankError,
-    FleetStatus,
-    ListConfig,
+    Failure,
+    FailureKind,
     MessageError,
     OperatorFailure,
     OperatorReply,
     OperatorRequest,
-    StatusQuery,
+    Outcome,
 )
 from figcrank.protocol.codecs import decode_operator_reply, encode
+from figcrank.transport import HttpCallError, HttpClient
 
 OPERATOR_PATH = "/v1/operator"
-TIMEOUT_MS = 10_000
-POLL_MS = 100
-_MS_PER_S = 1_000
-_OK = 200
+URL_PREFIX = "http://"
+HTTP_OK = 200
+MAX_PORT = 65_535
+READ_TIMEOUT_MS = 5_000
+# Longer than the host itself waits for the platform, so that its answer is not missed.
+ORDER_TIMEOUT_MS = 35_000
 
 Reply = TypeVar("Reply")
 
 
-class UnreachableError(FigcrankError):
-    """A host's operator API can't be reached or doesn't answer as one.
-
-    :param url: URL that was tried.
-    :param reason: what went wrong.
-    """
-
-    def __init__(self, url: str, reason: str) -> None:
-        super().__init__(f"{url} gave no answer: {reason}. Check --operator-url, or try another.")
-        self.url = url
-
-
-class RefusedError(FigcrankError):
-    """A host did not do what it was asked for.
-
-    :param message: the host's reason and what to do next.
-    """
-
-
-class AddressError(FigcrankError):
-    """An operator URL that is not one.
-
-    :param url: the text given.
-    """
-
-    def __init__(self, url: str) -> None:
-        super().__init__(f"{url!r} is not an operator URL; give one like http://10.0.0.1:8081.")
-
+class FailureBody(msgspec.Struct, frozen=True):
+    """A failure in an HTTP error response."""
 
-class MissingUrlError(FigcrankError):
-    """No operator URL was given.
-
-    :param variable: environment variable that may hold one.
-    """
-
-    def __init__(self, variable: str) -> None:
-        super().__init__(f"No operator URL is known; give --operator-url or set ${variable}.")
-
-
-class _FailureText(msgspec.Struct, frozen=True):
-    type: str
+    type: FailureKind
+    outcome: Outcome
     message: str
-    outcome: str = ""
+    retry_after_ms: int | None = None
+
 
+class ErrorBody(msgspec.Struct, frozen=True):
+    """Body of an HTTP error response."""
 
-class _FailureBody(msgspec.Struct, frozen=True):
-    failure: _FailureText
+    failure: FailureBody
 
 
-@dataclass(frozen=True, slots=True)
-class SpreadReport:
-    """How far a configuration revision has come.
+class HostReply(msgspec.Struct, frozen=True):
+    """What one host answered to a question that went to several.
 
-    :param revision: the revision waited for.
-    :param there: hosts that have it in force.
-    :param missing: hosts that do not, or gave no answer.
+    :param url: URL of the host's operator API.
+    :param reply: its reply, ``None`` without one.
+    :param problem: why there is no reply.
     """
 
-    revision: int
-    there: tuple[str, ...]
-    missing: tuple[str, ...]
+    url: str
+    reply: Any = None
+    problem: str = ""
 
 
 class OperatorClient:
-    """Talks to the operator API of one host.
+    """Sends requests to hosts with an operator key.
 
-    :param url: URL of the API, such as ``http://10.0.0.1:8081``.
+    :param urls: URLs of operator APIs, in order of preference.
     :param key: operator key.
-    :param timeout_ms: deadline of each request, in milliseconds.
-    :raises AddressError: if ``url`` can't be used.
+    :param http: HTTP client.
     """
 
-    def __init__(self, url: str, key: str, timeout_ms: int = TIMEOUT_MS) -> None:
-        self.url = url
-        self._address = _address(url)
-        self._key = key
-        self._timeout_ms = timeout_ms
-        self._http = HttpClient()
+    def __init__(self, urls: tuple[str, ...], key: str, http: HttpClient) -> None:
+        self.urls = urls
+        self._headers = {"Authorization": f"Bearer {key}"}
+        self._http = http
 
-    def send(self, request: OperatorRequest) -> OperatorReply:
-        """Send a request and return the reply.
+    @classmethod
+    def from_config(cls, urls: Iterable[str], key: str) -> "OperatorClient":
+        """Check URLs and key and return the client.
 
-        :raises UnreachableError: if there is no answer.
-        :raises RefusedError: if the host refused.
+        :raises UsageError: if there is no URL or key, or one has the wrong form.
         """
-        headers = {"Authorization": f"Bearer {self._key}", "Content-Type": "application/json"}
-        try:
-            reply = self._http.post(
-                self._address, OPERATOR_PATH, encode(request), headers, self._timeout_ms
-            )
-        except HttpCallError as error:
-            raise UnreachableError(self.url, error.reason) from error
-        if reply.status != _OK:
-            raise self._refusal(reply.status, reply.body)
+        trimmed = tuple(url.strip().rstrip("/") for url in urls if url.strip())
+        if not trimmed:
+            raise UsageError("No host was named; give --operator-url or FIGCRANK_OPERATOR_URL.")
+        for url in trimmed:
+            address_of(url)
+        if not key:
+            raise UsageError("No operator key; give --operator-key or FIGCRANK_OPERATOR_KEY.")
+        if not key.isascii() or not key.isprintable():
+            raise UsageError("An operator key has printable ASCII characters only.")
+        return cls(trimmed, key, HttpClient())
+
+    def ask(self, request: OperatorRequest, expected: type[Reply]) -> Reply:
+        """Return the first reply to a question that changes nothing.
+
+        :raises UnreachableError: if no host answers.
+        :raises RefusedError: if a host refuses.
+        """
+        problems = []
+        for url in self.urls:
+            try:
+                reply = self._exchange(url, request, READ_TIMEOUT_MS)
+            except HttpCallError as error:
+                problems.append(str(error))
+                continue
+            return _checked(url, reply, expected)
+        raise UnreachableError(tuple(problems))
+
+    def ask_all(self, request: OperatorRequest, expected: type[Reply]) -> tuple[HostReply, ...]:
+        """Return what every host replies to a question.
+
+        :raises UnreachableError: if no host answers.
+        :raises RefusedError: if the only answers are refusals.
+        """
+        replies = self.poll(request, expected)
+        if all(entry.reply is None for entry in replies):
+            # Repeated, so that the error is that of a single question.
+            self.ask(request, expected)
+        return replies
+
+    def poll(self, request: OperatorRequest, expected: type[Reply]) -> tuple[HostReply, ...]:
+        """Return what every host replies to a question, problems included."""
+        return tuple(self._reply_or_problem(url, request, expected) for url in self.urls)
+
+    def order(self, request: OperatorRequest, expected: Any) -> Any:
+        """Send an order that is never repeated once a host may have got it.
+
+        :param expected: types of reply that are taken.
+        :raises UnreachableError: if no host got the order.
+        :raises UnansweredError: if a host got it and did not answer.
+        :raises RefusedError: if a host refuses it.
+        """
+        problems = []
+        for url in self.urls:
+            try:
+                reply = self._exchange(url, request, ORDER_TIMEOUT_MS)
+            except HttpCallError as error:
+                if error.sent:
+                    raise UnansweredError(url, f"did not answer ({error.reason})") from error
+                problems.append(str(error))
+                continue
+            return _checked(url, reply, expected)
+        raise UnreachableError(tuple(problems))
+
+    def _reply_or_problem(
+        self, url: str, request: OperatorRequest, expected: type[Reply]
+    ) -> HostReply:
         try:
-            decoded = decode_operator_reply(reply.body)
-        except MessageError as error:
-            raise UnreachableError(self.url, "the reply is not an operator reply") from error
-        if isinstance(decoded, OperatorFailure):
-            raise RefusedError(decoded.failure.message)
-        return decoded
-
-    def status(self) -> FleetStatus:
-        """Return the host's view of the fleet."""
-        return self._expect(StatusQuery(), FleetStatus)
-
-    def config(self, kind: str = "") -> ConfigList:
-        """Return the configuration in force at the host, of one kind or all."""
-        return self._expect(ListConfig(kind), ConfigList)
-
-    def _expect(self, request: OperatorRequest, expected: type[Reply]) -> Reply:
-        reply = self.send(request)
-        if not isinstance(reply, expected):
-            raise UnreachableError(self.url, f"unexpected reply {type(reply).__name__}")
-        return reply
-
-    def _refusal(self, status: int, body: bytes) -> FigcrankError:
+            reply = self._exchange(url, request, READ_TIMEOUT_MS)
+            return HostReply(url, _checked(url, reply, expected))
+        except (HttpCallError, RefusedError, UnexpectedReplyError) as error:
+            return HostReply(url, problem=str(error))
+
+    def _exchange(self, url: str, request: OperatorRequest, timeout_ms: int) -> OperatorReply:
+        reply = self._http.post(
+            address_of(url), OPERATOR_PATH, encode(request), self._headers, timeout_ms
+        )
         try:
-            failure = msgspec.json.decode(body, type=_FailureBody).failure
-        except msgspec.DecodeError:
-            return UnreachableError(self.url, f"HTTP status {status}")
-        if failure.type == "bad_key":
-            return RefusedError(f"{failure.message} Give a working one by --operator-key.")
-        return RefusedError(failure.message)
-
+            if reply.status == HTTP_OK:
+                return decode_operator_reply(reply.body)
+            body = msgspec.json.decode(reply.body, type=ErrorBody).failure
+        except (MessageError, msgspec.DecodeError) as error:
+            raise UnexpectedReplyError(url) from error
+        failure = Failure(body.type, body.outcome, body.message, body.retry_after_ms)
+        raise RefusedError(failure)
 
-def wait_for_spread(clients: list[OperatorClient], revision: int, wait_ms: int) -> SpreadReport:
-    """Ask hosts until every one has ``revision`` in force, or the time is over.
 
-    Each host given is asked itself; of the others, what the given ones have heard counts.
+def address_of(url: str) -> str:
+    """Return the ``ip:port`` of a URL.
 
-    :param wait_ms: longest wait, in milliseconds.
+    :raises UsageError: if the URL is not ``http://ip:port``.
     """
-    deadline_s = time.monotonic() + wait_ms / _MS_PER_S
-    while True:
-        report = _spread(clients, revision)
-        if not report.missing or time.monotonic() >= deadline_s:
-            return report
-        time.sleep(POLL_MS / _MS_PER_S)
-
-
-def _spread(clients: list[OperatorClient], revision: int) -> SpreadReport:
-    known: dict[str, int] = {}
-    silent: list[str] = []
-    for client in clients:
-        try:
-            status = client.status()
-        except FigcrankError:
-            silent.append(client.url)
-            continue
-        known[status.host] = max(status.config_revision, known.get(status.host, -1))
-        for host in status.hosts:
-            known[host.name] = max(host.config_revision, known.get(host.name, -1))
-    there = sorted(name for name, reached in known.items() if reached >= revision)
-    missing = sorted(name for name, reached in known.items() if reached < revision)
-    return SpreadReport(revision, tuple(there), (*missing, *silent))
-
-
-def _address(url: str) -> str:
+    address = url.removeprefix(URL_PREFIX)
+    ip, _, port = address.rpartition(":")
+    is_port = port.isascii() and port.isdigit() and 0 < int(port[:6]) <= MAX_PORT
+    if not url.startswith(URL_PREFIX) or not is_port or not _is_ip(ip):
+        raise UsageError(f"{url!r} is no URL of a host; expected http://IP:PORT.")
+    return address
+
+
+def _is_ip(text: str) -> bool:
     try:
-        parts = urlsplit(url)
-        port = parts.port
-    except ValueError as error:
-        raise AddressError(url) from error
-    if parts.scheme != "http" or not parts.hostname or port is None:
-        raise AddressError(url)
-    host = f"[{parts.hostname}]" if ":" in parts.hostname else parts.hostname
-    return f"{host}:{port}"
+        ipaddress.ip_address(text.strip("[]"))
+    except ValueError:
+        return False
+    return True
+
+
+def _checked(url: str, reply: OperatorReply, expected: Any) -> Any:
+    if isinstance(reply, OperatorFailure):
+        raise RefusedError(reply.failure)
+    if not isinstance(reply, expected):
+        raise UnexpectedReplyError(url)
+    return reply
