--- a/packages/figcrank-coordination/tests/test_configuration.py
+++ b/packages/figcrank-coordination/tests/test_configuration.py
@@ -253,6 +253,14 @@
     )
 
 
+def test_edit_outlives_its_editor(fleet):
+    fleet.loss = 0.4
+    request = withdrawal(fleet)
+    assert isinstance(edited(fleet, "cell-1-host-5", request), EditDone)
+    fleet.kill("cell-1-host-5")
+    assert fleet.run(BOUND_MS, until=lambda: not serving(fleet))
+
+
 def test_large_change_reaches_every_host(fleet):
     for number in range(100):
         fleet.store.put(Workspace(f"w{number}", 100, 50), f"w{number}")
