Report sockets and files that can't be had as faults of the settings

Each was a traceback before. An HTTP server no longer shares its port with another process of the same user, so that two hosts with one address are noticed. Requests that are not HTTP get a typed failure with a status line. A rollback that outlasts its work's timeout closes the connection; its greenlet ended without a result before.

--- a/packages/figcrank-cli/src/figcrank/cli/figcrankd.py
+++ b/packages/figcrank-cli/src/figcrank/cli/figcrankd.py
@@ -90,7 +90,11 @@
 
 
 def _serve(settings: Settings, embedded: EmbeddedFleet | None) -> int:
-    process = HostProcess(settings)
+    try:
+        process = HostProcess(settings)
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        return EXIT_BAD_SETTINGS
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, _leave_on_signal(process))
     process.start()
--- a/packages/figcrank-cli/tests/test_settings_errors.py
+++ b/packages/figcrank-cli/tests/test_settings_errors.py
@@ -1,5 +1,6 @@
 """Bad settings end the program with every fault on standard error."""
 
+import socket
 import subprocess
 import sys
 
@@ -30,3 +31,18 @@
     result = run("--embedded", "--listen", "somewhere")
     assert result.returncode == 2
     assert "ip:port" in result.stderr
+
+
+def test_address_in_use_is_printed():
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        result = run("--embedded", "--listen", f"127.0.0.1:{taken.getsockname()[1]}")
+    assert result.returncode == 2
+    assert "host.caller_address" in result.stderr
+    assert "Traceback" not in result.stderr
+
+
+def test_trace_file_that_cannot_be_written_is_printed(tmp_path):
+    result = run("--embedded", "--listen", "127.0.0.1:0", "--trace-file", str(tmp_path))
+    assert result.returncode == 2
+    assert "trace_file" in result.stderr
+    assert "Traceback" not in result.stderr
--- a/packages/figcrank-transport/src/figcrank/transport/_http_server.py
+++ b/packages/figcrank-transport/src/figcrank/transport/_http_server.py
@@ -30,7 +30,9 @@
     """
 
     def __init__(self, address: str) -> None:
-        self._socket = eventlet.listen(split_address(address), backlog=LISTEN_BACKLOG)
+        self._socket = eventlet.listen(
+            split_address(address), backlog=LISTEN_BACKLOG, reuse_port=False
+        )
         self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._in_flight = 0
         self._closing = False
@@ -101,6 +103,19 @@
     rbufsize = BUFFER_BYTES
     wbufsize = BUFFER_BYTES
 
+    def send_error(self, code: int, message: str | None = None, explain: str | None = None) -> None:
+        """Answer a request that is not HTTP with a typed failure and close the connection."""
+        self.close_connection = True
+        failure = Failure.not_run(FailureKind.BAD_REQUEST, "The request is not valid HTTP.")
+        body = _failure_body(failure)
+        head = (
+            f"HTTP/1.1 {falcon.code_to_http_status(code)}\r\n"
+            f"Content-Type: {falcon.MEDIA_JSON}\r\n"
+            f"Content-Length: {len(body)}\r\n"
+            "Connection: close\r\n\r\n"
+        )
+        self.wfile.write(head.encode() + body)
+
 
 class _CountedResponse:
     """A response body that tells when the server is done with it."""
@@ -162,15 +177,9 @@
 
 def write_failure(response: falcon.Response, failure: Failure, status: int | None = None) -> None:
     """Make ``failure`` the response."""
-    body = {
-        "type": failure.kind,
-        "outcome": failure.outcome,
-        "retry_after_ms": failure.retry_after_ms,
-        "message": failure.message,
-    }
     response.status = falcon.code_to_http_status(status or failure.status)
     response.content_type = falcon.MEDIA_JSON
-    response.data = encode({"failure": body})
+    response.data = _failure_body(failure)
     if failure.retry_after_ms is not None:
         response.set_header("Retry-After", str(-(-failure.retry_after_ms // MS_PER_S)))
 
@@ -181,6 +190,16 @@
     response.data = encode(message)
 
 
+def _failure_body(failure: Failure) -> bytes:
+    body = {
+        "type": failure.kind,
+        "outcome": failure.outcome,
+        "retry_after_ms": failure.retry_after_ms,
+        "message": failure.message,
+    }
+    return encode({"failure": body})
+
+
 def _too_large() -> RequestError:
     message = f"The body is larger than {MAX_BODY_BYTES} bytes."
     return RequestError(Failure.not_run(FailureKind.TOO_LARGE, message))
--- a/packages/figcrank-transport/src/figcrank/transport/_process.py
+++ b/packages/figcrank-transport/src/figcrank/transport/_process.py
@@ -1,6 +1,8 @@
 """A whole host: the core, its driver, the servers and the clients."""
 
+import contextlib
 import random
+from collections.abc import Iterator
 
 import eventlet
 from absl import logging
@@ -27,6 +29,7 @@
     Stop,
     TimeMetric,
 )
+from figcrank.protocol import SettingProblem, SettingsError
 from figcrank.protocol.codecs import GossipCodec, SessionCodec
 from figcrank.transport._backend import Backend
 from figcrank.transport._caller_api import CallerApi
@@ -54,24 +57,23 @@
     Sockets are bound by the constructor, so that the addresses are known before anything runs.
 
     :param settings: settings of the host.
+    :raises SettingsError: if an address can't be bound or a file can't be opened.
     """
 
     def __init__(self, settings: Settings) -> None:
         make_green()
         self._settings = settings
         host = settings.host
-        self.telemetry = Telemetry(
-            host.name,
-            host.availability_zone,
-            settings.statsd_address,
-            settings.trace_file,
-            settings.decision_file,
-        )
+        self.telemetry = _opened_telemetry(settings)
         codec = GossipCodec(settings.fleet, settings.secrets)
-        self._callers = HttpServer(host.caller_address)
-        self._operators = HttpServer(host.operator_address)
-        self._peers = HttpServer(host.peer_address)
-        self._gossip = GossipSocket(host.gossip_address, codec, host.name, self.telemetry)
+        with _binding("host.caller_address", host.caller_address):
+            self._callers = HttpServer(host.caller_address)
+        with _binding("host.operator_address", host.operator_address):
+            self._operators = HttpServer(host.operator_address)
+        with _binding("host.peer_address", host.peer_address):
+            self._peers = HttpServer(host.peer_address)
+        with _binding("host.gossip_address", host.gossip_address):
+            self._gossip = GossipSocket(host.gossip_address, codec, host.name, self.telemetry)
         core_settings = settings.core_settings(self._peers.address, self._gossip.address)
         core = HostCore(core_settings, random.SystemRandom())
         clock = MonotonicClock()
@@ -128,7 +130,8 @@
     def wait_stopped(self) -> bool:
         """Wait for the end of the shutdown; return whether everything in hand was finished."""
         finished = self._stopped.wait()
-        finished = self._finish_responses() and finished
+        if finished:
+            finished = self._finish_responses()
         self._close()
         return finished
 
@@ -194,3 +197,31 @@
         while True:
             eventlet.sleep(FLUSH_MS / MS_PER_S)
             self.telemetry.flush()
+
+
+def _opened_telemetry(settings: Settings) -> Telemetry:
+    host = settings.host
+    try:
+        return Telemetry(
+            host.name,
+            host.availability_zone,
+            settings.statsd_address,
+            settings.trace_file,
+            settings.decision_file,
+        )
+    except OSError as error:
+        value = f"{settings.trace_file!r}, {settings.decision_file!r}"
+        expected = f"files that can be written ({error.strerror})"
+        fault = SettingProblem("trace_file, decision_file", value, expected)
+        raise SettingsError(host.name, (fault,)) from error
+
+
+@contextlib.contextmanager
+def _binding(path: str, address: str) -> Iterator[None]:
+    """Turn a socket that can't be bound into a fault of the setting at ``path``."""
+    try:
+        yield
+    except OSError as error:
+        expected = f"an address that is free on this machine ({error.strerror})"
+        fault = SettingProblem(path, repr(address), expected)
+        raise SettingsError("sockets", (fault,)) from error
--- a/packages/figcrank-transport/src/figcrank/transport/_work.py
+++ b/packages/figcrank-transport/src/figcrank/transport/_work.py
@@ -191,7 +191,7 @@
         if status != psycopg2.extensions.TRANSACTION_STATUS_IDLE:
             try:
                 self._cursor.execute("ROLLBACK")
-            except psycopg2.Error:
+            except (psycopg2.Error, eventlet.Timeout):
                 # The server's answer to the statement stands; the connection is of no more use.
                 self._connection.close()
         return WorkFailed(kind, message, sqlstate)
--- a/packages/figcrank-transport/tests/test_http.py
+++ b/packages/figcrank-transport/tests/test_http.py
@@ -1,5 +1,7 @@
 """HTTP servers and clients of a host."""
 
+import socket
+
 import eventlet
 import pytest
 
@@ -86,6 +88,33 @@
     busy.close()
 
 
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"POST /echo HTTP/1.1\r\nContent-Length: -5\r\n\r\n",
+        b"POST /echo HTTP/1.1\r\nContent-Length: five\r\n\r\n",
+        b"POST /echo HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        b"POST /echo HTTP/9.9\r\n\r\n",
+        b"nonsense\r\n\r\n",
+        b"POST /" + b"a" * 100_000 + b" HTTP/1.1\r\n\r\n",
+        b"POST /echo HTTP/1.1\r\nA: " + b"a" * 100_000 + b"\r\n\r\n",
+        b"POST /%ff%fe HTTP/1.1\r\nContent-Length: 0\r\n\r\n",
+        b"GET /echo HTTP/1.1\r\n\r\n",
+    ],
+)
+def test_malformed_request_is_refused_without_a_traceback(server, echo, head):
+    ip, port = server.address.split(":")
+    connection = eventlet.connect((ip, int(port)))
+    connection.sendall(head)
+    connection.shutdown(socket.SHUT_WR)
+    with eventlet.Timeout(10):
+        answer = connection.makefile("rb").read()
+    connection.close()
+    assert answer == b"" or answer.split()[1].startswith((b"4", b"5"))
+    assert b"Traceback" not in answer
+    assert b"site-packages" not in answer
+
+
 def test_refused_connection_was_not_sent():
     server = HttpServer("127.0.0.1:0")
     address = server.address
