Let a host that took a server back into use say so

A host that neither owns nor probes the group stopped reporting once its drained list was empty, so the probing hosts never heard that the server was back. It now reports from its first order on. Regression test: test_a_server_drained_at_one_host_gets_no_new_work_from_any[False].

--- a/packages/figcrank-coordination/src/figcrank/coordination/_group_view.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_group_view.py
@@ -110,9 +110,12 @@
         self._drained_by[""] = drained | {server} if draining else drained - {server}
 
     @property
-    def drains(self) -> bool:
-        """Return whether an operator of this host has taken a server out of use."""
-        return bool(self._drained_by.get(""))
+    def has_orders(self) -> bool:
+        """Return whether an operator of this host ever drained a server or took one back.
+
+        The host reports from then on, so that the probing hosts learn of either.
+        """
+        return "" in self._drained_by
 
     def reported(self, status: ServerStatus) -> ServerStatus:
         """Return a status as others are to hear it: marked if this host drains the server."""
--- a/packages/figcrank-coordination/src/figcrank/coordination/_owner.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_owner.py
@@ -124,7 +124,7 @@
         if self._started_ms is None:
             self._started_ms = now_ms
         prober_rank = self._update_rank(now_ms)
-        if prober_rank is None and not self._view.drains and self.is_idle():
+        if prober_rank is None and not self._view.has_orders and self.is_idle():
             return
         self._view.tick(now_ms)
         self._reports.tick(now_ms)
@@ -178,7 +178,8 @@
     def drain_server(self, server: str, draining: bool, now_ms: int) -> None:
         """Give a server no new work, or take it back into use.
 
-        The probing hosts learn it from this host's reports; the primary is moved first.
+        The probing hosts learn it from this host's reports, and keep to the last one that they
+        heard; they move the primary off the server.
         """
         self._view.drain(server, draining)
 
--- a/packages/figcrank-coordination/tests/groups/test_failover.py
+++ b/packages/figcrank-coordination/tests/groups/test_failover.py
@@ -1,6 +1,6 @@
 import pytest
 
-from figcrank.protocol import Fence
+from figcrank.protocol import DrainServer, FailureKind, Fence, SwitchPrimary
 
 GAP_BOUND_MS = 1_500
 
@@ -132,3 +132,39 @@
         served.add(fleet.finish(fleet.read("SELECT 1")).answer.served_by)
         served.add(fleet.finish(fleet.read("SELECT 1", profile="relaxed")).answer.served_by)
     assert leaving not in served
+
+
+@pytest.mark.parametrize("at_owner", [True, False])
+def test_a_server_drained_at_one_host_gets_no_new_work_from_any(make_group_fleet, at_owner):
+    fleet = make_group_fleet()
+    drained = fleet.primary
+    host = fleet.owners[0] if at_owner else fleet.entry
+    order = DrainServer("roster", drained)
+    fleet.finish(fleet.fleet.operator(host, order))
+    fleet.run_for(2_000)
+    served = set()
+    for number in range(1, 20):
+        served.add(fleet.finish(fleet.insert(number)).answer.served_by)
+        served.add(fleet.finish(fleet.read("SELECT 1", profile="relaxed")).answer.served_by)
+    assert drained not in served
+    fleet.finish(fleet.fleet.operator(host, DrainServer("roster", drained, draining=False)))
+    fleet.run_for(1_000)
+    hosts = list(fleet.fleet.hosts)
+    reads = [fleet.read("SELECT 1", profile="relaxed", host=h) for h in hosts for _ in range(9)]
+    assert drained in {fleet.finish(read).answer.served_by for read in reads}
+
+
+def test_a_switch_ordered_at_a_host_that_does_not_probe_names_one_that_does(make_group_fleet):
+    fleet = make_group_fleet()
+    refused = fleet.finish(fleet.fleet.operator(fleet.entry, SwitchPrimary("roster")))
+    assert refused.reply.failure.kind is FailureKind.NO_OWNER
+    assert fleet.owners[0] in refused.reply.failure.message
+
+
+def test_every_change_of_primary_is_in_the_decision_log(make_group_fleet):
+    fleet = make_group_fleet()
+    fleet.finish(fleet.fleet.operator(fleet.owners[0], SwitchPrimary("roster")))
+    fleet.run_for(1_000)
+    kinds = [decision.kind for decision in fleet.fleet.decisions()]
+    assert kinds.index("switch") < len(kinds) - 1 - kinds[::-1].index("promotion")
+    assert {"fence", "promotion", "switch"} <= set(kinds)
