Refuse reads that can't start in time at once; report half as often

A calm group's reports were a large part of a prober's gossip. The id of a transaction is made in one place, which the entry host imports nothing of.

--- a/packages/figcrank-coordination/src/figcrank/coordination/_entry.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_entry.py
@@ -407,11 +407,6 @@
         self._port.emit(RecordSpan(trace, "entry", call.started_ms, now_ms, attributes))
 
 
-def transaction_id(host: str, group: str, number: int) -> str:
-    """Return the id of a transaction: owner host, group and number."""
-    return f"{host}~{group}~{number}"
-
-
 def _host_of(transaction: str) -> str:
     return transaction.split("~")[0]
 
--- a/packages/figcrank-coordination/src/figcrank/coordination/_open_transactions.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_open_transactions.py
@@ -49,6 +49,11 @@
     answered: bool = False
 
 
+def transaction_id(host: str, group: str, number: int) -> str:
+    """Return the id of a transaction: owner host, group and number."""
+    return f"{host}~{group}~{number}"
+
+
 def refusal_of(step: TransactionStep, transaction: OpenTransaction | None) -> Failure | None:
     """Return why a step of a transaction is not taken, ``None`` if it is."""
     if transaction is None:
--- a/packages/figcrank-coordination/src/figcrank/coordination/_reports.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_reports.py
@@ -10,8 +10,8 @@
 from figcrank.state import Group
 
 # Reports are sent at the status interval while something is wrong, else this much apart.
-CALM_INTERVAL_MS = 250
-REPORT_LIFETIME_MS = 700
+CALM_INTERVAL_MS = 500
+REPORT_LIFETIME_MS = 1_200
 # The time that a group may be without any primary; shorter than the time allowed to a silent one.
 NO_PRIMARY_MS = 200
 ZONES_TO_AGREE = 2
--- a/packages/figcrank-coordination/src/figcrank/coordination/_routing.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_routing.py
@@ -13,6 +13,7 @@
     ANSWER_MARGIN_MS,
     MAX_QUEUED_PER_WORKSPACE,
     RETRY_AFTER_MS,
+    SERVICE_WEIGHT,
     attempt_timeout_ms,
 )
 from figcrank.protocol import (
@@ -83,6 +84,7 @@
         self._parked: list[_Read] = []
         self._running: set[_Read] = set()
         self._slow_ms: dict[str, int] = {}
+        self._service_ms = 5.0
         self._retries_left = RETRY_BUDGET
         self._dispatching = False
 
@@ -97,6 +99,11 @@
     ) -> None:
         """Run a read; calls back exactly once."""
         self._retries_left = min(RETRY_BUDGET, self._retries_left + RETRY_RATIO)
+        wait_ms = self._expected_wait_ms(now_ms)
+        if now_ms + wait_ms > deadline_ms - ANSWER_MARGIN_MS:
+            message = "The request could not start within its time."
+            on_answer(Failure.not_run(FailureKind.HELD_TOO_LONG, message, wait_ms), now_ms)
+            return
         read = _Read(request, deadline_ms, now_ms, on_answer)
         self._enqueue(read, now_ms)
         self.dispatch(now_ms)
@@ -146,6 +153,10 @@
         for read in [*queued, *self._uncovered, *self._parked]:
             self._finish(read, failure, now_ms)
 
+    def _expected_wait_ms(self, now_ms: int) -> int:
+        slots = max(1, self._pool.share.slots * len(self._usable(now_ms)))
+        return int((len(self._queue) + len(self._parked)) * self._service_ms / slots)
+
     # What a read must see
 
     def _required(self, read: _Read, now_ms: int, margin_ms: int = 0) -> Position | None:
@@ -245,6 +256,7 @@
         timeout_ms = attempt_timeout_ms(read.deadline_ms, now_ms)
 
         def finished(result: WorkResult, at_ms: int) -> None:
+            self._service_ms += SERVICE_WEIGHT * (at_ms - now_ms - self._service_ms)
             if at_ms - now_ms >= SLOW_MS:
                 self._slow_ms[status.server] = at_ms
             self._running.discard(read)
--- a/packages/figcrank-coordination/src/figcrank/coordination/_transactions.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_transactions.py
@@ -10,6 +10,7 @@
     Step,
     refusal_of,
     step_failure,
+    transaction_id,
     transaction_lost,
     unknown_transaction,
 )
@@ -194,7 +195,8 @@
         self._run(step, connection, BeginWork(term), now_ms, finished)
 
     def _opened(self, step: Step, connection: Connection, term: int, now_ms: int) -> None:
-        name = f"{self._settings.host.name}~{self._group.name}~{self._port.new_id()}"
+        number = self._port.new_id()
+        name = transaction_id(self._settings.host.name, self._group.name, number)
         transaction = OpenTransaction(
             name, step.step.workspace, step.step.key_id, connection, term, now_ms
         )
--- a/packages/figcrank-coordination/tests/groups/test_routing.py
+++ b/packages/figcrank-coordination/tests/groups/test_routing.py
@@ -88,3 +88,13 @@
     fleet.group.run = run
     fleet.finish(fleet.read(COUNT, profile))
     assert min(told) >= written.answer.position
+
+
+def test_reads_that_cannot_start_in_time_are_refused_at_once(make_group_fleet):
+    fleet = make_group_fleet(slots=2)
+    reads = [fleet.read(COUNT, "relaxed", timeout_ms=100) for _ in range(250)]
+    fleet.run_for(500)
+    refused = [read for read in reads if read.failure is not None]
+    assert refused
+    assert min(read.answered_ms - read.sent_ms for read in refused) < 50
+    assert all(read.answered_ms - read.sent_ms <= 102 for read in reads)
