--- a/packages/figcrank-coordination/src/figcrank/coordination/_membership.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_membership.py
@@ -281,9 +281,8 @@
 
     def _apply(self, update: MemberUpdate, now_ms: int) -> None:
         before = self._table.get(update.host)
-        if not self._table.apply(update, now_ms) or before is None:
-            return
-        if update.state is HostState.DEAD:
+        is_news = self._table.apply(update, now_ms)
+        if before is not None and is_news and update.state is HostState.DEAD:
             self._on_dead(before, "A peer reported it dead.", now_ms)
 
     def _on_own_update(self, update: MemberUpdate, now_ms: int) -> None:
@@ -335,8 +334,7 @@
             self._probe(member.host, purpose, now_ms)
 
     def _reconsider_seed(self) -> None:
-        seeds = self._settings.seeds
-        if seeds:
+        if seeds := self._settings.seeds:
             self._add_candidate(seeds[int(self._random.random() * len(seeds))])
 
     def _probe(self, host: Host, purpose: ProbePurpose, now_ms: int) -> None:
