--- a/packages/figcrank-coordination/src/figcrank/coordination/_owner.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_owner.py
@@ -1,6 +1,7 @@
 """One database group at one of its owner hosts: connections, routing, writes, failover."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from figcrank.coordination._events import ConnectionFailed, ConnectionOpened, WorkFinished
 from figcrank.coordination._failover import Failover
@@ -124,7 +125,7 @@
         if self._started_ms is None:
             self._started_ms = now_ms
         prober_rank = self._update_rank(now_ms)
-        if prober_rank is None and not self._view.drains and self.is_idle():
+        if prober_rank is None and not self._view.has_orders and self.is_idle():
             return
         self._view.tick(now_ms)
         self._reports.tick(now_ms)
@@ -175,10 +176,15 @@
             return Failure.not_run(FailureKind.NO_OWNER, message)
         return self._failover.switch(server, now_ms)
 
+    def has_server(self, name: str) -> bool:
+        """Return whether the group has a server called ``name``."""
+        return any(server.name == name for server in self._group.servers)
+
     def drain_server(self, server: str, draining: bool, now_ms: int) -> None:
         """Give a server no new work, or take it back into use.
 
-        The probing hosts learn it from this host's reports; the primary is moved first.
+        The probing hosts learn it from this host's reports, and keep to the last one that they
+        heard; they move the primary off the server.
         """
         self._view.drain(server, draining)
 
@@ -194,12 +200,16 @@
         """Return what is believed of the group."""
         owners = tuple(host.name for host in self._placement.owners(self._group.name))
         primary = self._view.primary()
+        statuses = tuple(
+            replace(status, leaving=self._view.is_leaving(status.server))
+            for status in self._view.statuses
+        )
         return GroupStatus(
             self._group.name,
             primary.term if primary else self._view.highest_term,
             primary.server if primary else "",
             owners,
-            self._view.statuses,
+            statuses,
             self._writes.queued,
         )
 
