Pass over a suspected, silent home before its death is known

Whole cores took 1.1 to 1.6 s until every host knew of a death, and the limits waited for it; the measure assumed 0.8 s. A home that is suspected and has sent nothing for 300 ms is now passed over. A wrong choice admits nothing too much, since only a home with a majority's word lends.

--- a/packages/figcrank-coordination/src/figcrank/coordination/_lender.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_lender.py
@@ -6,6 +6,7 @@
 from figcrank.coordination._borrower import SOLICITATION
 from figcrank.coordination._configuration import Configuration
 from figcrank.coordination._home_buckets import HomeBucket, most_lent_milli
+from figcrank.coordination._homes import Homes
 from figcrank.coordination._limit_timings import ACTIVE_MS, LEASE_MARGIN_MS
 from figcrank.coordination._placement import Placement
 from figcrank.coordination._port import Port
@@ -74,8 +75,9 @@
 
     :param settings: static settings of this host.
     :param port: way out of the core.
-    :param placement: tells each workspace's home host.
+    :param placement: the live hosts.
     :param configuration: tells rates and bursts.
+    :param homes: tells each workspace's home host.
     :param on_local_grants: takes the grants for this very host.
     """
 
@@ -85,12 +87,14 @@
         port: Port,
         placement: Placement,
         configuration: Configuration,
+        homes: Homes,
         on_local_grants: OnGrants,
     ) -> None:
         self._settings = settings
         self._port = port
         self._placement = placement
         self._configuration = configuration
+        self._homes = homes
         self._on_local_grants = on_local_grants
         self._own_name = settings.host.name
         cell = tuple(seed for seed in settings.seeds if seed.cell == settings.host.cell)
@@ -100,7 +104,6 @@
         self._taken_handovers: dict[tuple[str, str], int] = {}
         self._last_id = 0
         self._next_refresh_ms = 0
-        self._leaving = False
 
     def note_time(self, now_ms: int) -> None:
         """Take the time of any event, so that pauses of the process are noticed."""
@@ -161,18 +164,13 @@
 
     def leave(self, now_ms: int) -> None:
         """Hand every bucket to the workspace's next home."""
-        self._leaving = True
         for name, tenure in list(self._tenures.items()):
             self._check(name, tenure, now_ms)
 
-    def home(self, workspace: str) -> Host:
-        """Return the host that this host believes to be home, itself only if it stays."""
-        return self._placement.home(workspace, without=self._own_name if self._leaving else "")
-
     # Tenure
 
     def _check(self, name: str, tenure: _Tenure, now_ms: int) -> None:
-        home = self.home(name)
+        home = self._homes.find(name)
         if home.name != self._own_name:
             # A hand-over may come before this host's own news that the predecessor is leaving.
             early = not tenure.begun and home.name == tenure.handed_by
@@ -266,11 +264,11 @@
         )
 
     def _may_lend(self, name: str, tenure: _Tenure, now_ms: int) -> bool:
-        return tenure.may_lend(now_ms) and self.home(name).name == self._own_name
+        return tenure.may_lend(now_ms) and self._homes.find(name).name == self._own_name
 
     def _solicit(self, name: str, tenure: _Tenure, now_ms: int) -> None:
         """Ask silent voters for their word while there is demand."""
-        if now_ms >= tenure.active_until_ms or self.home(name).name != self._own_name:
+        if now_ms >= tenure.active_until_ms or self._homes.find(name).name != self._own_name:
             return
         lends = tenure.may_lend(now_ms)
         interval_ms = SOLICIT_INTERVAL_MS if lends else URGENT_SOLICIT_INTERVAL_MS
--- a/packages/figcrank-coordination/src/figcrank/coordination/_limit_timings.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_limit_timings.py
@@ -8,6 +8,8 @@
 SILENCE_MS = SUPPORT_MS + MAX_DELAY_MS
 # A home that has not answered a report of this age gets no word until it does.
 ANSWER_TIMEOUT_MS = 150
+# A suspected host that has sent nothing for this long is home to nothing.
+HOME_SILENCE_MS = 300
 # Two events further apart show that the process was paused.
 PAUSE_MS = 60
 # Datagrams that waited in the socket during a pause are read within this time after it.
--- a/packages/figcrank-coordination/src/figcrank/coordination/_limits.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_limits.py
@@ -10,6 +10,7 @@
 
 from figcrank.coordination._borrower import Borrower
 from figcrank.coordination._configuration import Configuration
+from figcrank.coordination._homes import Homes
 from figcrank.coordination._lender import Lender
 from figcrank.coordination._placement import Placement
 from figcrank.coordination._port import Port
@@ -43,9 +44,12 @@
         placement: Placement,
         configuration: Configuration,
     ) -> None:
-        self._lender = Lender(settings, port, placement, configuration, self._on_own_grants)
+        self._homes = Homes(placement, settings.host.name)
+        self._lender = Lender(
+            settings, port, placement, configuration, self._homes, self._on_own_grants
+        )
         self._borrower = Borrower(
-            settings, port, configuration, self._lender.home, self._lender.on_report
+            settings, port, configuration, self._homes.find, self._lender.on_report
         )
 
     def admit(
@@ -66,12 +70,14 @@
     def tick(self, now_ms: int) -> None:
         """Report demand, expire slices and refuse requests that waited too long."""
         self._lender.note_time(now_ms)
+        self._homes.tick(now_ms)
         self._borrower.tick(now_ms)
         self._lender.tick(now_ms)
 
     def on_gossip(self, sender: str, message: LimitMessage, now_ms: int) -> None:
         """Take a report, a grant or a hand-over."""
         self._lender.note_time(now_ms)
+        self._homes.heard(sender, now_ms)
         if isinstance(message, DemandReport):
             self._lender.on_report(sender, message, now_ms)
         elif isinstance(message, SliceGrants):
@@ -82,6 +88,7 @@
     def leave(self, now_ms: int) -> None:
         """Hand the buckets kept here to their next home hosts and give back unspent slices."""
         self._borrower.leave(now_ms)
+        self._homes.leave(now_ms)
         self._lender.leave(now_ms)
 
     def _on_own_grants(self, sender: str, grants: SliceGrants, now_ms: int) -> None:
--- a/packages/figcrank-coordination/src/figcrank/coordination/_placement.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_placement.py
@@ -22,7 +22,7 @@
         self._hosts: tuple[Host, ...] = ()
         self._rankings: dict[str, tuple[Host, ...]] = {}
         self._owners: dict[str, tuple[Host, ...]] = {}
-        self._homes: dict[tuple[str, str], Host] = {}
+        self._homes: dict[tuple[str, frozenset[str]], Host] = {}
         self._probers: dict[str, tuple[Host, ...]] = {}
 
     def hosts(self) -> tuple[Host, ...]:
@@ -61,16 +61,16 @@
             self._probers[group] = probers
         return probers
 
-    def home(self, workspace: str, without: str = "") -> Host:
+    def home(self, workspace: str, without: frozenset[str] = frozenset()) -> Host:
         """Return the host that lends a workspace's tokens.
 
-        :param without: name of a host to leave out, if it is not the only one.
+        :param without: names of hosts to leave out, unless there are no others.
         """
         self._refresh()
         home = self._homes.get((workspace, without))
         if home is None:
             ranked = self._ranked(f"workspace:{workspace}")
-            home = next((host for host in ranked if host.name != without), ranked[0])
+            home = next((host for host in ranked if host.name not in without), ranked[0])
             self._homes[workspace, without] = home
         return home
 
--- a/packages/figcrank-coordination/tests/test_limit_faults.py
+++ b/packages/figcrank-coordination/tests/test_limit_faults.py
@@ -15,7 +15,7 @@
 steps = st.lists(
     st.tuples(
         st.sampled_from(
-            ("run", "pause", "resume", "kill", "doubt", "trust", "part", "heal", "leave")
+            ("run", "pause", "resume", "kill", "doubt", "suspect", "trust", "part", "heal", "leave")
         ),
         hosts,
         hosts,
@@ -39,6 +39,8 @@
         fleet.leave(member)
     elif action == "doubt" and member is not peer:
         member.view.remove(peer.host.name)
+    elif action == "suspect" and member is not peer:
+        member.view.suspects.add(peer.host.name)
     elif action == "trust" and peer.host.name not in member.view.leaving:
         member.view.add(peer.host)
     elif action == "part":
--- a/packages/figcrank-coordination/tests/test_placement.py
+++ b/packages/figcrank-coordination/tests/test_placement.py
@@ -38,7 +38,7 @@
     membership = FakeMembership()
     chosen = placement(membership)
     home = chosen.home("crew")
-    successor = chosen.home("crew", without=home.name)
+    successor = chosen.home("crew", without=frozenset({home.name}))
     membership.live = tuple(host for host in HOSTS if host != home)
     assert chosen.home("crew") == successor != home
 
--- a/packages/figcrank-measure/src/figcrank/measure/_limit_fleet.py
+++ b/packages/figcrank-measure/src/figcrank/measure/_limit_fleet.py
@@ -67,6 +67,7 @@
         self._all = {host.name: host for host in hosts}
         self.live = hosts
         self.leaving: set[str] = set()
+        self.suspects: set[str] = set()
 
     def hosts(self) -> tuple[Host, ...]:
         """Return the hosts that may be given work."""
@@ -80,6 +81,8 @@
         """Return what is believed of a host."""
         if name in self.leaving:
             return HostState.LEAVING
+        if name in self.suspects:
+            return HostState.SUSPECT
         return HostState.ALIVE if self.host(name) in self.live else HostState.DEAD
 
     def remove(self, name: str) -> None:
@@ -88,6 +91,7 @@
 
     def add(self, host: Host) -> None:
         """Put a host on the list."""
+        self.suspects.discard(host.name)
         self._all[host.name] = host
         self.live = tuple(sorted({*self.live, host}, key=lambda item: item.name))
 
@@ -193,6 +197,12 @@
         """Stop a host for good; the others do not know."""
         member.alive = False
 
+    def suspect(self, name: str) -> None:
+        """Let every host but ``name`` suspect that it is dead."""
+        for member in self.members:
+            if member.host.name != name:
+                member.view.suspects.add(name)
+
     def forget(self, name: str) -> None:
         """Let every host but ``name`` believe that it is dead."""
         for member in self.members:
--- a/packages/figcrank-measure/src/figcrank/measure/_limits.py
+++ b/packages/figcrank-measure/src/figcrank/measure/_limits.py
@@ -23,8 +23,9 @@
 WARM_UP_MS = 2_000
 FAULT_MS = 12_000
 END_MS = 42_000
-# Time from a host's death until every host believes in it.
-DETECTION_MS = 800
+# Time from a host's death until every host suspects it, and until every host believes in it.
+SUSPICION_MS = 1_000
+DETECTION_MS = 1_600
 PAUSE_MS = 2_000
 _MS_PER_S = 1_000
 
@@ -86,9 +87,7 @@
     fleet.run(before, FAULT_MS)
     killed = fleet.home(WORKSPACES[0].name)
     fleet.kill(killed)
-    undetected, after = _split(after, FAULT_MS + DETECTION_MS)
-    fleet.run(undetected, FAULT_MS + DETECTION_MS)
-    fleet.forget(killed.host.name)
+    after = _run_until_detected(fleet, after, killed.host.name)
     _redirect_and_run(fleet, after, killed.host.name, 0)
 
 
@@ -97,9 +96,7 @@
     fleet.run(before, FAULT_MS)
     paused = fleet.home(WORKSPACES[0].name)
     paused.paused = True
-    undetected, after = _split(after, FAULT_MS + DETECTION_MS)
-    fleet.run(undetected, FAULT_MS + DETECTION_MS)
-    fleet.forget(paused.host.name)
+    after = _run_until_detected(fleet, after, paused.host.name)
     meanwhile, after = _split(after, FAULT_MS + PAUSE_MS)
     fleet.run(meanwhile, FAULT_MS + PAUSE_MS)
     fleet.resume(paused)
@@ -111,6 +108,17 @@
     fleet.run(after, END_MS + WARM_UP_MS)
 
 
+def _run_until_detected(fleet: LimitFleet, arrivals: list[Arrival], name: str) -> list[Arrival]:
+    """Run until every host believes in a death and return the later arrivals."""
+    unnoticed, arrivals = _split(arrivals, FAULT_MS + SUSPICION_MS)
+    fleet.run(unnoticed, FAULT_MS + SUSPICION_MS)
+    fleet.suspect(name)
+    suspected, arrivals = _split(arrivals, FAULT_MS + DETECTION_MS)
+    fleet.run(suspected, FAULT_MS + DETECTION_MS)
+    fleet.forget(name)
+    return arrivals
+
+
 def _split(arrivals: list[Arrival], at_ms: int) -> tuple[list[Arrival], list[Arrival]]:
     before = [arrival for arrival in arrivals if arrival.at_ms < at_ms]
     return before, arrivals[len(before) :]
