--- a/packages/figcrank-coordination/tests/test_limits.py
+++ b/packages/figcrank-coordination/tests/test_limits.py
@@ -2,7 +2,7 @@
 
 from figcrank.coordination import RecordDecision, SendGossip
 from figcrank.measure._limit_fleet import LimitFleet, Network, make_host
-from figcrank.protocol import FailureKind, Slice, SliceGrants
+from figcrank.protocol import FailureKind, HomeHandover, Slice, SliceGrants
 from figcrank.state import Workspace
 
 CREW = Workspace("crew", 100, 50)
@@ -177,6 +177,40 @@
     assert fleet.over_admission("crew") == 0
 
 
+def test_a_replayed_hand_over_is_dropped_even_by_a_home_that_has_no_bucket():
+    fleet = settled_fleet()
+    leaving = fleet.home("crew")
+    taken = []
+    leaving.port.gossip = lambda host, message: taken.append((host, message))
+    fleet.leave(leaving)
+    host, handover = next(item for item in taken if isinstance(item[1], HomeHandover))
+    successor = fleet.member(host.name)
+    for _ in range(2):
+        successor.limiter.on_gossip(leaving.host.name, handover, fleet.now_ms)
+        successor.view.remove(host.name)
+        fleet.run([], fleet.now_ms + 20)
+        successor.view.add(host)
+    decisions = successor.port.decisions("crew")
+    assert sum(decision.reason.startswith("Took over") for decision in decisions) == 1
+
+
+def test_a_home_that_comes_back_forgets_its_bucket_if_another_lent_meanwhile():
+    fleet = settled_fleet(workspaces=[Workspace("crew", 100, 200)])
+    home = fleet.home("crew")
+    others = [member for member in fleet.members if member is not home]
+    for member in others:
+        fleet.parted.add(frozenset((home.host.name, member.host.name)))
+        member.view.remove(home.host.name)
+    entries = [fleet.members.index(member) for member in others]
+    flood(fleet, 2_000, entries)
+    successor = fleet.member(others[0].placement.home("crew").name)
+    fleet.parted = {frozenset((home.host.name, successor.host.name))}
+    for member in others:
+        member.view.add(home.host)
+    flood(fleet, 1_500, entries)
+    assert fleet.over_admission("crew") == 0
+
+
 def test_a_killed_home_is_followed_without_over_admission():
     fleet = settled_fleet()
     killed = fleet.home("crew")
