--- a/packages/figcrank-coordination/tests/test_limits.py
+++ b/packages/figcrank-coordination/tests/test_limits.py
@@ -202,7 +202,9 @@
         fleet.parted.add(frozenset((home.host.name, member.host.name)))
         member.view.remove(home.host.name)
     entries = [fleet.members.index(member) for member in others]
-    flood(fleet, 2_000, entries)
+    flood(fleet, 800, entries)
+    fleet.run([], fleet.now_ms + 3_000)
+    flood(fleet, 300, entries)
     successor = fleet.member(others[0].placement.home("crew").name)
     fleet.parted = {frozenset((home.host.name, successor.host.name))}
     for member in others:
