Tell operators which backend servers are silent

With two of three servers killed, the status of an owner host still showed the last primary and nothing wrong, since it carries what each server reported last. A group's status now names the servers that left the last query unanswered.

Inferring it from a growing lag was ruled out: without a primary nothing is written and no lag grows.

--- a/packages/figcrank-coordination/src/figcrank/coordination/_core.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_core.py
@@ -262,7 +262,7 @@
 
     def _fleet_status(self, now_ms: int) -> FleetStatus:
         hosts = tuple(self._host_status(host) for host in self.membership.hosts())
-        groups = tuple(owner.status() for owner in self.owners.values())
+        groups = tuple(owner.status(now_ms) for owner in self.owners.values())
         return FleetStatus(
             self._settings.host.name,
             self._ready,
--- a/packages/figcrank-coordination/src/figcrank/coordination/_owner.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_owner.py
@@ -195,7 +195,7 @@
         """Return whether nothing is in hand."""
         return not (self._reads.in_hand or self._writes.in_hand or self._transactions.in_hand)
 
-    def status(self) -> GroupStatus:
+    def status(self, now_ms: int) -> GroupStatus:
         """Return what is believed of the group."""
         owners = tuple(host.name for host in self._placement.owners(self._group.name))
         primary = self._view.primary()
@@ -210,6 +210,7 @@
             owners,
             statuses,
             self._writes.queued,
+            tuple(s.name for s in self._group.servers if self._view.is_failing(s.name, now_ms)),
         )
 
     def _refusal(self, now_ms: int) -> Failure | None:
--- a/packages/figcrank-protocol/src/figcrank/protocol/_operator.py
+++ b/packages/figcrank-protocol/src/figcrank/protocol/_operator.py
@@ -84,7 +84,12 @@
 
 
 class GroupStatus(msgspec.Struct, frozen=True):
-    """What a host believes of a database group."""
+    """What a host believes of a database group.
+
+    :param statuses: what each server reported last.
+    :param queued: writes that wait at this host.
+    :param silent: servers that left this host's last query unanswered.
+    """
 
     name: str
     term: int
@@ -92,6 +97,7 @@
     owners: tuple[str, ...]
     statuses: tuple[ServerStatus, ...]
     queued: int = 0
+    silent: tuple[str, ...] = ()
 
 
 class LimitStatus(msgspec.Struct, frozen=True):
