--- a/packages/figcrank-cli/src/figcrank/cli/_ctl_client.py
+++ b/packages/figcrank-cli/src/figcrank/cli/_ctl_client.py
@@ -74,6 +74,7 @@
 
     def __init__(self, urls: tuple[str, ...], key: str, http: HttpClient) -> None:
         self.urls = urls
+        self._key = key
         self._headers = {"Authorization": f"Bearer {key}"}
         self._http = http
 
@@ -94,6 +95,10 @@
             raise UsageError("An operator key has printable ASCII characters only.")
         return cls(trimmed, key, HttpClient())
 
+    def narrowed(self, url: str) -> "OperatorClient":
+        """Return a client of one of the hosts."""
+        return OperatorClient((url,), self._key, self._http)
+
     def ask(self, request: OperatorRequest, expected: type[Reply]) -> Reply:
         """Return the first reply to a question that changes nothing.
 
--- a/packages/figcrank-cli/src/figcrank/cli/_ctl_fleet.py
+++ b/packages/figcrank-cli/src/figcrank/cli/_ctl_fleet.py
@@ -60,15 +60,34 @@
 
 
 def drain_server(options: argparse.Namespace, client: OperatorClient, output: Output) -> None:
-    """Take a backend server out of use or back into use."""
-    request = DrainServer(options.group, options.server, options.draining)
-    reply = client.order(request, Accepted)
+    """Take a backend server out of use."""
+    reply = client.order(DrainServer(options.group, options.server, True), Accepted)
     output.show(reply, reply.message)
 
 
+def restore_server(options: argparse.Namespace, client: OperatorClient, output: Output) -> None:
+    """Take a backend server back into use at every asked host.
+
+    Each host keeps the drains that it was asked for, and which one took the drain isn't known.
+    """
+    request = DrainServer(options.group, options.server, False)
+    accepted = None
+    problems = []
+    for url in client.urls:
+        try:
+            accepted = client.narrowed(url).order(request, Accepted)
+        except UnreachableError as error:
+            problems.append(str(error))
+            output.note(f"{url}: not restored there; it could not be reached")
+    if accepted is None:
+        raise UnreachableError(tuple(problems))
+    output.show(accepted, accepted.message)
+
+
 def switch_primary(options: argparse.Namespace, client: OperatorClient, output: Output) -> None:
-    """Move a group's primary to another server."""
-    reply = client.order(SwitchPrimary(options.group, options.to or ""), Accepted)
+    """Move a group's primary to another server, by an order to an owner host."""
+    request = SwitchPrimary(options.group, options.to or "")
+    reply = _owner_client(client, options.group).order(request, Accepted)
     output.show(reply, reply.message)
 
 
@@ -93,6 +112,15 @@
     return view
 
 
+def _owner_client(client: OperatorClient, group: str) -> OperatorClient:
+    """Return a client of the group's first owner that was named, or ``client`` without one."""
+    view = fleet_view(client)
+    urls = {asked.host: asked.url for asked in view.asked if asked.host}
+    owners = [owner for row in view.groups if row.name == group for owner in row.newest.owners]
+    named = [urls[owner] for owner in owners if owner in urls]
+    return client.narrowed(named[0]) if named else client
+
+
 def _host_view(entry: HostReply) -> HostView:
     if entry.reply is None:
         return HostView(entry.url, problem=entry.problem)
--- a/packages/figcrank-cli/src/figcrank/cli/_ctl_load.py
+++ b/packages/figcrank-cli/src/figcrank/cli/_ctl_load.py
@@ -41,6 +41,8 @@
     """What a load run measured.
 
     :param rate_per_s: rate that was asked for.
+    :param sent: statements with an answer, a failure or no answer in time.
+    :param unsent: statements that were due while every connection was busy until the end.
     :param answered_per_s: statements answered each second.
     :param failures: number of statements by failure type, or ``no_answer``.
     :param latencies: of answered statements, counted from when each was due.
@@ -49,6 +51,7 @@
     rate_per_s: float
     duration_s: float
     sent: int
+    unsent: int
     answered: int
     answered_per_s: float
     failures: dict[str, int]
@@ -139,6 +142,7 @@
             self._rate_per_s,
             round(elapsed_s, 3),
             self.finished,
+            self._total - self.finished,
             answered,
             round(answered / elapsed_s, 1),
             dict(sorted(self.failures.items())),
@@ -176,6 +180,8 @@
     table.add_row("rate asked for", f"{report.rate_per_s:g} /s")
     table.add_row("answered", f"{report.answered} of {report.sent}")
     table.add_row("answered each second", f"{report.answered_per_s:g} /s")
+    if report.unsent:
+        table.add_row("not sent, every connection busy", str(report.unsent))
     for kind, count in report.failures.items():
         table.add_row(f"failed: {kind}", str(count))
     for point in report.latencies:
--- a/packages/figcrank-cli/src/figcrank/cli/_ctl_parser.py
+++ b/packages/figcrank-cli/src/figcrank/cli/_ctl_parser.py
@@ -113,10 +113,12 @@
     _add(commands, "hosts", _ctl_fleet.show_hosts, "show every host and who sees it")
     _add(commands, "groups", _ctl_fleet.show_groups, "show groups and backend servers")
     servers = _add_nested(commands, "server", "take a backend server out of use or back")
-    for name, draining in (("drain", True), ("restore", False)):
-        text = "give a backend server no new work" if draining else "take it back into use"
-        parser = _add(servers, name, _ctl_fleet.drain_server, text)
-        parser.set_defaults(draining=draining)
+    orders = (
+        ("drain", _ctl_fleet.drain_server, "give a backend server no new work"),
+        ("restore", _ctl_fleet.restore_server, "take a backend server back into use"),
+    )
+    for name, run, text in orders:
+        parser = _add(servers, name, run, text)
         parser.add_argument("group", type=_name)
         parser.add_argument("server", type=_name)
     switch = _add(
--- a/packages/figcrank-cli/src/figcrank/cli/_ctl_tables.py
+++ b/packages/figcrank-cli/src/figcrank/cli/_ctl_tables.py
@@ -64,11 +64,11 @@
         table.add_row(
             row.name,
             str(status.term),
-            status.primary or "none",
+            _primary(status),
             ", ".join(status.owners),
             str(sum(view.status.queued for view in row.views)),
             str(max((lag(status, server) for server in status.statuses), default=0)),
-            "agree" if row.agreed else "DISAGREE",
+            _agreement(row),
         )
     return table
 
@@ -77,10 +77,10 @@
     """Return one line for each backend server."""
     table = new_table(
         "Backend servers", "group", "server", "role", "term", "durable", "applied", "lag",
-        "leaving", numbers=("term", "durable", "applied", "lag"),
+        "state", numbers=("term", "durable", "applied", "lag"),
     )  # fmt: skip
     for row in rows:
-        for server in row.newest.statuses:
+        for server in sorted(row.newest.statuses, key=lambda status: status.server):
             table.add_row(
                 row.name,
                 server.server,
@@ -89,7 +89,7 @@
                 str(server.durable.offset),
                 str(server.applied.offset),
                 str(lag(row.newest, server)),
-                _yes(server.leaving),
+                _state(row.newest, server),
             )
     return table
 
@@ -156,5 +156,21 @@
             return f"service {value.service}, profile {value.profile}: {value.sql}"
 
 
+def _primary(group: GroupStatus) -> str:
+    return f"{group.primary} (silent)" if group.primary in group.silent else group.primary or "none"
+
+
+def _state(group: GroupStatus, server: ServerStatus) -> str:
+    if server.server in group.silent:
+        return "silent"
+    return "leaving" if server.leaving else "in use"
+
+
+def _agreement(row: GroupRow) -> str:
+    if not row.agreed:
+        return "DISAGREE"
+    return "agree" if row.has_owner else "no owner asked"
+
+
 def _yes(value: bool) -> str:
     return "yes" if value else "no"
--- a/packages/figcrank-cli/src/figcrank/cli/_ctl_views.py
+++ b/packages/figcrank-cli/src/figcrank/cli/_ctl_views.py
@@ -36,10 +36,13 @@
     """One host's belief of a database group.
 
     :param host: whose belief it is.
+    :param is_owner: whether it owns the group; other hosts do not watch the group's servers, and
+        what they last knew may be old.
     :param status: the belief.
     """
 
     host: str
+    is_owner: bool
     status: GroupStatus
 
 
@@ -47,7 +50,7 @@
     """What the asked hosts believe of one database group.
 
     :param name: the group.
-    :param agreed: whether all believe in the same primary and term.
+    :param agreed: whether the asked owners believe in the same primary and term.
     :param views: one belief for each asked host.
     """
 
@@ -55,17 +58,27 @@
     agreed: bool
     views: tuple[GroupView, ...]
 
+    @property
+    def beliefs(self) -> tuple[GroupView, ...]:
+        """Return the views that count: the owners', or all if no owner was asked."""
+        return tuple(view for view in self.views if view.is_owner) or self.views
+
+    @property
+    def has_owner(self) -> bool:
+        """Return whether an owner of the group was asked."""
+        return any(view.is_owner for view in self.views)
+
     @property
     def newest(self) -> GroupStatus:
         """Return the belief with the highest term."""
-        return max((view.status for view in self.views), key=lambda status: status.term)
+        return max((view.status for view in self.beliefs), key=lambda status: status.term)
 
     @property
     def disagreement(self) -> str:
         """Return who believes what."""
         beliefs = (
             f"{view.host}: {view.status.primary or 'no primary'} at term {view.status.term}"
-            for view in self.views
+            for view in self.beliefs
         )
         return f"{self.name}: hosts disagree: {'; '.join(beliefs)}"
 
@@ -153,12 +166,14 @@
     views: dict[str, list[GroupView]] = {}
     for status in statuses:
         for group in status.groups:
-            views.setdefault(group.name, []).append(GroupView(status.host, group))
+            is_owner = status.host in group.owners
+            views.setdefault(group.name, []).append(GroupView(status.host, is_owner, group))
     return tuple(_group_row(name, tuple(views[name])) for name in sorted(views))
 
 
 def _group_row(name: str, views: tuple[GroupView, ...]) -> GroupRow:
-    beliefs = {(view.status.primary, view.status.term) for view in views}
+    counted = GroupRow(name, True, views).beliefs
+    beliefs = {(view.status.primary, view.status.term) for view in counted}
     return GroupRow(name, len(beliefs) == 1, views)
 
 
--- a/packages/figcrank-cli/tests/test_figcrankctl.py
+++ b/packages/figcrank-cli/tests/test_figcrankctl.py
@@ -181,6 +181,7 @@
         *("--url", ready["caller_url"], "--key", ready["key"], "--service", ready["service"]),
         *("--profile", "fresh", "--rate-per-s", "40", "--duration-s", "1", "--plot", str(plot)),
     )
+    assert report["sent"] + report["unsent"] == 40
     assert report["answered"] + sum(report["failures"].values()) == report["sent"] > 0
     latencies = [point["latency_ms"] for point in report["latencies"]]
     assert latencies == sorted(latencies)
--- a/packages/figcrank-cli/tests/test_figcrankctl_views.py
+++ b/packages/figcrank-cli/tests/test_figcrankctl_views.py
@@ -6,16 +6,27 @@
 from figcrank.cli import _ctl_client, _ctl_edits
 from figcrank.cli.figcrankctl import main
 from figcrank.protocol import (
+    Accepted,
     ConfigList,
+    DrainServer,
     EditDone,
     EditObject,
     FleetStatus,
     GroupStatus,
     HostStatus,
     ListConfig,
+    SwitchPrimary,
 )
 from figcrank.protocol.codecs import decode_operator_request, encode
-from figcrank.state import ConfigObject, HostState, ObjectId, Workspace
+from figcrank.state import (
+    ORIGIN,
+    ConfigObject,
+    HostState,
+    ObjectId,
+    ServerRole,
+    ServerStatus,
+    Workspace,
+)
 from figcrank.transport import HttpCallError, HttpReply
 
 KEY = "operator-key-of-a-test"
@@ -36,7 +47,7 @@
 
     def post(self, address, path, body, headers, timeout_ms):
         request = decode_operator_request(body)
-        if isinstance(request, EditObject):
+        if isinstance(request, EditObject | SwitchPrimary | DrainServer):
             self.orders.append((address, request))
             if self.order_error is not None:
                 raise self.order_error
@@ -48,16 +59,18 @@
         if isinstance(request, EditObject):
             stored = ConfigObject(WORKSPACE.object_id, REVISION, request.value)
             return HttpReply(200, encode(EditDone(stored)))
+        if isinstance(request, SwitchPrimary | DrainServer):
+            return HttpReply(200, encode(Accepted("done")))
         return HttpReply(200, encode(view))
 
 
-def status(name, revisions, primary="g-1", term=1, states=None):
+def status(name, revisions, primary="g-1", term=1, states=None, owners=("a", "b")):
     states = states or {}
     hosts = tuple(
         HostStatus(host, "az-1", states.get(host, HostState.ALIVE), 0, revision)
         for host, revision in revisions.items()
     )
-    groups = (GroupStatus("g", term, primary, ("a",), ()),)
+    groups = (GroupStatus("g", term, primary, owners, ()),)
     return FleetStatus(name, True, revisions[name], True, hosts, groups, ())
 
 
@@ -90,6 +103,39 @@
     assert f"b: {primary or 'no primary'} at term {term}" in out
 
 
+def test_view_of_a_host_that_is_no_owner_does_not_count(ctl):
+    revisions = {"a": 9, "b": 9}
+    first = status("a", revisions, primary="", term=0, owners=("b",))
+    code, out, _ = ctl(fleet(first, status("b", revisions, owners=("b",))), "status")
+    assert code == 0
+    assert "DISAGREE" not in out
+    assert "g-1" in out
+
+
+def test_silent_server_is_shown(ctl):
+    report = ServerStatus("g-1", ServerRole.PRIMARY, 1, 1, ORIGIN, ORIGIN)
+    first = status("a", {"a": 9})
+    group = msgspec.structs.replace(first.groups[0], statuses=(report,), silent=("g-1",))
+    _, out, _ = ctl(fleet(msgspec.structs.replace(first, groups=(group,)), None), "groups")
+    assert "g-1 (silent)" in out
+    assert len([line for line in out.splitlines() if line.rstrip().endswith("silent")]) == 1
+
+
+def test_switch_goes_to_an_owner(ctl):
+    revisions = {"a": 9, "b": 9}
+    owners = ("c", "b")
+    first = status("a", revisions, owners=owners)
+    http = fleet(first, status("b", revisions, owners=owners))
+    ctl(http, "switch", "g")
+    assert [address for address, _ in http.orders] == ["127.0.0.1:2"]
+
+
+def test_restore_goes_to_every_host(ctl):
+    http = fleet(status("a", {"a": 9}), status("b", {"b": 9}))
+    ctl(http, "server", "restore", "g", "g-1")
+    assert [address for address, _ in http.orders] == ["127.0.0.1:1", "127.0.0.1:2"]
+
+
 def test_agreement_is_shown_as_such(ctl):
     revisions = {"a": 9, "b": 9}
     code, out, _ = ctl(fleet(status("a", revisions), status("b", revisions)), "status")
