--- a/packages/figcrank-transport/src/figcrank/transport/_work.py
+++ b/packages/figcrank-transport/src/figcrank/transport/_work.py
@@ -2,6 +2,7 @@
 
 import datetime
 import decimal
+import re
 import uuid
 from collections.abc import Callable
 from typing import Any
@@ -47,6 +48,8 @@
 _LOST_CLASSES = ("08", "57P")
 _TEXT_TYPES = (decimal.Decimal, datetime.date, datetime.time, datetime.timedelta, uuid.UUID)
 
+_PLACEHOLDERS = re.compile("%[s%]")
+
 
 class _RefusedStatementError(Exception):
     """A statement that is not sent."""
@@ -167,6 +170,9 @@
         return text.rstrip("; \t\r\n")
 
     def _mogrify(self, sql: str, params: tuple[Scalar, ...]) -> str:
+        # The driver formats as Python does, where a width or a conversion can fail in any way.
+        if params and "%" in _PLACEHOLDERS.sub("", sql):
+            raise _RefusedStatementError("A statement with parameters has %s and %% only.")
         try:
             return self._cursor.mogrify(sql, params or None).decode()
         except (TypeError, ValueError, IndexError, KeyError, psycopg2.ProgrammingError) as error:
