--- a/packages/figcrank-coordination/src/figcrank/coordination/_limit_timings.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_limit_timings.py
@@ -7,7 +7,7 @@
 # A host that believes in a new home gives its word only after the old home's has run out.
 SILENCE_MS = SUPPORT_MS + MAX_DELAY_MS
 # A home that has not answered a report of this age gets no word until it does.
-ANSWER_TIMEOUT_MS = 250
+ANSWER_TIMEOUT_MS = 150
 # Two events further apart show that the process was paused.
 PAUSE_MS = 60
 # Datagrams that waited in the socket during a pause are read within this time after it.
@@ -16,8 +16,10 @@
 LEASE_MARGIN_MS = 20
 # Hosts that disappeared still count towards the majority for this long.
 VOTER_MEMORY_MS = 30_000
-# Time between two reports of an idle host to each home.
-HEARTBEAT_MS = 100
+# A home asks for the word of hosts that it has not heard from for this long.
+SOLICIT_AGE_MS = 150
+# A home keeps asking for words for this long after it was last asked for tokens.
+ACTIVE_MS = 5_000
 # Longest time that a request waits for a token.
 MAX_WAIT_MS = 300
 # Tokens are lent ahead for the demand of this time.
--- a/packages/figcrank-coordination/src/figcrank/coordination/_membership.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_membership.py
@@ -5,7 +5,13 @@
 import msgspec
 
 from figcrank.coordination._candidates import Candidates
-from figcrank.coordination._member_table import Member, MemberTable, host_of, is_plausible
+from figcrank.coordination._member_table import (
+    Member,
+    MemberTable,
+    host_of,
+    is_plausible,
+    is_possible,
+)
 from figcrank.coordination._port import Port
 from figcrank.coordination._probes import (
     Probe,
@@ -26,6 +32,7 @@
 INDIRECT_PROBES = 3
 # A tick that comes this late means that this host itself was paused.
 PAUSE_MS = 150
+QUESTION_INTERVAL_MS = 100
 SIDE_PROBE_EVERY = 5
 # Age given to a digest that may have been under way for any time.
 UNKNOWN_AGE_MS = 2**31
@@ -70,17 +77,17 @@
         # Members that have acknowledged a probe, and hence know this host's address.
         self._acquainted: set[str] = set()
         self._next_probe_ms = 0
+        self._next_question_ms = 0
         self._probe_count = 0
         others = any(seed.cell != settings.host.cell for seed in settings.seeds)
         self._quorum = Quorum(settings.host, settings.timings.config_freshness_ms, others)
         self._last_tick_ms: int | None = None
         for seed in settings.seeds:
-            self._table.add(Member(seed, HostState.ALIVE, 0, 0))
+            self._table.add(Member(seed, HostState.ALIVE, 0, 0), is_news=False)
 
     def hosts(self) -> tuple[Host, ...]:
         """Return the hosts that may be given work, this one included, sorted by name."""
-        usable = [m.host for m in self._table.members() if self._may_work(m)]
-        return tuple(sorted(usable, key=lambda host: host.name))
+        return self._table.views().workers
 
     def host(self, name: str) -> Host | None:
         """Return a known host that is not dead, whether or not it may be given work."""
@@ -99,17 +106,15 @@
 
     def peers(self) -> tuple[Host, ...]:
         """Return the other hosts of the cell that are not dead, leaving ones included."""
-        members = self._table.members()
-        return tuple(m.host for m in members if self._is_peer(m) and not m.is_dead)
+        return self._table.views().peers
 
     def contacts(self) -> tuple[Host, ...]:
         """Return the known hosts of other cells."""
-        members = self._table.members()
-        return tuple(m.host for m in members if m.host.cell != self._myself.cell)
+        return self._table.views().contacts
 
     def hears_majority(self, now_ms: int) -> bool:
         """Return whether most hosts of the cell that did not leave are heard, this one included."""
-        return self._quorum.holds(self._table.members(), now_ms)
+        return self._quorum.holds(self._table.views(), now_ms)
 
     def start(self, now_ms: int) -> None:
         """Begin probing."""
@@ -128,6 +133,7 @@
         for member in self._table.expire(now_ms):
             self._on_dead(member, "It did not refute the suspicion in time.", now_ms)
         self._probe_candidates(now_ms)
+        self._question_suspects(now_ms)
         if now_ms >= self._next_probe_ms:
             self._next_probe_ms = now_ms + self._timings.probe_interval_ms
             self._probe_next(now_ms)
@@ -202,7 +208,7 @@
                 self.ask(peer, now_ms)
 
     def _join_updates(self) -> tuple[MemberUpdate, ...]:
-        names = [m.host.name for m in self._table.members() if self._may_work(m)]
+        names = [host.name for host in self.hosts()]
         chosen = shuffled(names, self._random)[:FIRST_JOIN_UPDATES]
         members = (self._table.get(name) for name in chosen)
         return tuple(member.to_update() for member in members if member is not None)
@@ -282,7 +288,7 @@
 
     def _on_own_update(self, update: MemberUpdate, now_ms: int) -> None:
         mine = self._table.get(self._myself.name)
-        if mine is None or update.gossip_address != self._myself.gossip_address:
+        if mine is None or not is_possible(update, mine):
             return
         if update.state not in (HostState.SUSPECT, HostState.DEAD):
             return
@@ -310,10 +316,18 @@
         if host is not None:
             self._probe(host, ProbePurpose.MEMBER, now_ms)
 
+    def _question_suspects(self, now_ms: int) -> None:
+        # Each question carries the suspicion, so that the answer refutes it.
+        if now_ms < self._next_question_ms:
+            return
+        self._next_question_ms = now_ms + QUESTION_INTERVAL_MS
+        for member in self._table.views().suspects:
+            self.ask(member.host, now_ms)
+
     def _probe_aside(self, now_ms: int) -> None:
         self._reconsider_seed()
         names = [host.name for host in self.contacts()]
-        names += [m.host.name for m in self._table.members() if m.is_dead]
+        names += [member.host.name for member in self._table.views().dead]
         name = self._side_rotation.next(names)
         member = self._table.get(name) if name else None
         if member is not None:
@@ -321,9 +335,9 @@
             self._probe(member.host, purpose, now_ms)
 
     def _reconsider_seed(self) -> None:
-        lost = {s.name: s for s in self._settings.seeds if self._table.get(s.name) is None}
-        for name in shuffled(lost, self._random)[:1]:
-            self._add_candidate(lost[name])
+        seeds = self._settings.seeds
+        if seeds:
+            self._add_candidate(seeds[int(self._random.random() * len(seeds))])
 
     def _probe(self, host: Host, purpose: ProbePurpose, now_ms: int) -> None:
         self._send_ping(self._probes.open(host, purpose, now_ms), now_ms)
@@ -374,7 +388,7 @@
     # Candidates
 
     def _add_candidate(self, host: Host) -> None:
-        if host.name != self._myself.name and self._table.get(host.name) is None:
+        if self._table.get(host.name) is None and self._table.has_room(host.cell):
             self._candidates.add(host)
 
     def _probe_candidates(self, now_ms: int) -> None:
@@ -383,14 +397,5 @@
 
     # Views
 
-    def _may_work(self, member: Member) -> bool:
-        if member.host.cell != self._myself.cell:
-            return False
-        return member.state in (HostState.ALIVE, HostState.SUSPECT)
-
-    def _is_peer(self, member: Member) -> bool:
-        same_cell = member.host.cell == self._myself.cell
-        return same_cell and member.host.name != self._myself.name
-
     def _alive_peers(self) -> Iterable[Host]:
         return [peer for peer in self.peers() if self.state(peer.name) is HostState.ALIVE]
--- a/packages/figcrank-coordination/tests/test_configuration.py
+++ b/packages/figcrank-coordination/tests/test_configuration.py
@@ -231,12 +231,44 @@
     assert reply.failure.kind is FailureKind.BAD_REQUEST
 
 
+def test_editor_hears_at_once_who_has_the_change(fleet):
+    editor = fleet.cores["cell-1-host-5"].configuration
+    version = edited(fleet, "cell-1-host-5", withdrawal(fleet)).stored.version
+    assert fleet.run(
+        50, until=lambda: all(editor.revision_of(name) >= version for name in fleet.cores)
+    )
+
+
+def test_change_crosses_cells(make_fleet, new_host):
+    fleet = make_fleet(0)
+    fleet.seeds = tuple(new_host(n, cell=f"cell-{c}") for c in (1, 2) for n in (1, 2, 3))
+    for host in fleet.seeds:
+        fleet.add(host)
+    fleet.run(3_000)
+    fleet.cut_from_store = {name for name in fleet.cores if name.startswith("cell-2")}
+    fleet.store.put(Workspace("crews", 5, 5), "crews")
+    assert fleet.run(
+        BOUND_MS,
+        until=lambda: all(c.configuration.workspace("crews") for c in fleet.cores.values()),
+    )
+
+
+def test_edit_outlives_its_editor(fleet):
+    fleet.loss = 0.4
+    request = withdrawal(fleet)
+    assert isinstance(edited(fleet, "cell-1-host-5", request), EditDone)
+    fleet.kill("cell-1-host-5")
+    assert fleet.run(BOUND_MS, until=lambda: not serving(fleet))
+
+
 def test_large_change_reaches_every_host(fleet):
     for number in range(100):
         fleet.store.put(Workspace(f"w{number}", 100, 50), f"w{number}")
     fleet.run(BOUND_MS)
     for core in fleet.cores.values():
         assert len(core.configuration.snapshot.of_kind("workspace")) == 101
+    pushes = [action.message for action in fleet.sent if isinstance(action.message, ConfigPush)]
+    assert max(len(fleet.codec.encode("host", push)) for push in pushes) <= 1_500
 
 
 @pytest.mark.parametrize(
@@ -270,7 +302,8 @@
     fleet.cut = lambda a, b: "cell-1-host-2" in (a, b)
     fleet.cut_from_store = {"cell-1-host-2"}
     recorded = [s.message for s in fleet.sent if s.address == "10.0.1.2:1"][-200:]
-    for message in recorded * 2:
+    for number in range(BOUND_MS // 10):
         fleet.run(10)
+        message = recorded[number % len(recorded)]
         fleet.send("cell-1-host-2", GossipReceived("cell-1-host-3", message))
     assert not serves(fleet, "cell-1-host-2")
--- a/packages/figcrank-coordination/tests/test_limits.py
+++ b/packages/figcrank-coordination/tests/test_limits.py
@@ -1,8 +1,8 @@
 import pytest
 
-from figcrank.coordination import RecordDecision
+from figcrank.coordination import RecordDecision, SendGossip
 from figcrank.measure._limit_fleet import LimitFleet, Network, make_host
-from figcrank.protocol import FailureKind
+from figcrank.protocol import FailureKind, Slice, SliceGrants
 from figcrank.state import Workspace
 
 CREW = Workspace("crew", 100, 50)
@@ -10,8 +10,13 @@
 
 
 def settled_fleet(network=None, workspaces=(CREW,), size=9):
+    """Return a fleet with full buckets whose homes have been asked for tokens lately."""
     fleet = LimitFleet(workspaces, 3, network, size)
     fleet.run([], SETTLED_MS)
+    for workspace in workspaces:
+        fleet.ask(workspace.name, 0)
+    fleet.run([], SETTLED_MS + 500)
+    fleet.outcomes.clear()
     return fleet
 
 
@@ -44,6 +49,23 @@
     assert admitted(fleet) == CREW.burst
 
 
+@pytest.mark.parametrize("host", range(9))
+def test_a_whole_burst_is_admitted_after_any_idle_time(host):
+    fleet = LimitFleet([CREW], 3)
+    fleet.run([], 60_000)
+    ask(fleet, CREW.burst, host)
+    fleet.run([], fleet.now_ms + 50)
+    assert admitted(fleet) == CREW.burst
+
+
+def test_an_idle_fleet_sends_nothing():
+    fleet = settled_fleet()
+    fleet.run([], fleet.now_ms + 10_000)
+    fleet.messages = 0
+    fleet.run([], fleet.now_ms + 5_000)
+    assert fleet.messages == 0
+
+
 def test_a_burst_spread_over_hosts_is_admitted():
     fleet = settled_fleet()
     for host in range(9):
@@ -216,6 +238,33 @@
     assert fleet.over_admission("crew") == 0
 
 
+@pytest.mark.parametrize(("after_ms", "expected"), [(299, 1), (300, 0)])
+def test_a_lease_counts_from_when_the_report_was_sent(after_ms, expected):
+    fleet = LimitFleet([CREW], 3, size=2)
+    home = fleet.home("crew")
+    entry = next(member for member in fleet.members if member is not home)
+    decisions = []
+    entry.limiter.admit(CREW, 9_000, 0, lambda failure, at_ms: decisions.append(failure))
+    report = next(a.message for a in entry.port.drain() if isinstance(a, SendGossip))
+    grants = SliceGrants(report.seq, (Slice("crew", 1, 2_000, 300),))
+    entry.limiter.on_gossip(home.host.name, grants, 250)
+    assert decisions == [None]
+    entry.limiter.admit(CREW, 9_000, after_ms, lambda failure, at_ms: decisions.append(failure))
+    assert len(decisions) - 1 == expected
+
+
+def test_slices_of_another_host_than_the_home_are_dropped():
+    fleet = LimitFleet([CREW], 3, size=3)
+    home = fleet.home("crew")
+    entry, stranger = (member for member in fleet.members if member is not home)
+    decisions = []
+    entry.limiter.admit(CREW, 9_000, 0, lambda failure, at_ms: decisions.append(failure))
+    report = next(a.message for a in entry.port.drain() if isinstance(a, SendGossip))
+    grants = SliceGrants(report.seq, (Slice("crew", 1, 2_000, 300),))
+    entry.limiter.on_gossip(stranger.host.name, grants, 5)
+    assert decisions == []
+
+
 def test_changes_of_home_are_in_the_decision_log():
     fleet = settled_fleet()
     home = fleet.home("crew")
--- a/packages/figcrank-measure/src/figcrank/measure/_load.py
+++ b/packages/figcrank-measure/src/figcrank/measure/_load.py
@@ -11,8 +11,13 @@
 
 
 def create_table(scenario: Scenario) -> Call:
-    """Create the table that loads write to."""
-    return scenario.finish(scenario.write(CREATE_TABLE))
+    """Create the table that loads write to.
+
+    :raises AssertionError: if the fleet refuses.
+    """
+    call = scenario.finish(scenario.write(CREATE_TABLE))
+    assert call.answer is not None, call.failure
+    return call
 
 
 @dataclass(slots=True)
@@ -117,7 +122,7 @@
     def _send(self) -> None:
         if not self.running:
             return
-        host = len(self.calls) % 9 + 1
+        host = len(self.calls) % self.scenario.size.hosts + 1
         call = self.scenario.read(
             "SELECT count(*) FROM change", host=host, workspace=2, profile=self.profile
         )
--- a/packages/figcrank-transport/src/figcrank/transport/_telemetry.py
+++ b/packages/figcrank-transport/src/figcrank/transport/_telemetry.py
@@ -37,10 +37,16 @@
         flags = int(context.trace_flags)
         self.traceparent = f"00-{context.trace_id:032x}-{context.span_id:016x}-{flags:02x}"
 
+    @property
+    def trace_id(self) -> str:
+        """Return the id of the trace, in hexadecimal."""
+        return self.traceparent.split("-")[1]
+
     def end(self, **attributes: str) -> None:
         """Finish the span."""
-        self._span.set_attributes(attributes)
-        self._span.end()
+        if self._span.is_recording():
+            self._span.set_attributes(attributes)
+            self._span.end()
 
 
 class Telemetry:
@@ -65,8 +71,9 @@
         self._traces = _opened(trace_file)
         self._decisions = _opened(decision_file)
         resource = Resource({"host": host, "availability_zone": availability_zone})
-        sampler = sampling.ALWAYS_ON if self._traces else sampling.ALWAYS_OFF
-        self._provider = TracerProvider(sampler=sampler, resource=resource, shutdown_on_exit=False)
+        self._provider = TracerProvider(
+            sampler=sampling.ALWAYS_ON, resource=resource, shutdown_on_exit=False
+        )
         if self._traces is not None:
             self._provider.add_span_processor(_JsonLinesProcessor(self._traces))
         self._tracer = self._provider.get_tracer("figcrank")
@@ -80,10 +87,14 @@
         """Add to a counter that the core names."""
         self.count(action.name, action.amount)
 
-    def time_metric(self, action: TimeMetric) -> None:
-        """Send a timing of the core."""
+    def time(self, name: str, elapsed_ms: int) -> None:
+        """Send a timing, in milliseconds."""
         if self._statsd is not None:
-            self._statsd.timing(action.name, action.elapsed_ms)
+            self._statsd.timing(name, elapsed_ms)
+
+    def time_metric(self, action: TimeMetric) -> None:
+        """Send a timing that the core names."""
+        self.time(action.name, action.elapsed_ms)
 
     def record_decision(self, action: RecordDecision) -> None:
         """Write a decision to the decision log."""
@@ -91,7 +102,8 @@
             self._decisions.write(msgspec.json.encode(action.decision).decode() + "\n")
             return
         decision = action.decision
-        logging.info("%s %s: %s", decision.kind, decision.subject, decision.reason)
+        fields = {name: decision.inputs[name] for name in LOG_FIELDS if name in decision.inputs}
+        logging.info("%s %s: %s", decision.kind, decision.subject, decision.reason, extra=fields)
 
     def record_span(self, action: RecordSpan) -> None:
         """Write a span that the core has finished."""
@@ -111,10 +123,9 @@
 
         :param traceparent: W3C context of the parent; a new trace begins if it is not valid.
         """
-        span = self._tracer.start_span(name, context=_parent_context(traceparent))
-        if span.get_span_context().is_valid:
-            return Span(span)
-        return Span(NonRecordingSpan(_new_context()))
+        if self._traces is None:
+            return Span(NonRecordingSpan(_span_context(traceparent) or _new_context()))
+        return Span(self._tracer.start_span(name, context=_parent_context(traceparent)))
 
     def flush(self) -> None:
         """Write buffered lines to their files."""
@@ -189,13 +200,20 @@
     return Path(path).open("a", encoding="utf-8") if path else None
 
 
-def _parent_context(traceparent: str) -> trace.Context | None:
+def _span_context(traceparent: str) -> SpanContext | None:
     match = _TRACEPARENT.fullmatch(traceparent)
     if match is None:
-        return trace.set_span_in_context(trace.INVALID_SPAN)
+        return None
     trace_id, span_id, flags = (int(part, 16) for part in match.groups())
-    context = SpanContext(trace_id, span_id, is_remote=True, trace_flags=TraceFlags(flags))
-    return trace.set_span_in_context(NonRecordingSpan(context))
+    if not trace_id or not span_id:
+        return None
+    return SpanContext(trace_id, span_id, is_remote=True, trace_flags=TraceFlags(flags))
+
+
+def _parent_context(traceparent: str) -> trace.Context:
+    context = _span_context(traceparent)
+    parent = NonRecordingSpan(context) if context else trace.INVALID_SPAN
+    return trace.set_span_in_context(parent)
 
 
 def _new_context() -> SpanContext:
--- a/packages/figcrank-transport/src/figcrank/transport/_work.py
+++ b/packages/figcrank-transport/src/figcrank/transport/_work.py
@@ -46,6 +46,7 @@
 _REQUESTS_CONSTRAINT = f"{REQUESTS_TABLE}_pkey"
 # Connection exceptions and operator intervention: the session is gone, whatever it was doing.
 _LOST_CLASSES = ("08", "57P")
+_BAD_PARAMETERS = "The parameters do not fit the statement's placeholders."
 _TEXT_TYPES = (decimal.Decimal, datetime.date, datetime.time, datetime.timedelta, uuid.UUID)
 
 _PLACEHOLDERS = re.compile("%[s%]")
@@ -173,11 +174,13 @@
         # The driver formats as Python does, where a width or a conversion can fail in any way.
         if params and "%" in _PLACEHOLDERS.sub("", sql):
             raise _RefusedStatementError("A statement with parameters has %s and %% only.")
+        # The driver ignores parameters when there is no placeholder at all.
+        if params and "%" not in sql:
+            raise _RefusedStatementError(_BAD_PARAMETERS)
         try:
             return self._cursor.mogrify(sql, params or None).decode()
         except (TypeError, ValueError, IndexError, KeyError, psycopg2.ProgrammingError) as error:
-            message = "The parameters do not fit the statement's placeholders."
-            raise _RefusedStatementError(message) from error
+            raise _RefusedStatementError(_BAD_PARAMETERS) from error
 
     def _on_error(self, error: psycopg2.Error) -> WorkFailed:
         sqlstate = error.pgcode or ""
@@ -194,7 +197,7 @@
         if status != psycopg2.extensions.TRANSACTION_STATUS_IDLE:
             try:
                 self._cursor.execute("ROLLBACK")
-            except psycopg2.Error:
+            except (psycopg2.Error, eventlet.Timeout):
                 # The server's answer to the statement stands; the connection is of no more use.
                 self._connection.close()
         return WorkFailed(kind, message, sqlstate)
