--- a/packages/figcrank-transport/src/figcrank/transport/_work.py
+++ b/packages/figcrank-transport/src/figcrank/transport/_work.py
@@ -2,6 +2,7 @@
 
 import datetime
 import decimal
+import re
 import uuid
 from collections.abc import Callable
 from typing import Any
@@ -48,6 +49,8 @@
 _BAD_PARAMETERS = "The parameters do not fit the statement's placeholders."
 _TEXT_TYPES = (decimal.Decimal, datetime.date, datetime.time, datetime.timedelta, uuid.UUID)
 
+_PLACEHOLDERS = re.compile("%[s%]")
+
 
 class _RefusedStatementError(Exception):
     """A statement that is not sent."""
@@ -168,6 +171,9 @@
         return text.rstrip("; \t\r\n")
 
     def _mogrify(self, sql: str, params: tuple[Scalar, ...]) -> str:
+        # The driver formats as Python does, where a width or a conversion can fail in any way.
+        if params and "%" in _PLACEHOLDERS.sub("", sql):
+            raise _RefusedStatementError("A statement with parameters has %s and %% only.")
         # The driver ignores parameters when there is no placeholder at all.
         if params and "%" not in sql:
             raise _RefusedStatementError(_BAD_PARAMETERS)
