--- a/packages/figcrank-coordination/src/figcrank/coordination/_reports.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_reports.py
@@ -9,9 +9,9 @@
 from figcrank.protocol import GroupReport
 from figcrank.state import Group
 
-# Reports are sent at the status interval while something is wrong, else this much apart.
-CALM_INTERVAL_MS = 500
-REPORT_LIFETIME_MS = 1_200
+# Reports are sent at the status interval while something is wrong, else this many of them apart.
+CALM_INTERVALS = 5
+REPORT_LIFETIME_INTERVALS = 12
 # The time that a group may be without any primary; shorter than the time allowed to a silent one.
 NO_PRIMARY_MS = 200
 ZONES_TO_AGREE = 2
@@ -54,7 +54,7 @@
         """Send a report when one is due."""
         report = self.own(now_ms)
         wrong = report.primary_failed_ms > 0 or report.stalled_ms > 0
-        interval_ms = self._settings.timings.status_interval_ms if wrong else CALM_INTERVAL_MS
+        interval_ms = self._settings.timings.status_interval_ms * (1 if wrong else CALM_INTERVALS)
         if report.term == self._last_term and now_ms < self._sent_ms + interval_ms:
             return
         self._sent_ms = now_ms
@@ -84,7 +84,8 @@
     def heard_recently(self, host: str, now_ms: int) -> bool:
         """Return whether a host has reported lately."""
         received = self._received.get(host)
-        return received is not None and now_ms - received.received_ms < REPORT_LIFETIME_MS
+        lifetime_ms = REPORT_LIFETIME_INTERVALS * self._settings.timings.status_interval_ms
+        return received is not None and now_ms - received.received_ms < lifetime_ms
 
     def agreeing_hosts(self, now_ms: int) -> tuple[str, ...]:
         """Return the hosts that say that the primary is to be replaced.
--- a/packages/figcrank-measure/src/figcrank/measure/__main__.py
+++ b/packages/figcrank-measure/src/figcrank/measure/__main__.py
@@ -7,6 +7,7 @@
 
 from figcrank.measure._configuration import config_in_force, key_withdrawal, platform_calls
 from figcrank.measure._control_cost import control_cost
+from figcrank.measure._group_cost import group_cost
 from figcrank.measure._groups import measures as group_measures
 from figcrank.measure._limits import limits
 from figcrank.measure._report import Measure
@@ -18,6 +19,7 @@
     key_withdrawal,
     platform_calls,
     control_cost,
+    group_cost,
 )
 
 
