--- a/packages/figcrank-coordination/src/figcrank/coordination/_open_transactions.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_open_transactions.py
@@ -57,6 +57,17 @@
     return f"{host}~{group}~{number:x}"
 
 
+def host_of(transaction: str) -> str:
+    """Return the owner host that a transaction's id names."""
+    return transaction.split("~")[0]
+
+
+def group_of(transaction: str) -> str:
+    """Return the group that a transaction's id names, empty if the id is malformed."""
+    parts = transaction.split("~")
+    return parts[1] if len(parts) == 3 else ""
+
+
 def refusal_of(step: TransactionStep, transaction: OpenTransaction | None) -> Failure | None:
     """Return why a step of a transaction is not taken, ``None`` if it is."""
     if transaction is None:
--- a/packages/figcrank-standins/src/figcrank/standins/virtual.py
+++ b/packages/figcrank-standins/src/figcrank/standins/virtual.py
@@ -5,9 +5,7 @@
 """
 
 import random
-from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 from figcrank.coordination import (
     Action,
@@ -50,10 +48,7 @@
 from figcrank.protocol import (
     CommitWork,
     Decision,
-    Failure,
-    OperatorReply,
     OperatorRequest,
-    OwnedAnswer,
     PlatformHost,
     PlatformResult,
     ServerFailure,
@@ -67,6 +62,8 @@
     WriteWork,
 )
 from figcrank.standins._platform_model import PlatformModel
+from figcrank.standins._virtual_host import Call as Call
+from figcrank.standins._virtual_host import Connection, VirtualHost
 from figcrank.standins._virtual_loop import VirtualLoop, VirtualNetwork
 from figcrank.standins._virtual_servers import (
     PLATFORM,
@@ -81,59 +78,6 @@
 HOST_LIST_LAG_MS = 5_000
 
 
-@dataclass(slots=True)
-class Call:
-    """A caller's or operator's request and what came of it.
-
-    :param sent_ms: when it was sent.
-    :param answered_ms: when the answer was back, ``None`` before.
-    """
-
-    sent_ms: int
-    answered_ms: int | None = None
-    answer: OwnedAnswer | None = None
-    failure: Failure | None = None
-    session: Session | None = None
-    reply: OperatorReply | None = None
-
-    @property
-    def rows(self) -> list[tuple]:
-        """Return the rows of the last statement's result.
-
-        :raises AssertionError: if the request has not succeeded.
-        """
-        assert self.answer is not None, self.failure
-        return [tuple(row) for row in self.answer.results[-1].rows]
-
-
-@dataclass(slots=True)
-class _Connection:
-    server: str
-    group: str
-    session_pid: int | None = None
-    work_id: int | None = None
-
-
-@dataclass(slots=True)
-class VirtualHost:
-    """One host of the fleet and its faults.
-
-    :param paused: whether events wait until the host goes on.
-    """
-
-    host: Host
-    core: HostCore
-    alive: bool = True
-    paused: bool = False
-    ready: bool = False
-    stopped: bool = False
-    waiting: list[Event] = field(default_factory=list)
-    connections: dict[int, _Connection] = field(default_factory=dict)
-    decisions: list[Decision] = field(default_factory=list)
-    spans: list[RecordSpan] = field(default_factory=list)
-    counters: Counter = field(default_factory=Counter)
-
-
 class VirtualFleet:
     """Drives host cores against fakes.
 
@@ -442,7 +386,7 @@
     def _open_connection(self, entry: VirtualHost, action: OpenConnection) -> None:
         source, target = entry.host.name, action.server.name
         group = self.groups[self._group_of[target]]
-        connection = _Connection(target, group.group_name)
+        connection = Connection(target, group.group_name)
         entry.connections[action.connection_id] = connection
 
         def opened() -> None:
@@ -465,7 +409,7 @@
         if connection is not None:
             self._drop_session(entry, connection)
 
-    def _drop_session(self, entry: VirtualHost, connection: _Connection) -> None:
+    def _drop_session(self, entry: VirtualHost, connection: Connection) -> None:
         if connection.session_pid is None:
             return
         pid = connection.session_pid
