Judge reads by keywords outside literals; call votes votes

Cause: SELECT replace(...), or a literal with the word update, was refused as a write in a read profile: a wrongful refusal of a sound request. Also: what a host grants to a home is a vote and what dates the configuration is a confirmation, the field's terms, in code and pages alike. Ruled out: a SQL parser; the backend server refuses changes within a read too.

--- a/packages/figcrank-coordination/src/figcrank/coordination/_borrower.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_borrower.py
@@ -253,7 +253,7 @@
     # Grants
 
     def _on_solicitation(self, sender: str, now_ms: int) -> None:
-        """Give a home that is needed elsewhere this host's word."""
+        """Give a home that is needed elsewhere this host's vote."""
         for account in self._accounts.values():
             home = self._believed_home(account, now_ms)
             if home.name == sender:
@@ -322,18 +322,18 @@
         return [a for a in self._accounts.values() if a.purse.home == home.name]
 
     def _report(self, home: Host, now_ms: int) -> None:
-        """Send every demand on one home; each report also gives it this host's word."""
+        """Send every demand on one home; each report also gives it this host's vote."""
         link = self._links.setdefault(home.name, _HomeLink(now_ms))
         link.sent_ms = now_ms
         if link.urgent:
             link.sent_urgent_ms = now_ms
         link.urgent = False
         answered_ms = link.answered_ms
-        gives_word = answered_ms is not None and now_ms - answered_ms < ANSWER_TIMEOUT_MS
+        gives_vote = answered_ms is not None and now_ms - answered_ms < ANSWER_TIMEOUT_MS
         demands: list[Demand] = []
         seq = self._new_seq(now_ms)
         for account in self._accounts_of(home):
-            demands.extend(self._demands(account, seq, gives_word, now_ms))
+            demands.extend(self._demands(account, seq, gives_vote, now_ms))
             if len(demands) >= MAX_DEMANDS:
                 self._send(home, DemandReport(seq, tuple(demands)), now_ms)
                 demands = []
@@ -342,13 +342,13 @@
             self._send(home, DemandReport(seq, tuple(demands)), now_ms)
 
     def _demands(
-        self, account: _Account, seq: int, gives_word: bool, now_ms: int
+        self, account: _Account, seq: int, gives_vote: bool, now_ms: int
     ) -> tuple[Demand, ...]:
         wanted_milli = len(account.waiters) * MILLI
         asked_milli = account.asked * MILLI
         account.asked = 0
         return account.purse.demands(
-            account.workspace.name, wanted_milli, asked_milli, seq, gives_word, now_ms
+            account.workspace.name, wanted_milli, asked_milli, seq, gives_vote, now_ms
         )
 
     def _send(self, home: Host, report: DemandReport, now_ms: int) -> None:
--- a/packages/figcrank-coordination/src/figcrank/coordination/_configuration.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_configuration.py
@@ -201,14 +201,14 @@
     def _known_revision(self) -> int | None:
         return self.snapshot.revision if self._ledger.is_loaded else None
 
-    def _on_objects(self, result: ObjectList, since: int, word_ms: int, now_ms: int) -> None:
+    def _on_objects(self, result: ObjectList, since: int, confirmed_ms: int, now_ms: int) -> None:
         own = self.snapshot.revision
         objects = self._decoded(result.objects, now_ms)
         # A bare answer proves freshness but is no reason to move every host's revision.
         revision = result.revision if objects or not self._ledger.is_loaded else own
         push = ConfigPush(since, max(revision, since), objects)
         self._take(push, now_ms, from_store=True)
-        self._freshness.on_word(self.snapshot.revision, word_ms, self.snapshot.revision)
+        self._freshness.on_confirmed(self.snapshot.revision, confirmed_ms, self.snapshot.revision)
         if self.snapshot.revision > own:
             self._push_since(own, now_ms)
 
--- a/packages/figcrank-coordination/src/figcrank/coordination/_freshness.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_freshness.py
@@ -10,11 +10,11 @@
 
 
 class Freshness:
-    """Dates the last word from the store and tells an outage for all from being cut off.
+    """Dates the last confirmation from the store and tells an outage for all from being cut off.
 
-    A word is a time on this host's clock before which every accepted change is included. Words
-    arrive by own calls and by answers to own probes, and are dated from the sending of the call
-    or probe, so that no delay or replay makes one look newer than it is.
+    A confirmation is a time on this host's clock before which every accepted change is included.
+    Confirmations arrive by own calls and by answers to own probes, and are dated from the sending
+    of the call or probe, so that no delay or replay makes one look newer than it is.
 
     :param limit_ms: greatest age to serve on, in milliseconds.
     :param membership: tells whether most hosts are heard.
@@ -25,26 +25,26 @@
         self._limit_ms = limit_ms
         self._membership = membership
         self._platform = platform
-        self._word_ms: int | None = None
-        # A word that counts once the revision that it is about is in force here.
+        self._confirmed_ms: int | None = None
+        # A confirmation that counts once the revision that it is about is in force here.
         self._pending_ms = 0
         self._pending_revision = 0
         self._newest_revision = 0
         self._witnessed_ms: dict[str, int] = {}
 
     def age_ms(self, now_ms: int) -> int:
-        """Return the age of the last word, in milliseconds; :data:`NEVER_MS` at most."""
-        if self._word_ms is None:
+        """Return the age of the last confirmation, in milliseconds; :data:`NEVER_MS` at most."""
+        if self._confirmed_ms is None:
             return NEVER_MS
-        return min(NEVER_MS, now_ms - self._word_ms)
+        return min(NEVER_MS, now_ms - self._confirmed_ms)
 
-    def on_word(self, revision: int, word_ms: int, own_revision: int) -> None:
-        """Take the news that ``revision`` was the store's at ``word_ms``."""
+    def on_confirmed(self, revision: int, confirmed_ms: int, own_revision: int) -> None:
+        """Take the news that ``revision`` was the store's at ``confirmed_ms``."""
         self._newest_revision = max(self._newest_revision, revision)
         if revision <= own_revision:
-            self._advance(word_ms)
+            self._advance(confirmed_ms)
             return
-        self._pending_ms, self._pending_revision = word_ms, revision
+        self._pending_ms, self._pending_revision = confirmed_ms, revision
 
     def on_revision(self, own_revision: int) -> None:
         """Take the news that ``own_revision`` is in force here."""
@@ -62,7 +62,7 @@
         else:
             self._witnessed_ms.pop(host, None)
         if digest.fresh_age_ms < NEVER_MS:
-            self.on_word(digest.config_revision, now_ms - digest.fresh_age_ms, own_revision)
+            self.on_confirmed(digest.config_revision, now_ms - digest.fresh_age_ms, own_revision)
 
     def is_fresh(self, own_revision: int, now_ms: int) -> bool:
         """Return whether requests with a key may be served."""
@@ -74,7 +74,8 @@
         """Return whether it is shown that the platform is down for everyone.
 
         An edit is taken only by a host that hears most hosts. So where most hosts are heard, none
-        of them has word from the store, and none is ahead, no newer edit was accepted.
+        of them has a recent confirmation from the store, and none is ahead, no newer edit was
+        accepted.
         """
         if own_revision < self._newest_revision:
             return False
@@ -90,6 +91,6 @@
         kept = {host: at_ms for host, at_ms in self._witnessed_ms.items() if at_ms > since_ms}
         self._witnessed_ms = kept
 
-    def _advance(self, word_ms: int) -> None:
-        if self._word_ms is None or word_ms > self._word_ms:
-            self._word_ms = word_ms
+    def _advance(self, confirmed_ms: int) -> None:
+        if self._confirmed_ms is None or confirmed_ms > self._confirmed_ms:
+            self._confirmed_ms = confirmed_ms
--- a/packages/figcrank-coordination/src/figcrank/coordination/_homes.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_homes.py
@@ -11,7 +11,7 @@
     """Finds home hosts; leaves out those that are suspected and silent.
 
     A suspicion alone is often refuted, and a death is known late. A wrong choice costs time but
-    admits nothing too much, since only a home with a majority's word lends.
+    admits nothing too much, since only a home with a majority's vote lends.
 
     :param placement: the ranking of live hosts.
     :param own_name: this host.
--- a/packages/figcrank-coordination/src/figcrank/coordination/_lender.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_lender.py
@@ -22,10 +22,10 @@
 IDS_PER_MS = 1_000
 # Time between two looks at who is alive.
 VOTERS_INTERVAL_MS = 50
-# Least time between two requests for words, with a majority and without.
+# Least time between two requests for votes, with a majority and without.
 SOLICIT_INTERVAL_MS = 50
 URGENT_SOLICIT_INTERVAL_MS = 10
-# Time in which the words of all hosts arrive after the first majority.
+# Time in which the votes of all hosts arrive after the first majority.
 WORDS_TRAVEL_MS = 30
 
 
@@ -40,7 +40,7 @@
     :param grace_until_ms: time until which the hand-over stands in for a majority.
     :param bucket: kept after a lapse, since no other home may have lent before the next majority.
     :param held_ms: newest time at which it is known to have been the only home.
-    :param active_until_ms: time until which words are asked for.
+    :param active_until_ms: time until which votes are asked for.
     :param solicited_ms: when they were asked for last.
     :param gained_ms: when it gained its majority.
     """
@@ -62,14 +62,14 @@
         return is_ready and self.bucket is not None
 
     def counts(self, demand: Demand) -> bool:
-        """Return whether the sender's word is free or was last given to the predecessor."""
+        """Return whether the sender's vote is free or was last given to the predecessor."""
         return demand.previous_home in ("", self.handed_by)
 
 
 class Lender:
     """Lends the tokens of the workspaces that this host is home to.
 
-    A home lends once it has had the word of a majority of the voters for a lease time without a
+    A home lends once it has had the vote of a majority of the voters for a lease time without a
     gap, or was handed the bucket over; it discards the bucket as soon as the majority is gone. A
     home that was paused finds its majority gone before it reads what waited in its socket.
 
@@ -202,7 +202,7 @@
         if ready_ms == tenure.ready_ms:
             return
         tenure.ready_ms = ready_ms
-        reason = "A majority of hosts believes in this home; earlier slices may still be out."
+        reason = "A majority of hosts votes for this home; earlier slices may still be out."
         self._port.decide(
             now_ms, "hand-over", name, reason, home=self._own_name, ready_ms=tenure.ready_ms
         )
@@ -216,7 +216,7 @@
         tenure.ready_ms = None
         tenure.handed_by = ""
         if now_ms < tenure.active_until_ms:
-            reason = "No majority of hosts believes in this home; it stops lending."
+            reason = "No majority of hosts votes for this home; it stops lending."
             self._port.decide(now_ms, "hand-over", name, reason, home=self._own_name)
 
     def _open(self, name: str, tenure: _Tenure, now_ms: int) -> None:
@@ -267,7 +267,7 @@
         return tenure.may_lend(now_ms) and self._homes.find(name).name == self._own_name
 
     def _solicit(self, name: str, tenure: _Tenure, now_ms: int) -> None:
-        """Ask silent voters for their word while there is demand."""
+        """Ask silent voters for their vote while there is demand."""
         if now_ms >= tenure.active_until_ms or self._homes.find(name).name != self._own_name:
             return
         lends = tenure.may_lend(now_ms)
@@ -309,7 +309,7 @@
     def _no_slice(self, name: str, tenure: _Tenure | None, now_ms: int) -> Slice:
         retry_after_ms = 0
         if tenure is not None and tenure.ready_ms is not None:
-            # Words that are still on their way may make it earlier.
+            # Votes that are still on their way may make it earlier.
             settled = now_ms - tenure.gained_ms >= WORDS_TRAVEL_MS
             retry_after_ms = max(0, tenure.ready_ms - now_ms) if settled else 0
         return Slice(name, 0, 0, 0, retry_after_ms)
--- a/packages/figcrank-coordination/src/figcrank/coordination/_limits.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_limits.py
@@ -3,7 +3,7 @@
 Every host is a :class:`Borrower` that admits requests against slices of tokens, and the
 :class:`Lender` of the workspaces that it is home to. All tokens that exist are in the home's
 bucket or in live slices, together at most the burst, and only the one home with a majority's
-word refills; so admissions in any window are at most rate times its length plus the burst.
+vote refills; so admissions in any window are at most rate times its length plus the burst.
 """
 
 from collections.abc import Callable
--- a/packages/figcrank-coordination/src/figcrank/coordination/_settings.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_settings.py
@@ -18,8 +18,8 @@
     :param stall_timeout_ms: time without majority progress after which a primary counts as cut off.
     :param server_timeout_ms: deadline of a control request to a server.
     :param platform_timeout_ms: deadline of a platform call.
-    :param config_freshness_ms: age of the last word from the store, over any path, beyond which
-        requests with a key are refused while peers still reach the store.
+    :param config_freshness_ms: age of the last confirmation from the store, over any path, beyond
+        which requests with a key are refused while peers still reach the store.
     :param slice_lease_ms: lifetime of lent tokens.
     :param report_interval_ms: time between two demand reports.
     :param transaction_idle_ms: idle time after which a transaction is rolled back.
--- a/packages/figcrank-coordination/src/figcrank/coordination/_slices.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_slices.py
@@ -1,4 +1,4 @@
-"""Tokens of one workspace that this host holds, and whom it has given its word to."""
+"""Tokens of one workspace that this host holds, and whom it has given its vote to."""
 
 from dataclasses import dataclass
 
@@ -8,7 +8,7 @@
 
 # A slice that is not used up by now is given back, so that no idle host holds tokens.
 RETURN_AFTER_MS = 150
-_NO_WORD = "*"
+_NO_VOTE = "*"
 # Longer freedom is of no use to a home.
 MAX_FREE_MS = 600_000
 
@@ -46,7 +46,7 @@
         self._started_ms = now_ms
         self._held: list[_Held] = []
         self._seen: dict[tuple[str, int], int] = {}
-        self._word_ms: dict[str, int] = {}
+        self._voted_ms: dict[str, int] = {}
 
     def move_to(self, home: str) -> bool:
         """Take ``home`` as the workspace's home; return whether that is a change."""
@@ -101,20 +101,20 @@
         wanted_milli: int,
         asked_milli: int,
         seq: int,
-        gives_word: bool,
+        gives_vote: bool,
         now_ms: int,
     ) -> tuple[Demand, ...]:
         """Return the entries of report ``seq``.
 
-        The first entry carries what is wanted and this host's word; each slice has an entry until
+        The first entry carries what is wanted and this host's vote; each slice has an entry until
         the home has answered a report that called it used up or given back.
 
-        :param gives_word: whether the home answers, so that it gets this host's word.
+        :param gives_vote: whether the home answers, so that it gets this host's vote.
         """
         free_ms = self._free_ms(now_ms)
-        previous = self._previous_home(now_ms) if gives_word else _NO_WORD
-        if previous != _NO_WORD:
-            self._word_ms[self.home] = now_ms
+        previous = self._previous_home(now_ms) if gives_vote else _NO_VOTE
+        if previous != _NO_VOTE:
+            self._voted_ms[self.home] = now_ms
         first = Demand(
             workspace, wanted_milli, 0, 0, asked_milli, 0, previous_home=previous, free_ms=free_ms
         )
@@ -136,25 +136,25 @@
             held.slice_id,
             0,
             held.spent_milli,
-            _NO_WORD,
+            _NO_VOTE,
         )
 
     def _close(self, held: _Held) -> None:
         held.returned_milli += held.left_milli
 
     def _previous_home(self, now_ms: int) -> str:
-        """Return the other home that may count on this host's word."""
+        """Return the other home that may count on this host's vote."""
         others = [
             name
-            for name, ms in self._word_ms.items()
+            for name, ms in self._voted_ms.items()
             if name != self.home and now_ms - ms < SILENCE_MS
         ]
         if len(others) > 1:
-            return _NO_WORD
+            return _NO_VOTE
         return others[0] if others else ""
 
     def _free_ms(self, now_ms: int) -> int:
-        """Return for how long no other home has been able to count on this host's word."""
-        given_ms = [ms for name, ms in self._word_ms.items() if name != self.home]
+        """Return for how long no other home has been able to count on this host's vote."""
+        given_ms = [ms for name, ms in self._voted_ms.items() if name != self.home]
         free_from_ms = max((ms + SILENCE_MS for ms in given_ms), default=self._started_ms)
         return min(MAX_FREE_MS, max(0, now_ms - free_from_ms))
--- a/packages/figcrank-coordination/src/figcrank/coordination/_support.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_support.py
@@ -1,13 +1,13 @@
-"""Which host may lend a workspace's tokens: the one with the word of a majority.
+"""Which host may lend a workspace's tokens: the one with the vote of a majority.
 
-Each host gives its word to one home at a time: after it changed its belief it stays silent until
+Each host gives its vote to one home at a time: after it changed its belief it stays silent until
 the old home can't count on it any more (``SILENCE_MS``). Two homes with the same voters therefore
-never have a majority at the same time. A host also withholds its word from a home that does not
+never have a majority at the same time. A host also withholds its vote from a home that does not
 answer, and tells how long it has been free; so a home that gains a majority knows since when no
 other can have had one. It starts with an empty bucket that refills from that time on, and counts
 the most that a home lets be out as lent until every slice from before has expired. If no other
-can have had a majority since its own lapsed, it keeps its own bucket. Words are asked for only
-while there is demand. A home that was handed the bucket may count on hosts at once whose word
+can have had a majority since its own lapsed, it keeps its own bucket. Votes are asked for only
+while there is demand. A home that was handed the bucket may count on hosts at once whose vote
 was last given to the host that handed it over.
 
 Not covered: sets of voters that differ by two hosts or more while both homes are the minimum
@@ -93,7 +93,7 @@
 
 
 class Support:
-    """Whose word one home has for one workspace."""
+    """Whose vote one home has for one workspace."""
 
     def __init__(self) -> None:
         self._heard_ms: dict[str, int] = {}
--- a/packages/figcrank-coordination/src/figcrank/coordination/_watch.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_watch.py
@@ -37,7 +37,7 @@
     :param settings: static settings of this host.
     :param platform: the platform.
     :param membership: the live hosts, among which the watchers are chosen.
-    :param freshness: tells how old the last word is.
+    :param freshness: tells how old the last confirmation is.
     :param random: random source for spreading reads out.
     :param revision: gives the revision in force, ``None`` before the first.
     :param on_objects: told of each answer: the objects, the revision asked from, the time at
@@ -118,7 +118,7 @@
         def replied(result: PlatformResult, at_ms: int) -> None:
             self._in_flight = False
             if isinstance(result, ObjectList):
-                self._on_objects(result, since, _word_ms(result, now_ms, at_ms), at_ms)
+                self._on_objects(result, since, _confirmed_ms(result, now_ms, at_ms), at_ms)
 
         timeout_ms = WATCH_WAIT_MS + self._timeout_ms()
         self._in_flight = self._platform.read(call, timeout_ms, now_ms, replied, as_watcher=True)
@@ -157,7 +157,7 @@
     return xxhash.xxh64_intdigest(f"watch:{host.cell}|{host.name}".encode())
 
 
-def _word_ms(result: ObjectList, sent_ms: int, answered_ms: int) -> int:
+def _confirmed_ms(result: ObjectList, sent_ms: int, answered_ms: int) -> int:
     # A watch that ended without a change was answered after its whole wait.
     waited_ms = sent_ms + WATCH_WAIT_MS
     if not result.objects and answered_ms >= waited_ms:
--- a/packages/figcrank-coordination/tests/test_freshness.py
+++ b/packages/figcrank-coordination/tests/test_freshness.py
@@ -2,7 +2,7 @@
 
 from figcrank.coordination._freshness import NEVER_MS, Freshness
 from figcrank.coordination._membership import UNKNOWN_AGE_MS
-from figcrank.coordination._watch import WATCH_WAIT_MS, _word_ms
+from figcrank.coordination._watch import WATCH_WAIT_MS, _confirmed_ms
 from figcrank.protocol import Digest, ObjectList, StoredObject
 
 LIMIT_MS = 1_500
@@ -39,21 +39,21 @@
 
 
 def test_word_ages(freshness):
-    freshness.on_word(5, NOW_MS, own_revision=5)
+    freshness.on_confirmed(5, NOW_MS, own_revision=5)
     assert freshness.is_fresh(5, NOW_MS + LIMIT_MS)
     assert not freshness.is_fresh(5, NOW_MS + LIMIT_MS + 1)
 
 
 def test_word_counts_once_its_revision_is_in_force(freshness):
-    freshness.on_word(6, NOW_MS, own_revision=5)
+    freshness.on_confirmed(6, NOW_MS, own_revision=5)
     assert not freshness.is_fresh(5, NOW_MS)
     freshness.on_revision(6)
     assert freshness.is_fresh(6, NOW_MS)
 
 
 def test_older_word_takes_nothing_back(freshness):
-    freshness.on_word(5, NOW_MS, own_revision=5)
-    freshness.on_word(5, NOW_MS - 5_000, own_revision=5)
+    freshness.on_confirmed(5, NOW_MS, own_revision=5)
+    freshness.on_confirmed(5, NOW_MS - 5_000, own_revision=5)
     assert freshness.age_ms(NOW_MS) == 0
 
 
@@ -103,12 +103,12 @@
 
 
 @pytest.mark.parametrize(
-    ("objects", "answered_ms", "word_ms"),
+    ("objects", "answered_ms", "confirmed_ms"),
     [
         ((), WATCH_WAIT_MS + 5, WATCH_WAIT_MS),
         ((), 50, 0),
         ((StoredObject("key", "k1", 9, None),), WATCH_WAIT_MS + 5, 0),
     ],
 )
-def test_watch_answer_is_dated_no_later_than_it_can_be(objects, answered_ms, word_ms):
-    assert _word_ms(ObjectList(9, objects), 0, answered_ms) == word_ms
+def test_watch_answer_is_dated_no_later_than_it_can_be(objects, answered_ms, confirmed_ms):
+    assert _confirmed_ms(ObjectList(9, objects), 0, answered_ms) == confirmed_ms
--- a/packages/figcrank-protocol/src/figcrank/protocol/_statements.py
+++ b/packages/figcrank-protocol/src/figcrank/protocol/_statements.py
@@ -1,5 +1,7 @@
 """Statements, their results and the answers that callers get."""
 
+import re
+
 import msgspec
 
 Scalar = str | int | float | bool | None
@@ -55,18 +57,30 @@
     transaction: str = ""
 
 
-_READ_WORDS = frozenset({"select", "values", "with", "explain", "show"})
-_WRITE_WORDS = ("insert", "update", "delete", "replace", "create", "drop", "alter", "merge")
+_READ_KEYWORDS = frozenset({"select", "values", "show"})
+# A statement that begins so may contain one that changes data.
+_WRAPPING_KEYWORDS = frozenset({"with", "explain"})
+_WRITE_KEYWORDS = frozenset(
+    {"insert", "update", "delete", "replace", "create", "drop", "alter", "merge", "truncate"}
+)
+_LITERALS_AND_COMMENTS = re.compile(
+    r"""'(?:[^']|'')*' | "(?:[^"]|"")*" | --[^\n]* | /\*.*?\*/""", re.VERBOSE | re.DOTALL
+)
+_KEYWORD = re.compile(r"[a-z_]+")
 
 
 def is_read(statement: Statement) -> bool:
-    """Return whether ``statement`` only reads, judged by its leading words.
+    """Return whether ``statement`` only reads, judged by its keywords.
 
-    A ``WITH`` that contains a changing keyword counts as a write; when in doubt it is a write.
+    Literals, quoted names and comments do not count. When in doubt it is a write. A backend server
+    refuses changes within a read as well, such as those that a function makes.
     """
-    words = statement.sql.lower().replace("(", " ").split()
-    if not words or words[0] not in _READ_WORDS:
+    text = _LITERALS_AND_COMMENTS.sub(" ", statement.sql).strip().lower()
+    if ";" in text.rstrip(";"):
         return False
-    if ";" in statement.sql.rstrip().rstrip(";"):
+    keywords = _KEYWORD.findall(text)
+    if not keywords or "into" in keywords:
         return False
-    return not any(word in _WRITE_WORDS for word in words[1:]) and "into" not in words
+    if keywords[0] in _READ_KEYWORDS:
+        return True
+    return keywords[0] in _WRAPPING_KEYWORDS and _WRITE_KEYWORDS.isdisjoint(keywords)
