Lose answers after their effect in the measure; drop what nothing calls

Cause: a last reading found the interval of lost answers unused. The scenario "answers lost" silenced the primary before it ran anything, so that no answer was lost after its effect. The fake runs the work and drops the answers now. Also gone: a method, an error, two more constants and a property without a caller, and two of three equal times to come back in one layer. Ruled out: one constructor for reads, writes and transactions; what they share is a list of parts, not logic. Conclusion: lost answers are settled by their records, now measured so.

--- a/packages/figcrank-coordination/src/figcrank/coordination/_group_view.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_group_view.py
@@ -253,11 +253,6 @@
         """Return how long writes of the primary have not become durable on a majority."""
         return 0 if self._stalled_since_ms is None else now_ms - self._stalled_since_ms
 
-    def stall(self, now_ms: int) -> None:
-        """Count the primary as stalled from now on, if it is not counted so already."""
-        if self._stalled_since_ms is None:
-            self._stalled_since_ms = now_ms
-
     def silent_ms(self, server: str, now_ms: int) -> int:
         """Return how long a server has left queries unanswered, 0 if it answers."""
         since_ms = self._failing_since_ms.get(server, now_ms)
--- a/packages/figcrank-coordination/src/figcrank/coordination/_owner.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_owner.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 
+from figcrank.coordination._call import RETRY_AFTER_MS
 from figcrank.coordination._events import ConnectionFailed, ConnectionOpened, WorkFinished
 from figcrank.coordination._failover import Failover
 from figcrank.coordination._group_view import GroupView
@@ -30,7 +31,6 @@
 
 OnAnswer = Callable[[OwnedAnswer | Failure, int], None]
 
-RETRY_AFTER_MS = 200
 # Work on a server that has not answered for this time is given up.
 ABANDON_MS = 250
 # A new process holds requests while it waits for its share; later, other owners take them.
--- a/packages/figcrank-coordination/src/figcrank/coordination/_writes.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_writes.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
+from figcrank.coordination._call import RETRY_AFTER_MS
 from figcrank.coordination._group_view import GroupView
 from figcrank.coordination._majority import MajorityWait
 from figcrank.coordination._pool import Connection, Pool
@@ -30,7 +31,6 @@
 MAX_QUEUED_PER_WORKSPACE = 256
 # Time kept back so that a refusal reaches the entry host before it gives up by itself.
 ANSWER_MARGIN_MS = 10
-RETRY_AFTER_MS = 200
 MIN_ATTEMPT_MS = 50
 # After a server refused the term that is believed here, its status is awaited for this time.
 STALE_TERM_PAUSE_MS = 10
--- a/packages/figcrank-measure/src/figcrank/measure/_groups.py
+++ b/packages/figcrank-measure/src/figcrank/measure/_groups.py
@@ -19,7 +19,6 @@
 SETTLE_MS = 5_000
 SHARE_LOAD_MS = 3_000
 REPLICA_LAG_MS = 100
-LOST_ANSWER_INTERVAL = 7
 USERS: tuple[tuple[str, Sizes], ...] = (("patna", patna()), ("herdtrace", herdtrace()))
 SEEDS = (1, 2)
 APPLY_LAGS_MS = (0, 100, 1_000, 5_000, 30_000)
@@ -84,11 +83,11 @@
 
 
 def _lose_answers(scenario: Scenario) -> None:
-    """Silence the primary for a while, so that answers are lost and requests are settled."""
+    """Let the primary run work without answering for a while, so that requests are settled."""
     servers = _servers(scenario)
     primary = servers.servers[_primary(scenario)]
-    primary.silent = True
-    scenario.fleet.loop.after(GAP_BOUND_MS, lambda: setattr(primary, "silent", False))
+    primary.loses_answers = True
+    scenario.fleet.loop.after(GAP_BOUND_MS, lambda: setattr(primary, "loses_answers", False))
 
 
 FAILOVERS = (
--- a/packages/figcrank-measure/src/figcrank/measure/_limit_fleet.py
+++ b/packages/figcrank-measure/src/figcrank/measure/_limit_fleet.py
@@ -53,12 +53,6 @@
     refused_ms: list[int] = field(default_factory=list)
     asked: int = 0
 
-    @property
-    def refused_share(self) -> float:
-        """Return the refused requests over all requests that were answered."""
-        answered = len(self.admitted_ms) + len(self.refused_ms)
-        return len(self.refused_ms) / answered if answered else 0.0
-
 
 class View:
     """One host's list of live hosts, set by the test."""
--- a/packages/figcrank-standins/src/figcrank/standins/_errors.py
+++ b/packages/figcrank-standins/src/figcrank/standins/_errors.py
@@ -19,7 +19,6 @@
 SQLSTATE_ADMIN_SHUTDOWN = "57P01"
 SQLSTATE_FAILED_TRANSACTION = "25P02"
 SQLSTATE_BAD_VALUE = "22023"
-SQLSTATE_UNKNOWN_FUNCTION = "42883"
 SQLSTATE_NOT_SUPPORTED = "0A000"
 SQLSTATE_INTERNAL = "XX000"
 REQUESTS_CONSTRAINT = "figcrank_requests_pkey"
@@ -122,12 +121,6 @@
         message = f"The arguments of {function} are of the wrong number or type."
         return cls(WorkFailureKind.SQL, SQLSTATE_BAD_VALUE, message)
 
-    @classmethod
-    def unknown_function(cls, function: str) -> "WorkError":
-        """Return the error of a call of a function that is not in the contract."""
-        message = f"There is no function {function}."
-        return cls(WorkFailureKind.SQL, SQLSTATE_UNKNOWN_FUNCTION, message)
-
     @classmethod
     def terminated(cls, pid: int) -> "WorkError":
         """Return the error of work on a session that was ended."""
--- a/packages/figcrank-standins/src/figcrank/standins/_virtual_servers.py
+++ b/packages/figcrank-standins/src/figcrank/standins/_virtual_servers.py
@@ -44,7 +44,8 @@
     :param server: its address and availability zone.
     :param model: what it decides and stores.
     :param apply_lag_ms: time between holding an entry durably and showing it to reads.
-    :param silent: whether it takes requests but never answers.
+    :param silent: whether it takes requests, but neither runs nor answers them.
+    :param loses_answers: whether it runs work without answering it.
     """
 
     server: Server
@@ -52,6 +53,7 @@
     slots: int
     alive: bool = True
     silent: bool = False
+    loses_answers: bool = False
     apply_lag_ms: int = 0
     slot_free_ms: list[float] = field(default_factory=list)
     waiters: list[_Waiter] = field(default_factory=list)
@@ -151,7 +153,9 @@
         def done() -> None:
             if not entry.alive or entry.silent:
                 return
-            reply(entry.model.run(session_pid, work))
+            result = entry.model.run(session_pid, work)
+            if not entry.loses_answers:
+                reply(result)
             self.replicate()
 
         self._loop.after(start_ms + self._service_ms - self._loop.now_ms, done)
--- a/packages/figcrank-standins/src/figcrank/standins/_wire.py
+++ b/packages/figcrank-standins/src/figcrank/standins/_wire.py
@@ -8,7 +8,6 @@
 from figcrank.protocol import FigcrankError, Scalar, StatementResult
 
 PROTOCOL_VERSION = 196_608
-CANCEL_REQUEST = 80_877_102
 SSL_REQUEST = 80_877_103
 GSS_REQUEST = 80_877_104
 REFUSE_ENCRYPTION = b"N"
--- a/packages/figcrank-transport/src/figcrank/transport/_control.py
+++ b/packages/figcrank-transport/src/figcrank/transport/_control.py
@@ -34,8 +34,6 @@
 MAX_CONNECTIONS = 3
 # Waiting queries leave a connection free, so that a fence never stands behind one of them.
 MAX_WAITING = 2
-# Time added to the wait that the server itself observes.
-WAIT_MARGIN_MS = 100
 
 
 class ControlClient:
