--- a/packages/figcrank-coordination/src/figcrank/coordination/__init__.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/__init__.py
@@ -5,42 +5,57 @@
 feed their outcomes back as events. Send a ``Tick`` every ``Timings.tick_ms`` milliseconds.
 """
 
-from figcrank.coordination._actions import Action as Action
-from figcrank.coordination._actions import CallPeer as CallPeer
-from figcrank.coordination._actions import CallPlatform as CallPlatform
-from figcrank.coordination._actions import CallServer as CallServer
-from figcrank.coordination._actions import CloseConnection as CloseConnection
-from figcrank.coordination._actions import CountMetric as CountMetric
-from figcrank.coordination._actions import OpenConnection as OpenConnection
-from figcrank.coordination._actions import RecordDecision as RecordDecision
-from figcrank.coordination._actions import RecordSpan as RecordSpan
-from figcrank.coordination._actions import Refuse as Refuse
-from figcrank.coordination._actions import Respond as Respond
-from figcrank.coordination._actions import RespondOperator as RespondOperator
-from figcrank.coordination._actions import RespondPeer as RespondPeer
-from figcrank.coordination._actions import SendGossip as SendGossip
-from figcrank.coordination._actions import SetReady as SetReady
-from figcrank.coordination._actions import StartWork as StartWork
-from figcrank.coordination._actions import Stop as Stop
-from figcrank.coordination._actions import TimeMetric as TimeMetric
-from figcrank.coordination._core import HostCore as HostCore
-from figcrank.coordination._events import ConnectionFailed as ConnectionFailed
-from figcrank.coordination._events import ConnectionOpened as ConnectionOpened
-from figcrank.coordination._events import Credentials as Credentials
-from figcrank.coordination._events import Event as Event
-from figcrank.coordination._events import GossipReceived as GossipReceived
-from figcrank.coordination._events import LeaveRequested as LeaveRequested
-from figcrank.coordination._events import OperatorReceived as OperatorReceived
-from figcrank.coordination._events import PeerFailed as PeerFailed
-from figcrank.coordination._events import PeerReplied as PeerReplied
-from figcrank.coordination._events import PeerRequestReceived as PeerRequestReceived
-from figcrank.coordination._events import PlatformReplied as PlatformReplied
-from figcrank.coordination._events import ServerReplied as ServerReplied
-from figcrank.coordination._events import StatementsReceived as StatementsReceived
-from figcrank.coordination._events import Tick as Tick
-from figcrank.coordination._events import TransactionReceived as TransactionReceived
-from figcrank.coordination._events import WorkFinished as WorkFinished
-from figcrank.coordination._queues import FairQueue as FairQueue
-from figcrank.coordination._queues import Queued as Queued
-from figcrank.coordination._settings import CoreSettings as CoreSettings
-from figcrank.coordination._settings import Timings as Timings
+import importlib
+
+_MODULE_OF = {
+    "Action": "figcrank.coordination._actions",
+    "CallPeer": "figcrank.coordination._actions",
+    "CallPlatform": "figcrank.coordination._actions",
+    "CallServer": "figcrank.coordination._actions",
+    "CloseConnection": "figcrank.coordination._actions",
+    "CountMetric": "figcrank.coordination._actions",
+    "OpenConnection": "figcrank.coordination._actions",
+    "RecordDecision": "figcrank.coordination._actions",
+    "RecordSpan": "figcrank.coordination._actions",
+    "Refuse": "figcrank.coordination._actions",
+    "Respond": "figcrank.coordination._actions",
+    "RespondOperator": "figcrank.coordination._actions",
+    "RespondPeer": "figcrank.coordination._actions",
+    "SendGossip": "figcrank.coordination._actions",
+    "SetReady": "figcrank.coordination._actions",
+    "StartWork": "figcrank.coordination._actions",
+    "Stop": "figcrank.coordination._actions",
+    "TimeMetric": "figcrank.coordination._actions",
+    "HostCore": "figcrank.coordination._core",
+    "ConnectionFailed": "figcrank.coordination._events",
+    "ConnectionOpened": "figcrank.coordination._events",
+    "Credentials": "figcrank.coordination._events",
+    "Event": "figcrank.coordination._events",
+    "GossipReceived": "figcrank.coordination._events",
+    "LeaveRequested": "figcrank.coordination._events",
+    "OperatorReceived": "figcrank.coordination._events",
+    "PeerFailed": "figcrank.coordination._events",
+    "PeerReplied": "figcrank.coordination._events",
+    "PeerRequestReceived": "figcrank.coordination._events",
+    "PlatformReplied": "figcrank.coordination._events",
+    "ServerReplied": "figcrank.coordination._events",
+    "StatementsReceived": "figcrank.coordination._events",
+    "Tick": "figcrank.coordination._events",
+    "TransactionReceived": "figcrank.coordination._events",
+    "WorkFinished": "figcrank.coordination._events",
+    "FairQueue": "figcrank.coordination._queues",
+    "Queued": "figcrank.coordination._queues",
+    "CoreSettings": "figcrank.coordination._settings",
+    "Timings": "figcrank.coordination._settings",
+}
+__all__ = list(_MODULE_OF)
+
+
+def __getattr__(name: str) -> object:
+    """Import a public name on its first use, so that a process loads only what it needs."""
+    module = _MODULE_OF.get(name)
+    if module is None:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    value = getattr(importlib.import_module(module), name)
+    globals()[name] = value
+    return value
--- /dev/null
+++ b/packages/figcrank-coordination/src/figcrank/coordination/fleet/__init__.py
@@ -0,0 +1,4 @@
+"""What one host believes of the whole fleet."""
+
+from figcrank.coordination.fleet._view import FleetView as FleetView
+from figcrank.coordination.fleet._view import PrimaryUse as PrimaryUse
--- /dev/null
+++ b/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
@@ -0,0 +1,213 @@
+"""The belief of one host: configuration, servers, primaries, positions, limits and peers.
+
+Heartbeats carry it from host to host; each part has its own rule for what is newer.
+"""
+
+from enum import Enum, auto
+
+from figcrank.coordination.peers import Peer, PeerTable
+from figcrank.coordination.placement import FreshnessLog
+from figcrank.coordination.primaries import LEASE_MS, PrimaryBook
+from figcrank.coordination.quotas import SharedLimit
+from figcrank.protocol.heartbeats import NEVER_MS, Heartbeat, PrimaryRecord, Trouble
+from figcrank.state._catalog import Catalog, Registry, ServerEntry
+
+SILENT_PEER_MS = 900  # three heartbeats; from then on a peer is taken to spend its whole share
+
+
+class PrimaryUse(Enum):
+    """Whether a group's primary may be used now."""
+
+    USABLE = auto()
+    UNKNOWN = auto()
+    MOVING = auto()
+    NO_LEASE = auto()
+
+
+class FleetView:
+    """Everything that this host believes.
+
+    :param host: its name.
+    :param boot_id: drawn anew at each start.
+    :param address: its heartbeat address.
+    """
+
+    def __init__(self, host: str, boot_id: int, address: tuple[str, int]) -> None:
+        self.host = host
+        self.boot_id = boot_id
+        self.peers = PeerTable(host, address)
+        self.book = PrimaryBook()
+        self.catalog: Catalog | None = None
+        self.registry = Registry()
+        self.registry_ms = NEVER_MS
+        self.store_ok = True
+        self.leaving = False
+        self.confirmed_ms = NEVER_MS
+        self.freshness: dict[str, FreshnessLog] = {}
+        self.limits: dict[str, SharedLimit] = {}
+        self.trouble: dict[str, Trouble] = {}
+        self.quiet: set[str] = set()
+
+    def adopt_catalog(self, catalog: Catalog, now_ms: int) -> bool:
+        """Put a configuration in force; return whether it is newer than the one that was."""
+        if self.catalog is not None and catalog.version <= self.catalog.version:
+            return False
+        self.catalog = catalog
+        for name, workspace in catalog.workspaces.items():
+            limit = self.limits.get(name)
+            if limit is None:
+                self.limits[name] = SharedLimit(workspace.rate_per_s, workspace.burst, now_ms)
+            else:
+                limit.configure(workspace.rate_per_s, workspace.burst)
+        for name in self.limits.keys() - catalog.workspaces.keys():
+            del self.limits[name]
+        return True
+
+    def adopt_registry(
+        self, registry: Registry, as_of_ms: int, now_ms: int, from_peer: bool
+    ) -> bool:
+        """Take in a list of servers; return whether it says anything new."""
+        if registry.revision < self.registry.revision:
+            return False
+        self.registry_ms = max(self.registry_ms, as_of_ms)
+        changed = registry.servers != self.registry.servers
+        if changed or from_peer:
+            # A listing that says nothing new keeps its older revision: peers need not fetch it.
+            self.registry = registry
+        if changed:
+            self.book.adopt_registry(registry, now_ms)
+        return changed
+
+    def freshness_of(self, group: str) -> FreshnessLog:
+        """Return the observed positions of a group's primary."""
+        log = self.freshness.get(group)
+        if log is None:
+            log = self.freshness[group] = FreshnessLog()
+        return log
+
+    def merge_primary(self, group: str, record: PrimaryRecord, now_ms: int) -> bool:
+        """Take in a belief about a primary; return whether it is new."""
+        changed = self.book.merge(group, record, now_ms)
+        if changed and record.term:
+            self.freshness_of(group).forget_before(record.term)
+        return changed
+
+    def primary_use(self, group: str, now_ms: int) -> PrimaryUse:
+        """Return whether the group's primary may be used now."""
+        record = self.book.get(group)
+        if record is None:
+            return PrimaryUse.UNKNOWN
+        if record.moving:
+            return PrimaryUse.MOVING
+        if now_ms - self.lease_since_ms(now_ms) > LEASE_MS:
+            return PrimaryUse.NO_LEASE
+        return PrimaryUse.USABLE
+
+    def lease_since_ms(self, now_ms: int) -> int:
+        """Return when the belief about primaries was last confirmed."""
+        return max(
+            self.confirmed_ms,
+            self.peers.majority_since_ms(now_ms),
+            self.peers.store_confirmed_ms(),
+        )
+
+    def primary_of(self, group: str) -> ServerEntry | None:
+        """Return the entry of the believed primary, ``None`` if it is unknown."""
+        record = self.book.get(group)
+        return self.registry.servers.get(record.server_id) if record else None
+
+    def receive(self, beat: Heartbeat, address: tuple[str, int], now_ms: int) -> list[str]:
+        """Take in a heartbeat; return the groups whose primary it changed."""
+        before = next((p for p in self.peers.all() if p.address == address), None)
+        old_boot = before.beat.boot_id if before and before.beat else beat.boot_id
+        peer = self.peers.receive(beat, address, now_ms)
+        if peer is None:
+            return []
+        self._take_spent(peer, beat, old_boot)
+        self._take_observed(peer, beat)
+        return [
+            group
+            for group, record in beat.primaries.items()
+            if self.merge_primary(group, record, now_ms)
+        ]
+
+    def _take_spent(self, peer: Peer, beat: Heartbeat, old_boot: int) -> None:
+        reporter = f"{peer.name}/{beat.boot_id}"
+        for workspace, (admitted, asked) in beat.spent.items():
+            limit = self.limits.get(workspace)
+            if limit is None:
+                continue
+            if old_boot != beat.boot_id:
+                limit.forget(f"{peer.name}/{old_boot}")
+            limit.report(reporter, admitted, asked)
+            limit.set_silent(reporter, False)
+
+    def _take_observed(self, peer: Peer, beat: Heartbeat) -> None:
+        if peer.since_ms == NEVER_MS:
+            return
+        for group, (position, age_ms) in beat.observed.items():
+            record = self.book.get(group)
+            if record is None or record.moving or record.term != position.term:
+                continue
+            self.freshness_of(group).observe(peer.since_ms - age_ms, position)
+
+    def beat_for(self, peer: Peer, now_ms: int) -> Heartbeat:
+        """Return the heartbeat that a peer is sent now."""
+        echo_ms = peer.beat.sent_ms if peer.beat else NEVER_MS
+        held_ms = now_ms - peer.heard_ms if peer.beat else 0
+        confirmed_ms = max(self.confirmed_ms, self.peers.store_confirmed_ms())
+        return Heartbeat(
+            self.host,
+            self.boot_id,
+            now_ms,
+            echo_ms,
+            held_ms,
+            self.leaving,
+            self.catalog.version if self.catalog else 0,
+            self.registry.revision,
+            _age_ms(self.registry_ms, now_ms),
+            self.store_ok,
+            _age_ms(confirmed_ms, now_ms),
+            self.book.all(),
+            tuple(sorted(self.quiet)),
+            self._observed(now_ms),
+            dict(self.trouble),
+            {name: (limit.admitted, limit.asked) for name, limit in self.limits.items()},
+        )
+
+    def _observed(self, now_ms: int) -> dict:
+        observed = {}
+        for group, log in self.freshness.items():
+            newest = log.newest()
+            if newest is not None:
+                observed[group] = (newest[1], now_ms - newest[0])
+        return observed
+
+    def share_out_limits(self, now_ms: int) -> None:
+        """Begin a new interval of every workspace's limit."""
+        for peer in self.peers.all():
+            if peer.beat is None:
+                continue
+            silent = now_ms - peer.heard_ms > SILENT_PEER_MS
+            reporter = f"{peer.name}/{peer.beat.boot_id}"
+            for limit in self.limits.values():
+                limit.set_silent(reporter, silent)
+        for limit in self.limits.values():
+            limit.share_out(now_ms)
+
+    def expire(self, now_ms: int) -> list[Peer]:
+        """Drop hosts that are gone, and what they spent."""
+        gone = self.peers.expire(now_ms)
+        for peer in gone:
+            for limit in self.limits.values():
+                if peer.beat:
+                    limit.forget(f"{peer.name}/{peer.beat.boot_id}")
+        return gone
+
+    def hosts(self, now_ms: int) -> int:
+        """Return how many hosts may hold connections now, this one included."""
+        return 1 + len(self.peers.live(now_ms))
+
+
+def _age_ms(at_ms: int, now_ms: int) -> int:
+    return NEVER_MS if at_ms == NEVER_MS else now_ms - at_ms
--- /dev/null
+++ b/packages/figcrank-coordination/src/figcrank/coordination/peers/__init__.py
@@ -0,0 +1,4 @@
+"""Which other hosts are alive, and how recent what they say is."""
+
+from figcrank.coordination.peers._table import Peer as Peer
+from figcrank.coordination.peers._table import PeerTable as PeerTable
--- /dev/null
+++ b/packages/figcrank-coordination/src/figcrank/coordination/peers/_table.py
@@ -0,0 +1,122 @@
+"""The other hosts as this host hears them.
+
+A datagram may be late by any time, so the age of what it says is counted from this host's own
+clock: a heartbeat that repeats the time of one of ours was sent after that time.
+"""
+
+from dataclasses import dataclass
+
+from figcrank.protocol.heartbeats import NEVER_MS, Heartbeat
+
+LIVE_MS = 1_200  # four heartbeats; single datagrams get lost
+FORGET_MS = 15_000  # longer than any restart; a replaced host has another address by then
+WATCHERS = 2  # hosts that read the store for all; one may fail unnoticed for a second
+
+
+@dataclass(slots=True)
+class Peer:
+    """What is known of one other host.
+
+    :param name: its name, empty until it was heard.
+    :param address: ``(ip, port)`` of its heartbeats.
+    :param heard_ms: when its last heartbeat arrived; ``NEVER_MS`` if none has.
+    :param since_ms: a time after which its last heartbeat was sent, by this host's clock.
+    :param beat: its last heartbeat.
+    """
+
+    name: str
+    address: tuple[str, int]
+    known_ms: int
+    heard_ms: int = NEVER_MS
+    since_ms: int = NEVER_MS
+    beat: Heartbeat | None = None
+
+
+class PeerTable:
+    """All other hosts.
+
+    :param host: this host's name.
+    :param address: this host's own heartbeat address, which is never a peer.
+    """
+
+    def __init__(self, host: str, address: tuple[str, int]) -> None:
+        self._host = host
+        self._address = address
+        self._peers: dict[tuple[str, int], Peer] = {}
+
+    def register(self, name: str, address: tuple[str, int], now_ms: int) -> None:
+        """Take in a host that a listing or another peer names."""
+        if address == self._address or name == self._host:
+            return
+        known = self._peers.get(address)
+        if known is None:
+            self._peers[address] = Peer(name, address, now_ms)
+        elif name and not known.name:
+            known.name = name
+
+    def receive(self, beat: Heartbeat, address: tuple[str, int], now_ms: int) -> Peer | None:
+        """Take in a heartbeat; return its sender, ``None`` if it is older than the last one."""
+        if beat.host == self._host or address == self._address:
+            return None
+        peer = self._peers.setdefault(address, Peer(beat.host, address, now_ms))
+        last = peer.beat
+        if last and last.boot_id == beat.boot_id and last.sent_ms > beat.sent_ms:
+            return None
+        peer.name = beat.host
+        peer.beat = beat
+        peer.heard_ms = now_ms
+        if beat.echo_ms != NEVER_MS and beat.echo_ms <= now_ms:
+            peer.since_ms = max(peer.since_ms, min(now_ms, beat.echo_ms + beat.echo_held_ms))
+        return peer
+
+    def expire(self, now_ms: int) -> list[Peer]:
+        """Drop and return the hosts that have been silent too long to come back."""
+        gone = [
+            peer
+            for peer in self._peers.values()
+            if now_ms - max(peer.heard_ms, peer.known_ms) > FORGET_MS
+        ]
+        for peer in gone:
+            del self._peers[peer.address]
+        return gone
+
+    def all(self) -> list[Peer]:
+        """Return every known host."""
+        return list(self._peers.values())
+
+    def live(self, now_ms: int) -> list[Peer]:
+        """Return the hosts that were heard lately."""
+        return [peer for peer in self._peers.values() if self.is_live(peer, now_ms)]
+
+    @staticmethod
+    def is_live(peer: Peer, now_ms: int) -> bool:
+        """Return whether a host was heard lately."""
+        return peer.heard_ms != NEVER_MS and now_ms - peer.heard_ms <= LIVE_MS
+
+    def majority_since_ms(self, now_ms: int) -> int:
+        """Return the newest time since which a majority of hosts, this one included, was heard."""
+        times = sorted([now_ms, *(peer.since_ms for peer in self._peers.values())], reverse=True)
+        return times[len(times) // 2]
+
+    def store_confirmed_ms(self) -> int:
+        """Return the newest time at which a peer had the primaries confirmed by the store."""
+        times = [
+            peer.since_ms - peer.beat.confirmed_age_ms
+            for peer in self._peers.values()
+            if peer.beat and peer.since_ms != NEVER_MS and peer.beat.confirmed_age_ms != NEVER_MS
+        ]
+        return max(times, default=NEVER_MS)
+
+    def watchers(self, now_ms: int, self_fit: bool) -> list[str]:
+        """Return the names of the hosts that read the store for all.
+
+        :param self_fit: whether this host reaches the store and is not leaving.
+        """
+        fit = [
+            peer.name
+            for peer in self.live(now_ms)
+            if peer.beat and peer.beat.store_ok and not peer.beat.leaving
+        ]
+        if self_fit:
+            fit.append(self._host)
+        return sorted(fit)[:WATCHERS]
--- /dev/null
+++ b/packages/figcrank-coordination/src/figcrank/coordination/primaries/__init__.py
@@ -0,0 +1,10 @@
+"""Who leads each database group, when it may be used, and when and by whom it is replaced."""
+
+from figcrank.coordination.primaries._book import LEASE_MS as LEASE_MS
+from figcrank.coordination.primaries._book import PrimaryBook as PrimaryBook
+from figcrank.coordination.primaries._replacement import Evidence as Evidence
+from figcrank.coordination.primaries._replacement import Fence as Fence
+from figcrank.coordination.primaries._replacement import Reason as Reason
+from figcrank.coordination.primaries._replacement import best_candidates as best_candidates
+from figcrank.coordination.primaries._replacement import may_promote as may_promote
+from figcrank.coordination.primaries._replacement import reason_to_replace as reason_to_replace
--- /dev/null
+++ b/packages/figcrank-coordination/src/figcrank/coordination/sessions/__init__.py
@@ -0,0 +1,7 @@
+"""What a session is told and what is tried next when a statement fails."""
+
+from figcrank.coordination.sessions._retries import Step as Step
+from figcrank.coordination.sessions._retries import after_failed_start as after_failed_start
+from figcrank.coordination.sessions._retries import after_lost_commit as after_lost_commit
+from figcrank.coordination.sessions._retries import after_read as after_read
+from figcrank.coordination.sessions._retries import after_write as after_write
--- a/packages/figcrank-protocol/src/figcrank/protocol/__init__.py
+++ b/packages/figcrank-protocol/src/figcrank/protocol/__init__.py
@@ -1,98 +1,111 @@
 """Typed messages and failures of every hop; see :mod:`figcrank.protocol.codecs` for JSON."""
 
-from figcrank.protocol._backend import REQUESTS_TABLE as REQUESTS_TABLE
-from figcrank.protocol._backend import SQLSTATE_BEHIND as SQLSTATE_BEHIND
-from figcrank.protocol._backend import SQLSTATE_NOT_PRIMARY as SQLSTATE_NOT_PRIMARY
-from figcrank.protocol._backend import SQLSTATE_STALE_TERM as SQLSTATE_STALE_TERM
-from figcrank.protocol._backend import (
-    SQLSTATE_TOO_MANY_CONNECTIONS as SQLSTATE_TOO_MANY_CONNECTIONS,
-)
-from figcrank.protocol._backend import BeginWork as BeginWork
-from figcrank.protocol._backend import CommitWork as CommitWork
-from figcrank.protocol._backend import Fence as Fence
-from figcrank.protocol._backend import Follow as Follow
-from figcrank.protocol._backend import Lookup as Lookup
-from figcrank.protocol._backend import Promote as Promote
-from figcrank.protocol._backend import QueryStatus as QueryStatus
-from figcrank.protocol._backend import ReadWork as ReadWork
-from figcrank.protocol._backend import RecordReply as RecordReply
-from figcrank.protocol._backend import RollbackWork as RollbackWork
-from figcrank.protocol._backend import ServerFailure as ServerFailure
-from figcrank.protocol._backend import ServerFailureKind as ServerFailureKind
-from figcrank.protocol._backend import ServerReply as ServerReply
-from figcrank.protocol._backend import ServerRequest as ServerRequest
-from figcrank.protocol._backend import StatementsWork as StatementsWork
-from figcrank.protocol._backend import StatusReply as StatusReply
-from figcrank.protocol._backend import Work as Work
-from figcrank.protocol._backend import WorkDone as WorkDone
-from figcrank.protocol._backend import WorkFailed as WorkFailed
-from figcrank.protocol._backend import WorkFailureKind as WorkFailureKind
-from figcrank.protocol._backend import WorkResult as WorkResult
-from figcrank.protocol._backend import WriteWork as WriteWork
-from figcrank.protocol._failures import Failure as Failure
-from figcrank.protocol._failures import FailureKind as FailureKind
-from figcrank.protocol._failures import FigcrankError as FigcrankError
-from figcrank.protocol._failures import MessageError as MessageError
-from figcrank.protocol._failures import Outcome as Outcome
-from figcrank.protocol._failures import RequestError as RequestError
-from figcrank.protocol._failures import SettingProblem as SettingProblem
-from figcrank.protocol._failures import SettingsError as SettingsError
-from figcrank.protocol._operator import Accepted as Accepted
-from figcrank.protocol._operator import ConfigList as ConfigList
-from figcrank.protocol._operator import Decision as Decision
-from figcrank.protocol._operator import DecisionList as DecisionList
-from figcrank.protocol._operator import DrainServer as DrainServer
-from figcrank.protocol._operator import EditConflict as EditConflict
-from figcrank.protocol._operator import EditDone as EditDone
-from figcrank.protocol._operator import EditObject as EditObject
-from figcrank.protocol._operator import Explain as Explain
-from figcrank.protocol._operator import FleetStatus as FleetStatus
-from figcrank.protocol._operator import GroupStatus as GroupStatus
-from figcrank.protocol._operator import HostStatus as HostStatus
-from figcrank.protocol._operator import LimitStatus as LimitStatus
-from figcrank.protocol._operator import ListConfig as ListConfig
-from figcrank.protocol._operator import OperatorFailure as OperatorFailure
-from figcrank.protocol._operator import OperatorReply as OperatorReply
-from figcrank.protocol._operator import OperatorRequest as OperatorRequest
-from figcrank.protocol._operator import StatusQuery as StatusQuery
-from figcrank.protocol._operator import SwitchPrimary as SwitchPrimary
-from figcrank.protocol._peer import Ack as Ack
-from figcrank.protocol._peer import ConfigPull as ConfigPull
-from figcrank.protocol._peer import ConfigPush as ConfigPush
-from figcrank.protocol._peer import Demand as Demand
-from figcrank.protocol._peer import DemandReport as DemandReport
-from figcrank.protocol._peer import Digest as Digest
-from figcrank.protocol._peer import Gossip as Gossip
-from figcrank.protocol._peer import GroupReport as GroupReport
-from figcrank.protocol._peer import HomeHandover as HomeHandover
-from figcrank.protocol._peer import MemberUpdate as MemberUpdate
-from figcrank.protocol._peer import OwnedAnswer as OwnedAnswer
-from figcrank.protocol._peer import OwnedFailure as OwnedFailure
-from figcrank.protocol._peer import OwnedRequest as OwnedRequest
-from figcrank.protocol._peer import PeerReply as PeerReply
-from figcrank.protocol._peer import PeerRequest as PeerRequest
-from figcrank.protocol._peer import Ping as Ping
-from figcrank.protocol._peer import PingRequest as PingRequest
-from figcrank.protocol._peer import Slice as Slice
-from figcrank.protocol._peer import SliceGrants as SliceGrants
-from figcrank.protocol._peer import TransactionStep as TransactionStep
-from figcrank.protocol._platform import GetObject as GetObject
-from figcrank.protocol._platform import HostList as HostList
-from figcrank.protocol._platform import ListHosts as ListHosts
-from figcrank.protocol._platform import ListObjects as ListObjects
-from figcrank.protocol._platform import ObjectList as ObjectList
-from figcrank.protocol._platform import PlatformCall as PlatformCall
-from figcrank.protocol._platform import PlatformFailed as PlatformFailed
-from figcrank.protocol._platform import PlatformHost as PlatformHost
-from figcrank.protocol._platform import PlatformResult as PlatformResult
-from figcrank.protocol._platform import PutConflict as PutConflict
-from figcrank.protocol._platform import PutDone as PutDone
-from figcrank.protocol._platform import PutObject as PutObject
-from figcrank.protocol._platform import StoredObject as StoredObject
-from figcrank.protocol._platform import WatchObjects as WatchObjects
-from figcrank.protocol._statements import AnswerBody as AnswerBody
-from figcrank.protocol._statements import Scalar as Scalar
-from figcrank.protocol._statements import Statement as Statement
-from figcrank.protocol._statements import StatementResult as StatementResult
-from figcrank.protocol._statements import StatementsBody as StatementsBody
-from figcrank.protocol._statements import is_read as is_read
+import importlib
+
+_MODULE_OF = {
+    "REQUESTS_TABLE": "figcrank.protocol._backend",
+    "SQLSTATE_BEHIND": "figcrank.protocol._backend",
+    "SQLSTATE_NOT_PRIMARY": "figcrank.protocol._backend",
+    "SQLSTATE_STALE_TERM": "figcrank.protocol._backend",
+    "SQLSTATE_TOO_MANY_CONNECTIONS": "figcrank.protocol._backend",
+    "BeginWork": "figcrank.protocol._backend",
+    "CommitWork": "figcrank.protocol._backend",
+    "Fence": "figcrank.protocol._backend",
+    "Follow": "figcrank.protocol._backend",
+    "Lookup": "figcrank.protocol._backend",
+    "Promote": "figcrank.protocol._backend",
+    "QueryStatus": "figcrank.protocol._backend",
+    "ReadWork": "figcrank.protocol._backend",
+    "RecordReply": "figcrank.protocol._backend",
+    "RollbackWork": "figcrank.protocol._backend",
+    "ServerFailure": "figcrank.protocol._backend",
+    "ServerFailureKind": "figcrank.protocol._backend",
+    "ServerReply": "figcrank.protocol._backend",
+    "ServerRequest": "figcrank.protocol._backend",
+    "StatementsWork": "figcrank.protocol._backend",
+    "StatusReply": "figcrank.protocol._backend",
+    "Work": "figcrank.protocol._backend",
+    "WorkDone": "figcrank.protocol._backend",
+    "WorkFailed": "figcrank.protocol._backend",
+    "WorkFailureKind": "figcrank.protocol._backend",
+    "WorkResult": "figcrank.protocol._backend",
+    "WriteWork": "figcrank.protocol._backend",
+    "Failure": "figcrank.protocol._failures",
+    "FailureKind": "figcrank.protocol._failures",
+    "FigcrankError": "figcrank.protocol._failures",
+    "MessageError": "figcrank.protocol._failures",
+    "Outcome": "figcrank.protocol._failures",
+    "RequestError": "figcrank.protocol._failures",
+    "SettingProblem": "figcrank.protocol._failures",
+    "SettingsError": "figcrank.protocol._failures",
+    "Accepted": "figcrank.protocol._operator",
+    "ConfigList": "figcrank.protocol._operator",
+    "Decision": "figcrank.protocol._operator",
+    "DecisionList": "figcrank.protocol._operator",
+    "DrainServer": "figcrank.protocol._operator",
+    "EditConflict": "figcrank.protocol._operator",
+    "EditDone": "figcrank.protocol._operator",
+    "EditObject": "figcrank.protocol._operator",
+    "Explain": "figcrank.protocol._operator",
+    "FleetStatus": "figcrank.protocol._operator",
+    "GroupStatus": "figcrank.protocol._operator",
+    "HostStatus": "figcrank.protocol._operator",
+    "LimitStatus": "figcrank.protocol._operator",
+    "ListConfig": "figcrank.protocol._operator",
+    "OperatorFailure": "figcrank.protocol._operator",
+    "OperatorReply": "figcrank.protocol._operator",
+    "OperatorRequest": "figcrank.protocol._operator",
+    "StatusQuery": "figcrank.protocol._operator",
+    "SwitchPrimary": "figcrank.protocol._operator",
+    "Ack": "figcrank.protocol._peer",
+    "ConfigPull": "figcrank.protocol._peer",
+    "ConfigPush": "figcrank.protocol._peer",
+    "Demand": "figcrank.protocol._peer",
+    "DemandReport": "figcrank.protocol._peer",
+    "Digest": "figcrank.protocol._peer",
+    "Gossip": "figcrank.protocol._peer",
+    "GroupReport": "figcrank.protocol._peer",
+    "HomeHandover": "figcrank.protocol._peer",
+    "MemberUpdate": "figcrank.protocol._peer",
+    "OwnedAnswer": "figcrank.protocol._peer",
+    "OwnedFailure": "figcrank.protocol._peer",
+    "OwnedRequest": "figcrank.protocol._peer",
+    "PeerReply": "figcrank.protocol._peer",
+    "PeerRequest": "figcrank.protocol._peer",
+    "Ping": "figcrank.protocol._peer",
+    "PingRequest": "figcrank.protocol._peer",
+    "Slice": "figcrank.protocol._peer",
+    "SliceGrants": "figcrank.protocol._peer",
+    "TransactionStep": "figcrank.protocol._peer",
+    "GetObject": "figcrank.protocol._platform",
+    "HostList": "figcrank.protocol._platform",
+    "ListHosts": "figcrank.protocol._platform",
+    "ListObjects": "figcrank.protocol._platform",
+    "ObjectList": "figcrank.protocol._platform",
+    "PlatformCall": "figcrank.protocol._platform",
+    "PlatformFailed": "figcrank.protocol._platform",
+    "PlatformHost": "figcrank.protocol._platform",
+    "PlatformResult": "figcrank.protocol._platform",
+    "PutConflict": "figcrank.protocol._platform",
+    "PutDone": "figcrank.protocol._platform",
+    "PutObject": "figcrank.protocol._platform",
+    "StoredObject": "figcrank.protocol._platform",
+    "WatchObjects": "figcrank.protocol._platform",
+    "AnswerBody": "figcrank.protocol._statements",
+    "Scalar": "figcrank.protocol._statements",
+    "Statement": "figcrank.protocol._statements",
+    "StatementResult": "figcrank.protocol._statements",
+    "StatementsBody": "figcrank.protocol._statements",
+    "is_read": "figcrank.protocol._statements",
+}
+__all__ = list(_MODULE_OF)
+
+
+def __getattr__(name: str) -> object:
+    """Import a public name on its first use, so that a process loads only what it needs."""
+    module = _MODULE_OF.get(name)
+    if module is None:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    value = getattr(importlib.import_module(module), name)
+    globals()[name] = value
+    return value
--- /dev/null
+++ b/packages/figcrank-protocol/src/figcrank/protocol/heartbeats.py
@@ -0,0 +1,127 @@
+"""The heartbeat that hosts of the session proxy send each other, one UDP datagram of JSON."""
+
+import json
+from dataclasses import dataclass, field
+
+from figcrank.state._positions import Position
+
+NEVER_MS = -1  # stands for an age or time that does not exist
+
+
+class HeartbeatError(ValueError):
+    """A datagram that is no heartbeat."""
+
+
+@dataclass(frozen=True, slots=True)
+class PrimaryRecord:
+    """Who leads a database group.
+
+    :param version: grows with each change; the higher one holds.
+    :param term: the term that the server leads; 0 while unknown.
+    :param server_id: the primary; while moving, the one that is being replaced.
+    :param moving: whether a replacement is under way and the old primary must not be used.
+    """
+
+    version: int
+    term: int
+    server_id: str
+    moving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Trouble:
+    """A primary that does not answer a host.
+
+    :param failing_ms: for how long.
+    :param refused: whether no process listens at its address.
+    """
+
+    failing_ms: int
+    refused: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """What one host tells another.
+
+    :param host: name of the sender.
+    :param boot_id: drawn anew at each start of the sender.
+    :param sent_ms: the sender's clock.
+    :param echo_ms: the receiver's clock in the last heartbeat that the sender had from it.
+    :param echo_held_ms: how long ago that arrived, by the sender's clock.
+    :param leaving: whether the sender is about to stop.
+    :param catalog_version: version of its configuration.
+    :param registry_revision: revision of its list of servers.
+    :param registry_age_ms: age of that list.
+    :param store_ok: whether its last calls to the store were answered.
+    :param confirmed_age_ms: age of its newest confirmation of the primaries from the store.
+    :param primaries: its belief by group.
+    :param quiet: groups whose replaced primary it has no statement at.
+    :param observed: newest position of each group's primary with its age.
+    :param trouble: groups whose primary does not answer it.
+    :param spent: admitted and asked operations since its start, by workspace.
+    """
+
+    host: str
+    boot_id: int
+    sent_ms: int
+    echo_ms: int = NEVER_MS
+    echo_held_ms: int = 0
+    leaving: bool = False
+    catalog_version: int = 0
+    registry_revision: int = 0
+    registry_age_ms: int = NEVER_MS
+    store_ok: bool = True
+    confirmed_age_ms: int = NEVER_MS
+    primaries: dict[str, PrimaryRecord] = field(default_factory=dict)
+    quiet: tuple[str, ...] = ()
+    observed: dict[str, tuple[Position, int]] = field(default_factory=dict)
+    trouble: dict[str, Trouble] = field(default_factory=dict)
+    spent: dict[str, tuple[int, int]] = field(default_factory=dict)
+
+
+def encode_heartbeat(beat: Heartbeat) -> bytes:
+    """Return the datagram of a heartbeat."""
+    fields = (
+        [beat.host, beat.boot_id, beat.sent_ms, beat.echo_ms, beat.echo_held_ms],
+        [int(beat.leaving), beat.catalog_version, beat.registry_revision, beat.registry_age_ms],
+        [int(beat.store_ok), beat.confirmed_age_ms],
+        {g: [r.version, r.term, r.server_id, int(r.moving)] for g, r in beat.primaries.items()},
+        beat.quiet,
+        {g: [p.term, p.offset, age_ms] for g, (p, age_ms) in beat.observed.items()},
+        {g: [t.failing_ms, int(t.refused)] for g, t in beat.trouble.items()},
+        beat.spent,
+    )
+    return json.dumps(fields, separators=(",", ":")).encode()
+
+
+def decode_heartbeat(data: bytes) -> Heartbeat:
+    """Return the heartbeat of a datagram.
+
+    :raises HeartbeatError: if it is none.
+    """
+    try:
+        who, state, store, primaries, quiet, observed, trouble, spent = json.loads(data)
+        host, boot_id, sent_ms, echo_ms, echo_held_ms = who
+        leaving, catalog_version, registry_revision, registry_age_ms = state
+        store_ok, confirmed_age_ms = store
+        return Heartbeat(
+            str(host),
+            int(boot_id),
+            int(sent_ms),
+            int(echo_ms),
+            int(echo_held_ms),
+            bool(leaving),
+            int(catalog_version),
+            int(registry_revision),
+            int(registry_age_ms),
+            bool(store_ok),
+            int(confirmed_age_ms),
+            {g: PrimaryRecord(int(v), int(t), s, bool(m)) for g, (v, t, s, m) in primaries.items()},
+            tuple(quiet),
+            {g: (Position(int(t), int(n)), int(age)) for g, (t, n, age) in observed.items()},
+            {g: Trouble(int(ms), bool(refused)) for g, (ms, refused) in trouble.items()},
+            {w: (int(admitted), int(asked)) for w, (admitted, asked) in spent.items()},
+        )
+    except (ValueError, TypeError, AttributeError, RecursionError) as error:
+        raise HeartbeatError(f"a datagram of {len(data)} bytes is no heartbeat: {error}") from error
--- a/packages/figcrank-state/src/figcrank/state/__init__.py
+++ b/packages/figcrank-state/src/figcrank/state/__init__.py
@@ -1,29 +1,44 @@
 """Values that decisions are made on; nothing here performs input or output."""
 
-from figcrank.state._buckets import MILLI as MILLI
-from figcrank.state._buckets import TokenBucket as TokenBucket
-from figcrank.state._clock import Clock as Clock
-from figcrank.state._clock import ManualClock as ManualClock
-from figcrank.state._config import ConfigObject as ConfigObject
-from figcrank.state._config import ConfigSnapshot as ConfigSnapshot
-from figcrank.state._config import ConfigValue as ConfigValue
-from figcrank.state._config import ObjectId as ObjectId
-from figcrank.state._groups import Group as Group
-from figcrank.state._groups import Server as Server
-from figcrank.state._groups import ServerRole as ServerRole
-from figcrank.state._groups import ServerStatus as ServerStatus
-from figcrank.state._hosts import Host as Host
-from figcrank.state._hosts import HostState as HostState
-from figcrank.state._positions import ORIGIN as ORIGIN
-from figcrank.state._positions import Position as Position
-from figcrank.state._profiles import Profile as Profile
-from figcrank.state._profiles import ProfileMode as ProfileMode
-from figcrank.state._randomness import RandomSource as RandomSource
-from figcrank.state._sessions import GroupPosition as GroupPosition
-from figcrank.state._sessions import Session as Session
-from figcrank.state._workspaces import Key as Key
-from figcrank.state._workspaces import PresentedKey as PresentedKey
-from figcrank.state._workspaces import Route as Route
-from figcrank.state._workspaces import Service as Service
-from figcrank.state._workspaces import Workspace as Workspace
-from figcrank.state._workspaces import key_digest as key_digest
+import importlib
+
+_MODULE_OF = {
+    "MILLI": "figcrank.state._buckets",
+    "TokenBucket": "figcrank.state._buckets",
+    "Clock": "figcrank.state._clock",
+    "ManualClock": "figcrank.state._clock",
+    "ConfigObject": "figcrank.state._config",
+    "ConfigSnapshot": "figcrank.state._config",
+    "ConfigValue": "figcrank.state._config",
+    "ObjectId": "figcrank.state._config",
+    "Group": "figcrank.state._groups",
+    "Server": "figcrank.state._groups",
+    "ServerRole": "figcrank.state._groups",
+    "ServerStatus": "figcrank.state._groups",
+    "Host": "figcrank.state._hosts",
+    "HostState": "figcrank.state._hosts",
+    "ORIGIN": "figcrank.state._positions",
+    "Position": "figcrank.state._positions",
+    "Profile": "figcrank.state._profiles",
+    "ProfileMode": "figcrank.state._profiles",
+    "RandomSource": "figcrank.state._randomness",
+    "GroupPosition": "figcrank.state._sessions",
+    "Session": "figcrank.state._sessions",
+    "Key": "figcrank.state._workspaces",
+    "PresentedKey": "figcrank.state._workspaces",
+    "Route": "figcrank.state._workspaces",
+    "Service": "figcrank.state._workspaces",
+    "Workspace": "figcrank.state._workspaces",
+    "key_digest": "figcrank.state._workspaces",
+}
+__all__ = list(_MODULE_OF)
+
+
+def __getattr__(name: str) -> object:
+    """Import a public name on its first use, so that a process loads only what it needs."""
+    module = _MODULE_OF.get(name)
+    if module is None:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    value = getattr(importlib.import_module(module), name)
+    globals()[name] = value
+    return value
--- a/packages/figcrank-transport/src/figcrank/transport/__init__.py
+++ b/packages/figcrank-transport/src/figcrank/transport/__init__.py
@@ -1,12 +1,27 @@
 """Eventlet servers and clients that drive a figcrank host core."""
 
-from figcrank.transport._clock import MonotonicClock as MonotonicClock
-from figcrank.transport._driver import HostDriver as HostDriver
-from figcrank.transport._http_client import HttpCallError as HttpCallError
-from figcrank.transport._http_client import HttpClient as HttpClient
-from figcrank.transport._http_client import HttpReply as HttpReply
-from figcrank.transport._process import HostProcess as HostProcess
-from figcrank.transport._psycopg import Login as Login
-from figcrank.transport._settings import HostSettings as HostSettings
-from figcrank.transport._settings import Settings as Settings
-from figcrank.transport._telemetry import configure_logging as configure_logging
+import importlib
+
+_MODULE_OF = {
+    "MonotonicClock": "figcrank.transport._clock",
+    "HostDriver": "figcrank.transport._driver",
+    "HttpCallError": "figcrank.transport._http_client",
+    "HttpClient": "figcrank.transport._http_client",
+    "HttpReply": "figcrank.transport._http_client",
+    "HostProcess": "figcrank.transport._process",
+    "Login": "figcrank.transport._psycopg",
+    "HostSettings": "figcrank.transport._settings",
+    "Settings": "figcrank.transport._settings",
+    "configure_logging": "figcrank.transport._telemetry",
+}
+__all__ = list(_MODULE_OF)
+
+
+def __getattr__(name: str) -> object:
+    """Import a public name on its first use, so that a process loads only what it needs."""
+    module = _MODULE_OF.get(name)
+    if module is None:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    value = getattr(importlib.import_module(module), name)
+    globals()[name] = value
+    return value
--- /dev/null
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_ports.py
@@ -0,0 +1,120 @@
+"""What the session proxy needs of a deployment's store and of its failover call."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass, field
+from enum import Enum, auto
+
+from figcrank.protocol.heartbeats import PrimaryRecord
+from figcrank.state._catalog import Catalog, Registry
+
+
+class StoreErrorKind(Enum):
+    """Why a call to the store gave nothing."""
+
+    NOT_DONE = auto()
+    UNKNOWN = auto()
+    CONFLICT = auto()
+    MISSING = auto()
+    HISTORY_GONE = auto()
+    UNREADABLE = auto()
+
+
+class StoreError(Exception):
+    """A call to the store that failed.
+
+    :param kind: what is known of its effect.
+    :param detail: what was seen.
+    """
+
+    def __init__(self, kind: StoreErrorKind, detail: str) -> None:
+        super().__init__(f"{kind.name.lower()}: {detail}")
+        self.kind = kind
+        self.detail = detail
+
+
+@dataclass(frozen=True, slots=True)
+class StoredPrimaries:
+    """The record of primaries that the store keeps for the fleet.
+
+    :param revision: its revision; 0 if it was never written.
+    :param holder: host that may promote.
+    :param token: grows whenever the holder changes.
+    :param records: by group.
+    """
+
+    revision: int = 0
+    holder: str = ""
+    token: int = 0
+    records: dict[str, PrimaryRecord] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class CatalogDocument:
+    """The configuration as the store holds it.
+
+    :param revision: the store's revision at the reading.
+    :param content: its text, for peers that can't reach the store; empty if nothing changed.
+    """
+
+    revision: int
+    content: bytes
+
+
+class Store(ABC):
+    """The platform's store; every call raises :class:`StoreError` when it gives nothing."""
+
+    @abstractmethod
+    def read_catalog(self) -> CatalogDocument:
+        """Return the configuration."""
+
+    @abstractmethod
+    def await_catalog(self, after_revision: int, wait_ms: int) -> CatalogDocument:
+        """Return the configuration once it changes after a revision, or nothing in time."""
+
+    @abstractmethod
+    def decode_catalog(self, content: bytes) -> Catalog:
+        """Return what a configuration's text says.
+
+        :raises ValueError: if it can't be read.
+        """
+
+    @abstractmethod
+    def list_servers(self) -> Registry:
+        """Return the registered backend servers; entries that can't be read are left out."""
+
+    @abstractmethod
+    def list_hosts(self) -> list[tuple[str, tuple[str, int]]]:
+        """Return the names and heartbeat addresses of the registered hosts."""
+
+    @abstractmethod
+    def register_host(self, host: str, address: tuple[str, int]) -> None:
+        """Write a host's heartbeat address."""
+
+    @abstractmethod
+    def remove_host(self, host: str) -> None:
+        """Remove a host's entry."""
+
+    @abstractmethod
+    def read_primaries(self) -> StoredPrimaries:
+        """Return the record of primaries; an empty one if none was written."""
+
+    @abstractmethod
+    def write_primaries(self, value: StoredPrimaries) -> StoredPrimaries:
+        """Replace the record if its revision still is ``value.revision``; return the new one."""
+
+
+class PromoteOutcome(Enum):
+    """What became of an order to promote a server."""
+
+    ACCEPTED = auto()
+    NOT_DONE = auto()
+    REJECTED = auto()
+    UNKNOWN = auto()
+
+
+class FailoverService(ABC):
+    """The deployment's call that makes a server the primary."""
+
+    @abstractmethod
+    def promote(self, group: str, server_id: str, holder: str, token: int) -> PromoteOutcome:
+        """Order that a server takes over its group."""
--- /dev/null
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
@@ -0,0 +1,422 @@
+"""One caller's session: a connection with values, prepared statements and a transaction."""
+
+from dataclasses import dataclass, field
+
+import eventlet
+from eventlet.green import socket
+
+from figcrank.coordination.sessions import after_lost_commit
+from figcrank.protocol.sessions import (
+    CallerCodec,
+    CallerMessage,
+    Goodbye,
+    Hello,
+    Request,
+    SessionFailure,
+    TransactionState,
+    Unreadable,
+    Verb,
+)
+from figcrank.state._catalog import Catalog, DatabaseRoute
+from figcrank.state._clock import Clock
+from figcrank.state._positions import Position
+from figcrank.transport.streams._connection import ServerConnection
+from figcrank.transport.streams._log import EventLog
+from figcrank.transport.streams._metrics import Metrics
+from figcrank.transport.streams._pool import ServerPool
+from figcrank.transport.streams._router import Router
+from figcrank.transport.streams._work import Answer, Statement, StatementRunner
+
+RECEIVE_BYTES = 16_384
+HELLO_MS = 10_000  # a connection that says nothing for so long is no caller
+UNANSWERED_MS = 2_000  # callers don't wait longer for the welcome
+MAX_VALUES = 64  # values and prepared statements that one session may keep
+LOCAL_VERBS = (Verb.SET, Verb.PREPARE, Verb.DEALLOCATE)
+
+
+@dataclass(slots=True)
+class Prepared:
+    """A prepared statement as the caller named it.
+
+    :param is_write: whether it changes data.
+    :param shape: what it runs.
+    """
+
+    is_write: bool
+    shape: str
+
+
+@dataclass(slots=True)
+class Transaction:
+    """A transaction under way.
+
+    :param begin: the request that opened it.
+    :param read_only: whether the caller declared it so.
+    :param route: the route as it was at the beginning.
+    :param workspace: workspace that it runs for.
+    :param pool: server that it runs at, ``None`` before its first statement.
+    :param connection: its connection there.
+    :param wrote: whether a changing statement was sent.
+    :param failed: whether it can only be rolled back.
+    """
+
+    begin: Request
+    read_only: bool
+    route: DatabaseRoute
+    workspace: str
+    pool: ServerPool | None = None
+    connection: ServerConnection | None = None
+    wrote: bool = False
+    failed: bool = False
+
+
+@dataclass(slots=True)
+class SessionServices:
+    """What sessions share.
+
+    :param codec: the callers' wire format.
+    :param router: the servers.
+    :param runner: runs statements.
+    :param clock: this host's clock.
+    :param log: where decisions are written.
+    :param metrics: where they are counted.
+    """
+
+    codec: CallerCodec
+    router: Router
+    runner: StatementRunner
+    clock: Clock
+    log: EventLog
+    metrics: Metrics
+    sessions: set["CallerSession"] = field(default_factory=set)
+    draining: bool = False
+    refuse_transactions_from_ms: int | None = None
+
+
+class CallerSession:
+    """Serves one caller's connection.
+
+    :param sock: the connection.
+    :param services: what sessions share.
+    """
+
+    def __init__(self, sock: socket.socket, services: SessionServices) -> None:
+        self._sock = sock
+        self._services = services
+        self._decoder = services.codec.decoder()
+        self._inbox: list[CallerMessage] = []
+        self._database = ""
+        self._key = ""
+        self.values: dict[str, str] = {}
+        self.prepared: dict[str, Prepared] = {}
+        self._transaction: Transaction | None = None
+        self.written: dict[str, Position] = {}
+        self._waiting = False
+        self._leaving = False
+
+    # Reading and writing.
+
+    def run(self) -> None:
+        """Serve the connection until it ends."""
+        self._services.sessions.add(self)
+        try:
+            self._serve()
+        except OSError:
+            # The caller is gone; what it had open is rolled back below.
+            self._services.metrics.count("sessions_broken")
+        finally:
+            self._services.sessions.discard(self)
+            self._abandon_transaction()
+            self._sock.close()
+
+    def _serve(self) -> None:
+        hello = self._next_message(HELLO_MS)
+        if not isinstance(hello, Hello) or not self._welcome(hello):
+            return
+        while True:
+            message = self._next_request()
+            if message is None or isinstance(message, Goodbye):
+                return
+            if isinstance(message, Request):
+                self._handle(message)
+            elif not self._refuse_message(message):
+                return
+            if self._leaving and self._transaction is None and not self._inbox:
+                return
+
+    def _next_request(self) -> CallerMessage | None:
+        idle_ms = None
+        transaction = self._transaction
+        if transaction is not None and not transaction.failed:
+            catalog = self._services.router.view.catalog
+            idle_ms = catalog.transaction_idle_ms
+        message = self._next_message(idle_ms)
+        if message is None and transaction is not None and idle_ms and not self._closed:
+            self._services.log.event("transaction_idle", database=self._database, idle_ms=idle_ms)
+            self._fail_transaction()
+            return self._next_message(None)
+        return message
+
+    def _next_message(self, timeout_ms: int | None) -> CallerMessage | None:
+        self._closed = False
+        self._sock.settimeout(None if timeout_ms is None else timeout_ms / 1_000)
+        while not self._inbox:
+            self._waiting = True
+            try:
+                data = self._sock.recv(RECEIVE_BYTES)
+            except TimeoutError:
+                return None
+            finally:
+                self._waiting = False
+            if not data:
+                self._closed = True
+                return None
+            self._inbox = self._decoder.feed(data)
+        return self._inbox.pop(0)
+
+    def leave(self) -> None:
+        """End the session as soon as it is between operations."""
+        self._leaving = True
+        if self._waiting and self._transaction is None and not self._has_unread():
+            self._sock.shutdown(socket.SHUT_RD)
+
+    def _has_unread(self) -> bool:
+        try:
+            return bool(self._sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:
+            return False  # nothing has come
+
+    @property
+    def in_transaction(self) -> bool:
+        """Return whether a transaction is open."""
+        return self._transaction is not None
+
+    def _send(self, data: bytes) -> None:
+        self._sock.settimeout(None)
+        self._sock.sendall(data)
+
+    def _state(self) -> TransactionState:
+        if self._transaction is None:
+            return TransactionState.IDLE
+        return TransactionState.FAILED if self._transaction.failed else TransactionState.OPEN
+
+    def _reply(self, body: bytes) -> None:
+        self._send(body + self._services.codec.ready(self._state()))
+
+    def _fail(self, failure: SessionFailure, detail: str) -> None:
+        self._reply(self._services.codec.failure(failure, detail))
+
+    # Welcome.
+
+    def _welcome(self, hello: Hello) -> bool:
+        self._database = hello.database
+        self._key = hello.key
+        failure = self._refusal(self._await_catalog())
+        if failure is not None:
+            self._log_refusal("", failure, "at the start of the session")
+            self._send(self._services.codec.failure(failure, hello.database))
+            return False
+        self._reply(b"")
+        return True
+
+    def _await_catalog(self) -> Catalog | None:
+        view = self._services.router.view
+        deadline_ms = self._services.clock.now_ms() + UNANSWERED_MS
+        while view.catalog is None and self._services.clock.now_ms() < deadline_ms:
+            eventlet.sleep(0.05)
+        return view.catalog
+
+    def _refusal(self, catalog: Catalog | None) -> SessionFailure | None:
+        if catalog is None:
+            return SessionFailure.BUSY
+        route = catalog.routes.get(self._database)
+        if route is None:
+            return SessionFailure.UNKNOWN_DATABASE
+        if not route.open_to_all and self._key not in catalog.workspace_by_key:
+            return SessionFailure.UNAUTHENTICATED
+        return None
+
+    # Requests.
+
+    def _refuse_message(self, message: CallerMessage) -> bool:
+        if not isinstance(message, Unreadable):
+            return False
+        failure = SessionFailure.TOO_LARGE if message.too_large else SessionFailure.MALFORMED
+        self._log_refusal(message.request_id, failure, message.reason)
+        self._fail(failure, message.reason)
+        return not message.too_large
+
+    def _handle(self, request: Request) -> None:
+        transaction = self._transaction
+        if transaction is not None and transaction.failed:
+            self._handle_failed(request)
+        elif request.verb in LOCAL_VERBS:
+            self._handle_local(request)
+        elif transaction is not None:
+            self._handle_in_transaction(request, transaction)
+        elif request.verb in (Verb.COMMIT, Verb.ROLLBACK):
+            self._fail(SessionFailure.MALFORMED, "no transaction is open")
+        else:
+            self._handle_operation(request)
+
+    def _handle_failed(self, request: Request) -> None:
+        if request.verb is Verb.ROLLBACK:
+            self._transaction = None
+            self._reply(self._services.codec.done())
+        elif request.verb is Verb.COMMIT:
+            self._transaction = None
+            self._fail(SessionFailure.ABORTED, "the transaction had failed")
+        else:
+            self._fail(SessionFailure.MALFORMED, "the transaction has failed")
+
+    def _handle_local(self, request: Request) -> None:
+        kept = self.prepared if request.verb is not Verb.SET else self.values
+        adds = request.verb is not Verb.DEALLOCATE and request.name not in kept
+        if adds and len(kept) >= MAX_VALUES:
+            self._fail(SessionFailure.TOO_LARGE, f"a session keeps at most {MAX_VALUES}")
+            return
+        if request.verb is Verb.SET:
+            self.values[request.name] = request.rest
+        elif request.verb is Verb.PREPARE:
+            self.prepared[request.name] = Prepared(request.prepares_write, request.rest)
+        else:
+            self.prepared.pop(request.name, None)
+        self._reply(self._services.codec.done())
+
+    def _handle_operation(self, request: Request) -> None:
+        """Begin a transaction or run a single statement."""
+        catalog = self._services.router.view.catalog
+        failure = self._refusal(catalog)
+        if failure is not None:
+            self._log_refusal(request.request_id, failure, f"configuration {catalog.version}")
+            self._fail(failure, self._database)
+            return
+        route = catalog.routes[self._database]
+        workspace = catalog.workspace_by_key.get(self._key, "")
+        if not self._admit(request, workspace):
+            return
+        if request.verb in (Verb.BEGIN, Verb.BEGIN_READ):
+            read_only = request.verb is Verb.BEGIN_READ
+            self._transaction = Transaction(request, read_only, route, workspace)
+            self._reply(self._services.codec.done())
+            return
+        statement = self._statement(request)
+        if statement is None:
+            return
+        self._answer(
+            request, route, self._services.runner.run_single(self, statement, route, workspace)
+        )
+
+    def _admit(self, request: Request, workspace: str) -> bool:
+        limit = self._services.router.view.limits.get(workspace)
+        if limit is None or limit.admit(self._services.clock.now_ms()):
+            return True
+        retry_after_ms = limit.retry_after_ms()
+        self._log_refusal(
+            request.request_id, SessionFailure.BUSY, f"workspace {workspace} is over its limit"
+        )
+        self._fail(SessionFailure.BUSY, f"over the limit; retry after {retry_after_ms} ms")
+        return False
+
+    def _statement(self, request: Request) -> Statement | None:
+        if request.verb is not Verb.EXECUTE:
+            return Statement(request, request.verb is Verb.WRITE)
+        prepared = self.prepared.get(request.name)
+        if prepared is None:
+            self._fail(SessionFailure.UNKNOWN_STATEMENT, request.name)
+            return None
+        return Statement(request, prepared.is_write, prepared.shape)
+
+    def _handle_in_transaction(self, request: Request, transaction: Transaction) -> None:
+        if request.verb is Verb.ROLLBACK:
+            self._roll_back(request, transaction)
+            return
+        if request.verb in (Verb.BEGIN, Verb.BEGIN_READ):
+            self._fail(SessionFailure.MALFORMED, "a transaction is open already")
+            return
+        if not self._still_allowed():
+            self._fail_transaction()
+            self._log_refusal(request.request_id, SessionFailure.ABORTED, "its key is withdrawn")
+            self._fail(SessionFailure.ABORTED, "the key is withdrawn")
+            return
+        if request.verb is Verb.COMMIT:
+            self._commit(request, transaction)
+            return
+        statement = self._statement(request)
+        if statement is None:
+            return
+        answer = self._services.runner.run_in_transaction(self, statement, transaction)
+        self._answer(request, transaction.route, answer)
+
+    def _still_allowed(self) -> bool:
+        catalog = self._services.router.view.catalog
+        route = self._transaction.route
+        return route.open_to_all or self._key in catalog.workspace_by_key
+
+    def _commit(self, request: Request, transaction: Transaction) -> None:
+        answer = self._services.runner.commit(self, Statement(request, False), transaction)
+        self._transaction = None
+        if answer.failure is SessionFailure.UNREACHABLE:
+            failure = after_lost_commit(transaction.wrote)
+            answer = Answer(b"", failure, "the answer to the commit did not come", answer.tries)
+        self._answer(request, transaction.route, answer)
+
+    def _roll_back(self, request: Request, transaction: Transaction) -> None:
+        self._transaction = None
+        self._reply(self._services.codec.done())
+        if transaction.connection is not None:
+            self._services.runner.roll_back(request.request_id, transaction)
+
+    def _answer(self, request: Request, route: DatabaseRoute, answer: Answer) -> None:
+        services = self._services
+        services.metrics.count(
+            "requests",
+            mode=route.mode.value,
+            outcome=answer.failure.name.lower() if answer.failure else "ok",
+        )
+        services.metrics.time("request", route.mode.value, answer.took_ms)
+        services.log.event(
+            "refused" if answer.failure else "served",
+            id=request.request_id,
+            database=self._database,
+            group=route.group,
+            server=answer.server_id,
+            tries=answer.tries,
+            took_ms=answer.took_ms,
+            failure=answer.failure.name.lower() if answer.failure else None,
+            reason=answer.detail or None,
+            required=answer.required,
+        )
+        if answer.payload:
+            self._reply(answer.payload)
+        else:
+            self._fail(answer.failure, answer.detail)
+
+    def _log_refusal(self, request_id: str, failure: SessionFailure, reason: str) -> None:
+        self._services.metrics.count("refused", failure=failure.name.lower())
+        self._services.log.event(
+            "refused",
+            id=request_id,
+            database=self._database,
+            failure=failure.name.lower(),
+            reason=reason,
+        )
+
+    # Transactions that end without their caller's word.
+
+    def _fail_transaction(self) -> None:
+        transaction = self._transaction
+        if transaction is None or transaction.failed:
+            return
+        transaction.failed = True
+        self._services.runner.abandon(transaction)
+
+    def abort_transaction(self) -> None:
+        """Roll back the open transaction; the caller is told with its next request."""
+        if self._waiting:
+            self._fail_transaction()
+
+    def _abandon_transaction(self) -> None:
+        if self._transaction is not None:
+            self._services.runner.abandon(self._transaction)
+            self._transaction = None
