--- a/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
@@ -8,7 +8,7 @@
 from figcrank.coordination.peers import Peer, PeerTable
 from figcrank.coordination.placement import FreshnessLog
 from figcrank.coordination.primaries import LEASE_MS, PrimaryBook
-from figcrank.coordination.quotas import SharedLimit
+from figcrank.coordination.quotas import QuotaTolerance, SharedLimit
 from figcrank.protocol.heartbeats import NEVER_MS, Heartbeat, PrimaryRecord, Trouble
 from figcrank.state._catalog import Catalog, Registry, ServerEntry
 
@@ -30,9 +30,17 @@
     :param host: its name.
     :param boot_id: drawn anew at each start.
     :param address: its heartbeat address.
+    :param tolerance: how far operations may pass a limit.
     """
 
-    def __init__(self, host: str, boot_id: int, address: tuple[str, int]) -> None:
+    def __init__(
+        self,
+        host: str,
+        boot_id: int,
+        address: tuple[str, int],
+        tolerance: QuotaTolerance | None = None,
+    ) -> None:
+        self._tolerance = tolerance or QuotaTolerance()
         self.host = host
         self.boot_id = boot_id
         self.peers = PeerTable(host, address)
@@ -55,10 +63,12 @@
         self.catalog = catalog
         for name, workspace in catalog.workspaces.items():
             limit = self.limits.get(name)
+            rate_per_s = workspace.rate_per_s
+            burst = workspace.burst + self._tolerance.cushion(rate_per_s, workspace.burst)
             if limit is None:
-                self.limits[name] = SharedLimit(workspace.rate_per_s, workspace.burst, now_ms)
+                self.limits[name] = SharedLimit(rate_per_s, burst, now_ms)
             else:
-                limit.configure(workspace.rate_per_s, workspace.burst)
+                limit.configure(rate_per_s, burst)
         for name in self.limits.keys() - catalog.workspaces.keys():
             del self.limits[name]
         return True
--- a/packages/figcrank-coordination/src/figcrank/coordination/quotas/_shared_limit.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/quotas/_shared_limit.py
@@ -10,9 +10,30 @@
 
 DEMAND_DECAY_MS = 2_000.0  # shares follow a shift of callers between hosts within two seconds
 DEMAND_FLOOR = 2.0  # a host without demand so far may admit the first operations of a newcomer
+LEAST_ALLOWANCE = 1.0  # a small limit's share is below one operation; the next report corrects it
+TOLERANCE_SHARE = 0.5  # of what may pass above a limit; the rest covers reports under way
 START_SHARE = 0.5  # share of the burst after a start: a fleet that restarts grants no second burst
 
 
+@dataclass(frozen=True, slots=True)
+class QuotaTolerance:
+    """How far the operations of a span of time may pass a limit.
+
+    :param window_s: length of the span.
+    :param overage: share of the limit over that span.
+    :param headroom: operations besides.
+    """
+
+    window_s: float = 5.0
+    overage: float = 0.0
+    headroom: float = 0.0
+
+    def cushion(self, rate_per_s: float, burst: float) -> float:
+        """Return how many operations a bucket may hold above its burst."""
+        tolerated = self.overage * (rate_per_s * self.window_s + burst) + self.headroom
+        return TOLERANCE_SHARE * tolerated
+
+
 @dataclass(slots=True)
 class _Peer:
     admitted: int
@@ -94,6 +115,8 @@
         active_share = self._active_share()
         self._level = min(self._level, self._burst * active_share)
         self._allowance = max(0.0, self._level) * self._own_share() / active_share
+        if self._level >= LEAST_ALLOWANCE:
+            self._allowance = max(self._allowance, LEAST_ALLOWANCE)
 
     def _refill(self, now_ms: int) -> None:
         elapsed_ms = now_ms - self._updated_ms
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_connection.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_connection.py
@@ -1,5 +1,6 @@
 """One connection to a backend server, which belongs to one workspace."""
 
+import contextlib
 import socket as std_socket
 from collections.abc import Callable
 
@@ -131,10 +132,8 @@
         if self.closed:
             return
         self.closed = True
-        try:
+        with contextlib.suppress(OSError):  # the other side may have ended it already
             self._sock.shutdown(std_socket.SHUT_RDWR)
-        except OSError:
-            pass  # the other side has ended it already
         self._sock.close()
         self._deliver(None)
 
@@ -143,7 +142,8 @@
             try:
                 data = self._sock.recv(RECEIVE_BYTES)
                 replies = self._decoder.feed(data) if data else []
-            except (OSError, ValueError):
+            except (OSError, EOFError, ValueError):
+                # Lost, closed by this side, or not speaking the protocol: of no use any more.
                 data, replies = b"", []
             if not data:
                 self.refusal = self._decoder.refusal()
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
@@ -1,8 +1,10 @@
 """A whole host of the session proxy: its sockets, loops, and its end."""
 
+import contextlib
 import os
 import random
 import signal
+import traceback
 
 import eventlet
 from eventlet.green import socket
@@ -56,7 +58,7 @@
         self._log = EventLog(settings.host, self._clock)
         self._metrics = Metrics()
         boot_id = random.SystemRandom().getrandbits(48)
-        self._view = FleetView(settings.host, boot_id, settings.peer_address)
+        self._view = FleetView(settings.host, boot_id, settings.peer_address, settings.tolerance)
         self._router = Router(
             self._view,
             server_codec,
@@ -154,8 +156,13 @@
             eventlet.spawn_n(serve, sock)
 
     def _serve_caller(self, sock: socket.socket) -> None:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        CallerSession(sock, self._services).run()
+        with contextlib.suppress(OSError):  # the caller may be gone already
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            CallerSession(sock, self._services).run()
+        except Exception:  # noqa: BLE001 - one session's fault must not end the others
+            self._log.event("internal_error", trace=traceback.format_exc()[-1500:])
+            self._metrics.count("internal_errors")
 
     def _serve_readiness(self, sock: socket.socket) -> None:
         serve_pages(sock, {READINESS_PATH: self._readiness})
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_http.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_http.py
@@ -34,7 +34,7 @@
             sock.settimeout(REQUEST_MS / 1_000)
             sock.sendall(_answer(head, pages))
             sock.settimeout(None)
-    except OSError:
+    except (OSError, EOFError):
         return  # the other side is gone and needs no answer
     finally:
         sock.close()
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
@@ -1,7 +1,8 @@
 """Replaces primaries that leave, are gone or don't answer.
 
-One host does it at a time: the store's record names the holder, and only its holder promotes, within
-a short time after it has renewed that record. A new holder waits that time out before it acts.
+One host does it at a time: the store's record names the holder, and only its holder promotes,
+within a short time after it has renewed that record. A new holder waits that time out before
+it acts.
 """
 
 from dataclasses import replace
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
@@ -121,7 +121,7 @@
         self._services.sessions.add(self)
         try:
             self._serve()
-        except OSError:
+        except (OSError, EOFError):
             # The caller is gone; what it had open is rolled back below.
             self._services.metrics.count("sessions_broken")
         finally:
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_settings.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_settings.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from figcrank.coordination.quotas import QuotaTolerance
+
 
 @dataclass(frozen=True, slots=True)
 class SessionHostSettings:
@@ -15,7 +17,7 @@
     :param metrics_address: ``(ip, port)`` of the metrics.
     :param seeds: heartbeat addresses of a few hosts that may be up.
     :param grace_ms: time between the order to stop and the end of the process.
-    :param drain_timeout_ms: time after which a leaving server must get no new work.
+    :param tolerance: how far operations may pass a workspace's limit.
     """
 
     host: str
@@ -26,4 +28,4 @@
     metrics_address: tuple[str, int]
     seeds: tuple[tuple[str, int], ...] = ()
     grace_ms: int = 6_000
-    drain_timeout_ms: int = 7_000
+    tolerance: QuotaTolerance = QuotaTolerance()
