Complete fences through the store where hosts are cut off from each other

Ruled out: the promotion call (answered at once), the old primary (it was reached by neither). Change: watchers read the record while a host is silent, write which hosts are quiet to the store, and a host that failed to reach the store offers itself again after a second. Operations that reached no server are given back to the limit. Trouble names its server and counts from the change of primary: a second, needless replacement followed the first.

--- a/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
@@ -56,6 +56,10 @@
         self.trouble: dict[str, Trouble] = {}
         self.quiet: set[str] = set()
 
+    def set_tolerance(self, tolerance: QuotaTolerance) -> None:
+        """Change how far operations may pass a limit, from the next configuration onward."""
+        self._tolerance = tolerance
+
     def adopt_catalog(self, catalog: Catalog, now_ms: int) -> bool:
         """Put a configuration in force; return whether it is newer than the one that was."""
         if self.catalog is not None and catalog.version <= self.catalog.version:
@@ -193,6 +197,21 @@
                 observed[group] = (newest[1], now_ms - newest[0])
         return observed
 
+    def quiet_hosts(self, now_ms: int) -> dict[str, tuple[int, list[str]]]:
+        """Return, for each group that moves, its record's version and the hosts that are quiet."""
+        quiet = {}
+        for group, record in self.book.all().items():
+            if not record.moving:
+                continue
+            hosts = [self.host] if group in self.quiet else []
+            for peer in self.peers.live(now_ms):
+                told = peer.beat.primaries.get(group)
+                if told and told.version == record.version and group in peer.beat.quiet:
+                    hosts.append(peer.name)
+            if hosts:
+                quiet[group] = (record.version, sorted(hosts))
+        return quiet
+
     def share_out_limits(self, now_ms: int) -> None:
         """Begin a new interval of every workspace's limit."""
         for peer in self.peers.all():
@@ -214,9 +233,9 @@
                     limit.forget(f"{peer.name}/{peer.beat.boot_id}")
         return gone
 
-    def hosts(self, now_ms: int) -> int:
-        """Return how many hosts may hold connections now, this one included."""
-        return 1 + len(self.peers.live(now_ms))
+    def hosts(self) -> int:
+        """Return how many hosts may hold connections, this one and silent ones included."""
+        return 1 + len(self.peers.all())
 
 
 def _age_ms(at_ms: int, now_ms: int) -> int:
--- a/packages/figcrank-coordination/src/figcrank/coordination/primaries/_book.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/primaries/_book.py
@@ -64,6 +64,10 @@
         if known and not known.term and not known.moving and known.server_id == server_id:
             self._records[group] = PrimaryRecord(known.version, term, server_id)
 
+    def unchanged_for_ms(self, group: str, now_ms: int) -> int:
+        """Return for how long the belief about a group has stood."""
+        return now_ms - self._changed_ms.get(group, now_ms)
+
     def moving_for_ms(self, group: str, now_ms: int) -> int:
         """Return for how long the group's replacement has been under way, 0 if none is."""
         known = self._records.get(group)
--- a/packages/figcrank-coordination/src/figcrank/coordination/primaries/_replacement.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/primaries/_replacement.py
@@ -55,7 +55,8 @@
     if evidence.registry_fresh and entry is not None and entry.draining:
         return Reason.LEAVING
     troubles = (evidence.own_trouble, *evidence.peer_troubles)
-    reporters = sum(1 for trouble in troubles if trouble and _counts(trouble))
+    primary_id = evidence.record.server_id
+    reporters = sum(1 for trouble in troubles if trouble and _counts(trouble, primary_id))
     hosts = len(troubles)
     needed = 1 if hosts == 1 else max(2, REPORTERS_SHARE * hosts)
     if reporters >= needed:
@@ -65,7 +66,9 @@
     return None
 
 
-def _counts(trouble: Trouble) -> bool:
+def _counts(trouble: Trouble, primary_id: str) -> bool:
+    if trouble.server_id != primary_id:
+        return False
     return trouble.failing_ms >= (REFUSED_MS if trouble.refused else SILENT_MS)
 
 
--- a/packages/figcrank-coordination/src/figcrank/coordination/quotas/_shared_limit.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/quotas/_shared_limit.py
@@ -80,6 +80,12 @@
         self.admitted += 1
         return True
 
+    def give_back(self) -> None:
+        """Take back the count of an operation that was admitted and reached no server."""
+        self._allowance += 1.0
+        self._level += 1.0
+        self.admitted -= 1
+
     def retry_after_ms(self) -> int:
         """Return when this host is expected to admit the next operation."""
         rate_per_s = self._rate_per_s * self._own_share()
@@ -95,9 +101,9 @@
         if known is None:
             self._peers[peer] = _Peer(admitted, asked)
             return
-        self._level -= max(0, admitted - known.admitted)
+        self._level -= admitted - known.admitted
         known.demand += max(0, asked - known.asked)
-        known.admitted = max(known.admitted, admitted)
+        known.admitted = admitted
         known.asked = max(known.asked, asked)
 
     def set_silent(self, peer: str, silent: bool) -> None:
--- a/packages/figcrank-protocol/src/figcrank/protocol/heartbeats.py
+++ b/packages/figcrank-protocol/src/figcrank/protocol/heartbeats.py
@@ -20,22 +20,39 @@
     :param term: the term that the server leads; 0 while unknown.
     :param server_id: the primary; while moving, the one that is being replaced.
     :param moving: whether a replacement is under way and the old primary must not be used.
+    :param planned: whether the old primary still works, so that statements there may end.
     """
 
     version: int
     term: int
     server_id: str
     moving: bool = False
+    planned: bool = False
+
+    def to_fields(self) -> list:
+        """Return the record as a list for JSON."""
+        return [self.version, self.term, self.server_id, int(self.moving), int(self.planned)]
+
+    @classmethod
+    def from_fields(cls, fields: list) -> "PrimaryRecord":
+        """Return the record of a list.
+
+        :raises ValueError: if it is none.
+        """
+        version, term, server_id, moving, planned = fields
+        return cls(int(version), int(term), str(server_id), bool(moving), bool(planned))
 
 
 @dataclass(frozen=True, slots=True)
 class Trouble:
     """A primary that does not answer a host.
 
+    :param server_id: the server that is taken for the primary.
     :param failing_ms: for how long.
     :param refused: whether no process listens at its address.
     """
 
+    server_id: str
     failing_ms: int
     refused: bool
 
@@ -86,10 +103,10 @@
         [beat.host, beat.boot_id, beat.sent_ms, beat.echo_ms, beat.echo_held_ms],
         [int(beat.leaving), beat.catalog_version, beat.registry_revision, beat.registry_age_ms],
         [int(beat.store_ok), beat.confirmed_age_ms],
-        {g: [r.version, r.term, r.server_id, int(r.moving)] for g, r in beat.primaries.items()},
+        {group: record.to_fields() for group, record in beat.primaries.items()},
         beat.quiet,
         {g: [p.term, p.offset, age_ms] for g, (p, age_ms) in beat.observed.items()},
-        {g: [t.failing_ms, int(t.refused)] for g, t in beat.trouble.items()},
+        {g: [t.server_id, t.failing_ms, int(t.refused)] for g, t in beat.trouble.items()},
         beat.spent,
     )
     return json.dumps(fields, separators=(",", ":")).encode()
@@ -117,10 +134,10 @@
             int(registry_age_ms),
             bool(store_ok),
             int(confirmed_age_ms),
-            {g: PrimaryRecord(int(v), int(t), s, bool(m)) for g, (v, t, s, m) in primaries.items()},
+            {group: PrimaryRecord.from_fields(item) for group, item in primaries.items()},
             tuple(quiet),
             {g: (Position(int(t), int(n)), int(age)) for g, (t, n, age) in observed.items()},
-            {g: Trouble(int(ms), bool(refused)) for g, (ms, refused) in trouble.items()},
+            {g: Trouble(str(s), int(ms), bool(r)) for g, (s, ms, r) in trouble.items()},
             {w: (int(admitted), int(asked)) for w, (admitted, asked) in spent.items()},
         )
     except (ValueError, TypeError, AttributeError, RecursionError) as error:
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
@@ -5,6 +5,7 @@
 import random
 import signal
 import traceback
+from collections.abc import Callable
 
 import eventlet
 from eventlet.green import socket
@@ -31,6 +32,7 @@
 CLOSE_SPREAD_MS = 1_200  # idle sessions end over this time, so that they don't return together
 END_MARGIN_MS = 700  # the process ends so long before it would be killed
 TRANSACTION_SHARE = 0.5  # of the grace time, for open transactions
+RELOAD_MS = 5_000  # settings change a few times a year; the file is a kilobyte
 READINESS_PATH = "/readiness"
 METRICS_PATH = "/metrics"
 
@@ -43,6 +45,7 @@
     :param server_codec: the wire format towards servers.
     :param store: the deployment's store.
     :param service: the deployment's call that promotes.
+    :param reload: reads the settings again; raises ``ValueError`` naming what is wrong with them.
     """
 
     def __init__(
@@ -52,7 +55,9 @@
         server_codec: ServerCodec,
         store: Store,
         service: FailoverService,
+        reload: Callable[[], SessionHostSettings],
     ) -> None:
+        self._reload_settings = reload
         self._settings = settings
         self._clock = BootClock()
         self._log = EventLog(settings.host, self._clock)
@@ -95,6 +100,7 @@
         """Serve until the process is told to stop."""
         self._log.event("started", pid=os.getpid(), address=self._settings.caller_address)
         signal.signal(signal.SIGTERM, self._on_stop)
+        signal.signal(signal.SIGHUP, self._on_reload)
         for seed in self._settings.seeds:
             self._link.register("", seed)
         for loop in (
@@ -104,6 +110,7 @@
             self._tick_for_ever,
             self._log.run,
             self._replacer.run,
+            self._reload_for_ever,
         ):
             eventlet.spawn_n(loop)
         self._listen(self._settings.readiness_address, self._serve_readiness)
@@ -189,7 +196,7 @@
             "configuration_version": view.catalog.version if view.catalog else 0,
             "registry_age_ms": now_ms - view.registry_ms,
             "lease_age_ms": now_ms - view.lease_since_ms(now_ms),
-            "hosts": view.hosts(now_ms),
+            "hosts": view.hosts(),
         }
         for pool in self._router.pools():
             server = f'{{server="{pool.entry.server_id}"}}'
@@ -201,6 +208,30 @@
             values[f'primary_term{{group="{group}"}}'] = record.term
         return values
 
+    # Settings that change.
+
+    def _on_reload(self, _signal: int, _frame: object) -> None:
+        eventlet.spawn_n(self._reload)
+
+    def _reload(self) -> None:
+        """Put changed settings in force; addresses that are listened on stay until a restart."""
+        try:
+            settings = self._reload_settings()
+        except ValueError as error:
+            self._log.event("settings_rejected", reason=str(error))
+            return
+        if settings == self._settings:
+            return
+        self._log.event("settings_changed", before=self._settings, after=settings)
+        self._settings = settings
+        self._view.set_tolerance(settings.tolerance)
+
+    def _reload_for_ever(self) -> None:
+        """Notice settings that change without a signal."""
+        while True:
+            eventlet.sleep(RELOAD_MS / 1_000)
+            self._reload()
+
     # The end.
 
     def _on_stop(self, _signal: int, _frame: object) -> None:
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_pool.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_pool.py
@@ -187,9 +187,11 @@
 
     def close_all(self) -> None:
         """End every connection: the server is gone or must get nothing more."""
-        for connection in [*self._idle, *self._busy]:
+        busy, self._busy = self._busy, set()
+        for connection in [*self._idle, *busy]:
             connection.close()
         self._idle.clear()
+        self._wake()
 
     def close_idle(self) -> None:
         """End the connections that are not in use."""
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_ports.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_ports.py
@@ -94,6 +94,17 @@
     def remove_host(self, host: str) -> None:
         """Remove a host's entry."""
 
+    @abstractmethod
+    def write_quiet(self, host: str, quiet: dict[str, tuple[int, list[str]]]) -> None:
+        """Write which hosts use a replaced primary no more, as one host heard it.
+
+        :param quiet: by group, the version of its record and the hosts.
+        """
+
+    @abstractmethod
+    def list_quiet(self) -> list[dict[str, tuple[int, list[str]]]]:
+        """Return what every host wrote of quiet hosts."""
+
     @abstractmethod
     def read_primaries(self) -> StoredPrimaries:
         """Return the record of primaries; an empty one if none was written."""
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
@@ -44,7 +44,8 @@
 CATCH_UP_MS = 600  # wait for the next primary of a planned replacement to hold every commit
 PROMOTED_MS = 3_000  # the longest promotion known is one second
 POLL_MS = 40  # how often the promoted server is asked whether it leads
-QUIET_MS = 800  # statements at a leaving primary may end in this time
+QUIET_MS = 1_200  # hosts end their work at a leaving primary within this time
+ASK_QUIET_MS = 300  # between readings of what hosts said through the store
 DEMOTE_FOR_MS = 8_000  # a primary that was cut off is demoted once it is reached
 DEMOTE_PAUSE_MS = 400
 ORDERS = 5  # tries of one server's promotion while the call is refused or its answer lost
@@ -168,10 +169,10 @@
             )
 
     def _steps(self, group: str, record: PrimaryRecord, reason: Reason | None) -> str:
-        moving = PrimaryRecord(record.version + 1, record.term, record.server_id, moving=True)
+        planned = reason is Reason.LEAVING
+        moving = PrimaryRecord(record.version + 1, record.term, record.server_id, True, planned)
         stored_ms = self._write(group, moving)
         self._merge(group, moving)
-        planned = reason is Reason.LEAVING
         demoted = self._stop_old(group, moving, planned)
         leader = self._find_leader(group, moving)
         if leader is None:
@@ -258,22 +259,29 @@
     def _await_quiet(self, group: str, wait_ms: int) -> None:
         deadline_ms = self._clock.now_ms() + wait_ms
         while self._clock.now_ms() < deadline_ms:
-            hosts, quiet = self._quiet(group)
+            hosts, quiet = self._quiet(group, set())
             if quiet >= hosts:
                 return
             eventlet.sleep(POLL_MS / 2_000)
             self._router.tick()
 
-    def _quiet(self, group: str) -> tuple[int, int]:
-        """Return how many hosts there are and how many use the old primary no more."""
-        record = self._view.book.get(group)
-        peers = self._view.peers.all()
-        quiet = 1 if group in self._view.quiet else 0
-        for peer in peers:
-            told = peer.beat.primaries.get(group) if peer.beat else None
-            if told and told.version >= record.version and group in peer.beat.quiet:
-                quiet += 1
-        return 1 + len(peers), quiet
+    def _quiet(self, group: str, told: set[str]) -> tuple[int, int]:
+        """Return how many hosts there are and how many use the old primary no more.
+
+        :param told: hosts that said so through the store.
+        """
+        _, heard = self._view.quiet_hosts(self._clock.now_ms()).get(group, (0, []))
+        known = {self._view.host, *(peer.name for peer in self._view.peers.all())}
+        return len(known), len(known & (told | set(heard)))
+
+    def _told_quiet(self, group: str, version: int) -> set[str]:
+        """Return the hosts that said through the store that they use the old primary no more."""
+        try:
+            listed = self._store.call("list_quiet")
+        except StoreError:
+            return set()  # logged and counted where the call was made
+        found = (told.get(group, (0, [])) for told in listed)
+        return {host for told_version, hosts in found if told_version >= version for host in hosts}
 
     def _await_catch_up(self, group: str, old: ServerEntry) -> None:
         """Wait for one replica that stays to hold every commit of the old primary."""
@@ -291,11 +299,16 @@
         self, group: str, record: PrimaryRecord, stored_ms: int, demoted: bool
     ) -> bool:
         majority_ms = NEVER_MS
+        told: set[str] = set()
+        asked_ms = stored_ms
         deadline_ms = self._clock.now_ms() + 2 * TAKEOVER_MS
         while self._clock.now_ms() < deadline_ms:
             now_ms = self._clock.now_ms()
             self._router.tick()
-            hosts, quiet = self._quiet(group)
+            hosts, quiet = self._quiet(group, told)
+            if quiet < hosts and now_ms - asked_ms >= ASK_QUIET_MS:
+                told = self._told_quiet(group, record.version)
+                asked_ms = now_ms
             if majority_ms == NEVER_MS and 2 * quiet > hosts:
                 majority_ms = now_ms
             pool = self._router.pool(record.server_id)
@@ -303,6 +316,13 @@
             if may_promote(Fence(stored_ms, demoted, refused, hosts, quiet, majority_ms), now_ms):
                 return True
             eventlet.sleep(POLL_MS / 2_000)
+        self._log.event(
+            "fence_incomplete",
+            group=group,
+            hosts=sorted(peer.name for peer in self._view.peers.all()),
+            heard=self._view.quiet_hosts(self._clock.now_ms()).get(group),
+            told=sorted(told),
+        )
         return False
 
     def _demote(self, entry: ServerEntry, term: int) -> bool:
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
@@ -18,6 +18,8 @@
 RECHECK_MS = 100  # a lease can lapse and return without an event
 GONE_GRACE_MS = 2_500  # entries that lapsed with the store are back within two seconds
 SILENT_MS = 500  # a statement unanswered for so long makes its server suspect
+FENCED_END_MS = 200  # statements under way at a primary that others don't reach end within it
+PLANNED_END_MS = 900  # open transactions at a leaving primary may end in this time
 DEFAULT_CONNECTIONS = 8  # for a group that the configuration does not name yet
 
 
@@ -74,7 +76,7 @@
         catalog = self.view.catalog
         policy = catalog.groups.get(pool.entry.group) if catalog else None
         most = policy.max_connections if policy else DEFAULT_CONNECTIONS
-        pool.limit = connection_quota(most, self.view.hosts(self._clock.now_ms()))
+        pool.limit = connection_quota(most, self.view.hosts())
 
     def announce_change(self) -> None:
         """Wake those who wait for a primary."""
@@ -215,6 +217,7 @@
             self._set_limit(pool)
             self._check_entry(pool, now_ms)
             self._check_silence(pool, now_ms)
+        self._end_fenced_work(now_ms)
         self._note_trouble(now_ms)
 
     def _check_entry(self, pool: ServerPool, now_ms: int) -> None:
@@ -276,7 +279,10 @@
             if pool is None or pool.health.failing_since_ms is None:
                 continue
             refused = pool.health.refused_ms is not None
-            trouble[group] = Trouble(max(1, pool.health.failing_for_ms(now_ms)), refused)
+            # What a server did as a replica says nothing of it as the primary.
+            known_ms = self.view.book.unchanged_for_ms(group, now_ms)
+            failing_ms = max(1, min(known_ms, pool.health.failing_for_ms(now_ms)))
+            trouble[group] = Trouble(record.server_id, failing_ms, refused)
         self.view.trouble = trouble
         self.view.quiet = {
             group
@@ -284,6 +290,17 @@
             if record.moving and self._is_quiet(record.server_id)
         }
 
+    def _end_fenced_work(self, now_ms: int) -> None:
+        """End statements at replaced primaries that have had their time."""
+        for group, record in self.view.book.all().items():
+            moving_ms = self.view.book.moving_for_ms(group, now_ms)
+            pool = self._pools.get(record.server_id)
+            if not moving_ms or pool is None or pool.quiet:
+                continue
+            if moving_ms >= (PLANNED_END_MS if record.planned else FENCED_END_MS):
+                self._log.event("fenced_work_ended", group=group, server=record.server_id)
+                pool.close_all()
+
     def _is_quiet(self, server_id: str) -> bool:
         pool = self._pools.get(server_id)
         return pool is None or pool.quiet
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
@@ -58,6 +58,7 @@
     :param connection: its connection there.
     :param wrote: whether a changing statement was sent.
     :param failed: whether it can only be rolled back.
+    :param sent: whether a server got anything of it.
     """
 
     begin: Request
@@ -68,6 +69,7 @@
     connection: ServerConnection | None = None
     wrote: bool = False
     failed: bool = False
+    sent: bool = False
 
 
 @dataclass(slots=True)
@@ -303,9 +305,10 @@
         statement = self._statement(request)
         if statement is None:
             return
-        self._answer(
-            request, route, self._services.runner.run_single(self, statement, route, workspace)
-        )
+        answer = self._services.runner.run_single(self, statement, route, workspace)
+        if not answer.tries:
+            self._give_back(workspace)
+        self._answer(request, route, answer)
 
     def _admit(self, request: Request, workspace: str) -> bool:
         limit = self._services.router.view.limits.get(workspace)
@@ -318,6 +321,11 @@
         self._fail(SessionFailure.BUSY, f"over the limit; retry after {retry_after_ms} ms")
         return False
 
+    def _give_back(self, workspace: str) -> None:
+        limit = self._services.router.view.limits.get(workspace)
+        if limit is not None:
+            limit.give_back()
+
     def _statement(self, request: Request) -> Statement | None:
         if request.verb is not Verb.EXECUTE:
             return Statement(request, request.verb is Verb.WRITE)
@@ -346,6 +354,8 @@
         if statement is None:
             return
         answer = self._services.runner.run_in_transaction(self, statement, transaction)
+        if not transaction.sent:
+            self._give_back(transaction.workspace)
         self._answer(request, transaction.route, answer)
 
     def _still_allowed(self) -> bool:
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_store_loop.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_store_loop.py
@@ -16,6 +16,7 @@
 WATCH_MS = 1_500  # a watch on a connection that went silent is missed for so long at the most
 CHECK_MS = 250  # how often a host asks itself whether it must read
 BACKOFF_MS = (200, 400, 800)  # after failures in a row; calls that fail are priced as well
+RETRY_MS = 1_000  # a host that failed to reach the store offers itself again after this time
 CONFIRM_MS = 400  # three confirmations fit into a lease
 STALE_REGISTRY_MS = 3_000  # a list this old means that the watching hosts don't reach this one
 AWAY_MS = 2_500  # after an outage of the store, entries that lapsed are back within two seconds
@@ -52,6 +53,8 @@
         self._metrics = metrics
         self._failures = 0
         self.back_since_ms = NEVER_MS
+        self._told_quiet: dict = {}
+        self._failed_ms = NEVER_MS
 
     def call(self, name: str, *arguments: object) -> object:
         """Make a call and count it.
@@ -71,6 +74,7 @@
 
     def _note_failure(self, name: str, error: StoreError) -> None:
         self._failures += 1
+        self._failed_ms = self._clock.now_ms()
         self.back_since_ms = NEVER_MS
         if self._view.store_ok:
             self._log.event("store_lost", call=name, reason=str(error))
@@ -168,12 +172,31 @@
         while True:
             eventlet.sleep(CONFIRM_MS / 1_000)
             now_ms = self._clock.now_ms()
+            if not self._view.store_ok and now_ms - self._failed_ms > RETRY_MS:
+                self._view.store_ok = True  # a host that doesn't read would never find out
             heard_ms = max(
                 self._view.peers.majority_since_ms(now_ms),
                 self._view.peers.store_confirmed_ms(),
             )
-            if now_ms - heard_ms > LEASE_MS - 2 * CONFIRM_MS:
+            alone = now_ms - heard_ms > LEASE_MS - 2 * CONFIRM_MS
+            if alone or (self._misses_peers(now_ms) and self._watches(now_ms)):
                 self.confirm()
+                self._tell_quiet()
+
+    def _misses_peers(self, now_ms: int) -> bool:
+        """Return whether a host is silent that may be cut off and replace a primary."""
+        live = len(self._view.peers.live(now_ms))
+        return live < len(self._view.peers.all())
+
+    def _tell_quiet(self) -> None:
+        """Tell the store which hosts use a replaced primary no more, for one that hears none."""
+        quiet = self._view.quiet_hosts(self._clock.now_ms())
+        if quiet and quiet != self._told_quiet:
+            try:
+                self.call("write_quiet", self._view.host, quiet)
+                self._told_quiet = quiet
+            except StoreError:
+                return  # logged and counted where the call was made; told again at the next turn
 
     def confirm(self) -> bool:
         """Read the primaries from the store; return whether that worked."""
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_work.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_work.py
@@ -464,6 +464,7 @@
                 return SessionFailure.BUSY
             text = self._codec.begin(transaction.read_only)
             data = self._codec.query(transaction.begin.request_id, text, attempt.after)
+            transaction.sent = True
             reply = attempt.connection.ask(data, deadline_ms - self._clock.now_ms())
             if reply is None:
                 self._router.lost(attempt.pool, attempt.connection)
