--- a/packages/figcrank-coordination/src/figcrank/coordination/primaries/_replacement.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/primaries/_replacement.py
@@ -81,7 +81,7 @@
     :param refused: whether no process listens at its address.
     :param hosts: hosts of the fleet, this one included.
     :param quiet: hosts that use it no more, this one included.
-    :param majority_quiet_ms: since when a majority of the hosts uses it no more.
+    :param majority_quiet_ms: since when the hosts that may still use it are no majority.
     """
 
     stored_ms: int
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
@@ -309,7 +309,7 @@
             if quiet < hosts and now_ms - asked_ms >= ASK_QUIET_MS:
                 told = self._told_quiet(group, record.version)
                 asked_ms = now_ms
-            if majority_ms == NEVER_MS and 2 * quiet > hosts:
+            if majority_ms == NEVER_MS and 2 * (hosts - quiet) <= hosts:
                 majority_ms = now_ms
             pool = self._router.pool(record.server_id)
             refused = pool is not None and pool.health.refused_ms is not None
