--- a/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
@@ -153,7 +153,7 @@
                 continue
             if old_boot != beat.boot_id:
                 limit.forget(f"{peer.name}/{old_boot}")
-            limit.report(reporter, admitted, asked)
+            limit.report(reporter, admitted, asked, peer.heard_ms)
             limit.set_silent(reporter, False)
 
     def _take_observed(self, peer: Peer, beat: Heartbeat) -> None:
--- /dev/null
+++ b/packages/figcrank-coordination/tests/fleet/test_fleet_view.py
@@ -0,0 +1,108 @@
+import pytest
+
+from figcrank.coordination.fleet import FleetView, PrimaryUse
+from figcrank.coordination.primaries import LEASE_MS
+from figcrank.protocol.heartbeats import Heartbeat, PrimaryRecord
+from figcrank.state import Position
+from figcrank.state._catalog import Catalog, Registry, ServerEntry, WorkspaceLimit
+
+
+def make_view(name="a", number=1):
+    view = FleetView(name, number, (f"10.0.0.{number}", 7000))
+    view.merge_primary("g", PrimaryRecord(1, 3, "s1"), 0)
+    return view
+
+
+def exchange(one, other, now_ms, clock_gap_ms=0):
+    """Let two hosts hear each other, there and back; their clocks differ by a gap."""
+    addresses = {"a": ("10.0.0.1", 7000), "b": ("10.0.0.2", 7000)}
+    for sender, receiver, gap in ((one, other, 0), (other, one, clock_gap_ms)) * 2:
+        peer = next((p for p in sender.peers.all() if p.name == receiver.host), None)
+        sender_now = now_ms + gap
+        receiver_now = now_ms + clock_gap_ms - gap
+        if peer is None:
+            sender.peers.register(receiver.host, addresses[receiver.host], sender_now)
+            peer = sender.peers.all()[0]
+        receiver.receive(sender.beat_for(peer, sender_now), addresses[sender.host], receiver_now)
+
+
+def test_a_primary_may_be_used_while_a_majority_is_heard():
+    view, other = make_view(), make_view("b", 2)
+    exchange(view, other, 1_000)
+    assert view.primary_use("g", 1_000 + LEASE_MS) is PrimaryUse.USABLE
+    assert view.primary_use("g", 1_001 + LEASE_MS) is PrimaryUse.NO_LEASE
+
+
+def test_a_host_that_was_suspended_believes_nothing_until_it_is_confirmed():
+    view, other = make_view(), make_view("b", 2)
+    exchange(view, other, 1_000)
+    assert view.primary_use("g", 60_000) is PrimaryUse.NO_LEASE
+    view.confirmed_ms = 59_900
+    assert view.primary_use("g", 60_000) is PrimaryUse.USABLE
+
+
+def test_a_primary_that_is_being_replaced_may_not_be_used():
+    view = make_view()
+    view.merge_primary("g", PrimaryRecord(2, 3, "s1", moving=True), 10)
+    assert view.primary_use("g", 20) is PrimaryUse.MOVING
+
+
+@pytest.mark.parametrize("gap_ms", [0, 500_000, -500_000])
+def test_positions_are_shared_with_an_age_that_clocks_and_delays_cannot_shorten(gap_ms):
+    view, other = make_view(), make_view("b", 2)
+    other.freshness_of("g").observe(900 + gap_ms, Position(3, 40))
+    exchange(view, other, 1_000, clock_gap_ms=gap_ms)
+    sent_ms, position = view.freshness_of("g").newest()
+    assert position == Position(3, 40)
+    assert sent_ms <= 900
+
+
+def test_a_position_of_another_term_is_not_taken_over():
+    view, other = make_view(), make_view("b", 2)
+    other.merge_primary("g", PrimaryRecord(2, 4, "s2"), 0)
+    view.merge_primary("g", PrimaryRecord(5, 6, "s3"), 0)
+    other.freshness_of("g").observe(900, Position(4, 40))
+    exchange(view, other, 1_000)
+    assert view.freshness_of("g").newest() is None
+
+
+def catalog(version, rate=10):
+    return Catalog(version, workspaces={"w": WorkspaceLimit("w", rate, rate)})
+
+
+def test_an_older_configuration_never_replaces_a_newer_one():
+    view = make_view()
+    assert view.adopt_catalog(catalog(7), 0)
+    assert not view.adopt_catalog(catalog(6), 10)
+    assert view.catalog.version == 7
+
+
+def listing(revision, *ids):
+    entries = {i: ServerEntry(i, "g", "10.1.0.1:80", "a", 5, False, False) for i in ids}
+    return Registry(revision, entries)
+
+
+def test_an_older_list_of_servers_is_ignored():
+    view = make_view()
+    assert view.adopt_registry(listing(5, "s1"), 0, 0, from_peer=False)
+    assert not view.adopt_registry(listing(4, "s1", "s2"), 0, 0, from_peer=True)
+    assert set(view.registry.servers) == {"s1"}
+
+
+def test_a_list_that_says_nothing_new_keeps_its_revision_so_that_peers_fetch_nothing():
+    view = make_view()
+    view.adopt_registry(listing(5, "s1"), 0, 0, from_peer=False)
+    assert not view.adopt_registry(listing(9, "s1"), 1_000, 1_000, from_peer=False)
+    assert view.registry.revision == 5
+    assert view.registry_ms == 1_000
+
+
+def test_quiet_hosts_are_counted_for_the_record_in_force_only():
+    view = make_view()
+    view.merge_primary("g", PrimaryRecord(4, 3, "s1", moving=True), 0)
+    view.quiet = {"g"}
+    for number, version in ((2, 4), (3, 3)):
+        record = PrimaryRecord(version, 3, "s1", moving=True)
+        beat = Heartbeat(f"h{number}", 1, 5, primaries={"g": record}, quiet=("g",))
+        view.receive(beat, (f"10.0.0.{number}", 7000), 100)
+    assert view.quiet_hosts(100) == {"g": (4, ["a", "h2"])}
--- /dev/null
+++ b/packages/figcrank-coordination/tests/peers/test_peer_table.py
@@ -0,0 +1,74 @@
+from figcrank.coordination.peers import PeerTable
+from figcrank.protocol.heartbeats import NEVER_MS, Heartbeat
+
+OWN = ("10.0.0.1", 7000)
+
+
+def address(number):
+    return (f"10.0.0.{number}", 7000)
+
+
+def beat(host, sent_ms=0, echo_ms=NEVER_MS, held_ms=0, boot=1, **fields):
+    return Heartbeat(host, boot, sent_ms, echo_ms, held_ms, **fields)
+
+
+def test_a_heartbeat_counts_from_the_time_that_it_echoes_and_not_from_its_arrival():
+    table = PeerTable("a", OWN)
+    table.receive(beat("b", 10, echo_ms=1_000, held_ms=50), address(2), now_ms=9_000)
+    assert table.majority_since_ms(9_000) == 1_050
+
+
+def test_a_heartbeat_without_an_echo_proves_no_time():
+    table = PeerTable("a", OWN)
+    table.receive(beat("b", 10), address(2), now_ms=9_000)
+    assert table.majority_since_ms(9_000) == NEVER_MS
+
+
+def test_a_majority_is_counted_over_all_known_hosts():
+    table = PeerTable("a", OWN)
+    for number in range(2, 6):
+        table.register(f"h{number}", address(number), 0)
+    table.receive(beat("h2", 5, echo_ms=900), address(2), 1_000)
+    assert table.majority_since_ms(1_000) == NEVER_MS
+    table.receive(beat("h3", 5, echo_ms=800), address(3), 1_000)
+    assert table.majority_since_ms(1_000) == 800
+
+
+def test_a_host_alone_is_its_own_majority():
+    assert PeerTable("a", OWN).majority_since_ms(500) == 500
+
+
+def test_an_older_heartbeat_of_the_same_boot_is_ignored():
+    table = PeerTable("a", OWN)
+    assert table.receive(beat("b", 20), address(2), 100) is not None
+    assert table.receive(beat("b", 10), address(2), 110) is None
+    assert table.receive(beat("b", 10, boot=2), address(2), 120) is not None
+
+
+def test_own_heartbeats_and_own_address_are_no_peer():
+    table = PeerTable("a", OWN)
+    table.register("", OWN, 0)
+    assert table.receive(beat("a", 1), address(2), 10) is None
+    assert table.all() == []
+
+
+def test_hosts_that_miss_the_store_or_leave_read_nothing_for_the_others():
+    table = PeerTable("m", OWN)
+    table.receive(beat("a", 1, store_ok=False), address(2), 10)
+    table.receive(beat("b", 1, leaving=True), address(3), 10)
+    table.receive(beat("c", 1), address(4), 10)
+    table.receive(beat("z", 1), address(5), 10)
+    assert table.watchers(20, self_fit=True) == ["c", "m"]
+
+
+def test_a_silent_host_is_forgotten_after_a_while():
+    table = PeerTable("a", OWN)
+    table.receive(beat("b", 1), address(2), 0)
+    assert table.expire(14_000) == []
+    assert [peer.name for peer in table.expire(16_000)] == ["b"]
+
+
+def test_a_reading_of_the_store_is_passed_on_with_its_age():
+    table = PeerTable("a", OWN)
+    table.receive(beat("b", 1, echo_ms=1_000, confirmed_age_ms=300), address(2), 1_200)
+    assert table.store_confirmed_ms() == 700
--- /dev/null
+++ b/packages/figcrank-coordination/tests/placement/test_connections.py
@@ -0,0 +1,35 @@
+import pytest
+
+from figcrank.coordination.placement import Waiter, connection_quota, next_waiter
+
+
+@pytest.mark.parametrize(("limit", "hosts"), [(34, 8), (39, 9), (34, 9), (39, 12), (258, 66)])
+def test_the_shares_of_all_hosts_stay_within_the_limit(limit, hosts):
+    assert connection_quota(limit, hosts) * hosts <= limit
+
+
+def test_a_host_holds_at_least_one_connection():
+    assert connection_quota(4, 100) == 1
+
+
+def waiter(workspace, order, priority=1):
+    return Waiter(workspace, priority, deadline_ms=1_000, order=order)
+
+
+def test_the_workspace_with_the_fewest_busy_connections_goes_first():
+    waiters = [waiter("market", 0), waiter("market", 1), waiter("clinic", 2)]
+    assert next_waiter(waiters, {"market": 3}) == 2
+
+
+def test_among_equals_priority_then_arrival_decide():
+    waiters = [waiter("a", 0, priority=2), waiter("b", 1), waiter("c", 2)]
+    assert next_waiter(waiters, {}) == 1
+
+
+def test_a_flood_of_one_workspace_does_not_delay_another_by_more_than_one_turn():
+    """Replays a workspace at eight times its load before a single connection."""
+    waiting = [waiter("market", order) for order in range(40)]
+    waiting.append(waiter("clinic", 40))
+    busy = {"market": 1}
+    served = [waiting.pop(next_waiter(waiting, busy)).workspace for _ in range(2)]
+    assert served[0] == "clinic"
--- /dev/null
+++ b/packages/figcrank-coordination/tests/primaries/test_replacement.py
@@ -0,0 +1,119 @@
+import pytest
+
+from figcrank.coordination.primaries import (
+    LEASE_MS,
+    Evidence,
+    Fence,
+    Reason,
+    best_candidates,
+    may_promote,
+    reason_to_replace,
+)
+from figcrank.protocol.heartbeats import NEVER_MS, PrimaryRecord, Trouble
+from figcrank.protocol.sessions import ServerReport
+from figcrank.state import Position
+from figcrank.state._catalog import Registry, ServerEntry
+
+
+def entry(server_id, draining=False, claims_primary=False):
+    return ServerEntry(server_id, "g", "10.1.0.1:80", "a", 5, draining, claims_primary)
+
+
+def registry(*entries):
+    return Registry(1, {item.server_id: item for item in entries})
+
+
+def evidence(own=None, peers=(None,) * 7, servers=None, missing_ms=0, fresh=True):
+    known = registry(entry("p"), entry("r")) if servers is None else servers
+    return Evidence(PrimaryRecord(0, 1, "p"), known, missing_ms, fresh, own, peers)
+
+
+SILENT = Trouble("p", 600, refused=False)
+REFUSED = Trouble("p", 200, refused=True)
+
+
+def test_a_primary_that_answers_stays():
+    assert reason_to_replace(evidence()) is None
+
+
+def test_a_leaving_primary_is_replaced_at_once():
+    servers = registry(entry("p", draining=True), entry("r"))
+    assert reason_to_replace(evidence(servers=servers)) is Reason.LEAVING
+
+
+def test_one_host_that_is_cut_off_replaces_nothing():
+    assert reason_to_replace(evidence(own=SILENT)) is None
+
+
+def test_a_quarter_of_the_hosts_is_enough():
+    peers = (SILENT, *(None,) * 6)
+    assert reason_to_replace(evidence(own=SILENT, peers=peers)) is Reason.UNREACHABLE
+
+
+def test_a_host_alone_decides_alone():
+    assert reason_to_replace(evidence(own=REFUSED, peers=())) is Reason.UNREACHABLE
+
+
+def test_trouble_with_an_earlier_primary_does_not_count():
+    """Seen on trouble-3: reports from before a promotion replaced the new primary as well."""
+    old = Trouble("earlier", 5_000, refused=True)
+    assert reason_to_replace(evidence(own=old, peers=(old,) * 7)) is None
+
+
+def test_a_short_silence_does_not_count():
+    short = Trouble("p", 300, refused=False)
+    assert reason_to_replace(evidence(own=short, peers=(short,) * 7)) is None
+
+
+@pytest.mark.parametrize(("missing_ms", "fresh"), [(2_900, True), (60_000, False)])
+def test_an_entry_that_lapsed_with_the_store_does_not_replace_a_primary(missing_ms, fresh):
+    case = evidence(servers=registry(entry("r")), missing_ms=missing_ms, fresh=fresh)
+    assert reason_to_replace(case) is None
+
+
+def test_a_primary_whose_entry_is_gone_is_replaced():
+    case = evidence(servers=registry(entry("r")), missing_ms=3_100)
+    assert reason_to_replace(case) is Reason.MISSING
+
+
+def fence(**changes):
+    fields = {
+        "stored_ms": 1_000,
+        "demoted": False,
+        "refused": False,
+        "hosts": 8,
+        "quiet": 3,
+        "majority_quiet_ms": NEVER_MS,
+    }
+    return Fence(**{**fields, **changes})
+
+
+def test_a_promotion_waits_while_a_majority_may_use_the_old_primary():
+    assert not may_promote(fence(), 60_000)
+
+
+@pytest.mark.parametrize("change", [{"demoted": True}, {"refused": True}, {"quiet": 8}])
+def test_a_promotion_is_safe_once_the_old_primary_can_acknowledge_nothing(change):
+    assert may_promote(fence(**change), 1_000)
+
+
+def test_hosts_that_say_nothing_have_lost_their_lease_before_the_promotion():
+    case = fence(quiet=7, majority_quiet_ms=1_200)
+    assert not may_promote(case, 1_200 + LEASE_MS - 1)
+    assert may_promote(case, 1_200 + LEASE_MS)
+
+
+def report(offset, term=1, is_primary=False):
+    return ServerReport(is_primary, term, Position(term, offset))
+
+
+def test_the_most_complete_log_is_promoted():
+    reports = [("a", report(10)), ("b", report(12)), ("c", report(11))]
+    servers = registry(entry("a"), entry("b"), entry("c"))
+    assert best_candidates(reports, servers)[0][0] == "b"
+
+
+def test_a_server_that_leaves_is_promoted_last():
+    reports = [("a", report(10)), ("b", report(10))]
+    servers = registry(entry("a"), entry("b", draining=True))
+    assert [server_id for server_id, _ in best_candidates(reports, servers)] == ["a", "b"]
--- /dev/null
+++ b/packages/figcrank-coordination/tests/sessions/test_retries.py
@@ -0,0 +1,48 @@
+import pytest
+
+from figcrank.coordination.sessions import (
+    Step,
+    after_failed_start,
+    after_lost_commit,
+    after_read,
+    after_write,
+)
+from figcrank.protocol.sessions import SessionFailure
+
+NOT_RUN = (
+    SessionFailure.BUSY,
+    SessionFailure.NOT_PRIMARY,
+    SessionFailure.UNKNOWN_STATEMENT,
+)
+
+
+@pytest.mark.parametrize("failure", list(SessionFailure))
+def test_a_write_that_may_have_run_is_never_sent_again(failure):
+    if failure not in NOT_RUN:
+        assert after_write(failure, tries=1) is Step.TELL
+
+
+@pytest.mark.parametrize("failure", NOT_RUN)
+def test_a_write_that_did_not_run_is_sent_again(failure):
+    assert after_write(failure, tries=1) is not Step.TELL
+
+
+def test_a_lost_commit_is_in_doubt_only_if_something_was_written():
+    assert after_lost_commit(wrote=True) is SessionFailure.IN_DOUBT
+    assert after_lost_commit(wrote=False) is SessionFailure.ABORTED
+
+
+def test_a_read_at_a_replica_that_lags_goes_to_the_primary():
+    assert after_read(SessionFailure.LAGGING, tries=1) is Step.TRY_PRIMARY
+
+
+@pytest.mark.parametrize("failure", [SessionFailure.UNREACHABLE, SessionFailure.FAILED])
+def test_a_read_that_failed_is_tried_elsewhere_a_bounded_number_of_times(failure):
+    steps = [after_read(failure, tries) for tries in range(1, 6)]
+    assert steps[0] is Step.TRY_ELSEWHERE
+    assert steps[-1] is Step.TELL
+
+
+def test_a_full_server_is_waited_for():
+    assert after_failed_start(SessionFailure.CONNECTION_LIMIT) is Step.WAIT_AND_RETRY
+    assert after_failed_start(SessionFailure.UNREACHABLE) is Step.TRY_ELSEWHERE
