--- a/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
@@ -8,7 +8,7 @@
 from figcrank.coordination.peers import Peer, PeerTable
 from figcrank.coordination.placement import FreshnessLog
 from figcrank.coordination.primaries import LEASE_MS, PrimaryBook
-from figcrank.coordination.quotas import QuotaTolerance, SharedLimit
+from figcrank.coordination.quotas import SharedLimit
 from figcrank.protocol.heartbeats import NEVER_MS, Heartbeat, PrimaryRecord, Trouble
 from figcrank.state._catalog import Catalog, Registry, ServerEntry
 
@@ -30,7 +30,7 @@
     :param host: its name.
     :param boot_id: drawn anew at each start.
     :param address: its heartbeat address.
-    :param tolerance: how far operations may pass a limit.
+    :param headroom: operations by which any span of time may pass a workspace's limit.
     """
 
     def __init__(
@@ -38,9 +38,9 @@
         host: str,
         boot_id: int,
         address: tuple[str, int],
-        tolerance: QuotaTolerance | None = None,
+        headroom: float = 0.0,
     ) -> None:
-        self._tolerance = tolerance or QuotaTolerance()
+        self._headroom = headroom
         self.host = host
         self.boot_id = boot_id
         self.peers = PeerTable(host, address)
@@ -56,10 +56,6 @@
         self.trouble: dict[str, Trouble] = {}
         self.quiet: set[str] = set()
 
-    def set_tolerance(self, tolerance: QuotaTolerance) -> None:
-        """Change how far operations may pass a limit, from the next configuration onward."""
-        self._tolerance = tolerance
-
     def adopt_catalog(self, catalog: Catalog, now_ms: int) -> bool:
         """Put a configuration in force; return whether it is newer than the one that was."""
         if self.catalog is not None and catalog.version <= self.catalog.version:
@@ -67,10 +63,9 @@
         self.catalog = catalog
         for name, workspace in catalog.workspaces.items():
             limit = self.limits.get(name)
-            rate_per_s = workspace.rate_per_s
-            burst = workspace.burst + self._tolerance.cushion(rate_per_s, workspace.burst)
+            rate_per_s, burst = workspace.rate_per_s, workspace.burst
             if limit is None:
-                self.limits[name] = SharedLimit(rate_per_s, burst, now_ms)
+                self.limits[name] = SharedLimit(rate_per_s, burst, self._headroom, now_ms)
             else:
                 limit.configure(rate_per_s, burst)
         for name in self.limits.keys() - catalog.workspaces.keys():
--- a/packages/figcrank-coordination/src/figcrank/coordination/quotas/__init__.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/quotas/__init__.py
@@ -1,4 +1,3 @@
 """Each workspace's rate and burst, counted over all hosts."""
 
-from figcrank.coordination.quotas._shared_limit import QuotaTolerance as QuotaTolerance
 from figcrank.coordination.quotas._shared_limit import SharedLimit as SharedLimit
--- a/packages/figcrank-coordination/src/figcrank/coordination/quotas/_shared_limit.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/quotas/_shared_limit.py
@@ -16,29 +16,10 @@
 LEAST_SHARE = 0.001  # keeps a division defined where rounding leaves nothing
 LEAST_ALLOWANCE = 3.0  # operations that may come to one host within one interval by chance
 LEAST_ALLOWANCE_SHARE = 0.34  # of what the bucket holds; three hosts may act on it at once
-TOLERANCE_SHARE = 0.2  # of what may pass above a limit; the rest covers reports under way
+HEADROOM_SHARE = 0.25  # of the operations that may pass a limit; the rest covers reports under way
 START_SHARE = 0.5  # share of the burst after a start: a fleet that restarts grants no second burst
 
 
-@dataclass(frozen=True, slots=True)
-class QuotaTolerance:
-    """How far the operations of a span of time may pass a limit.
-
-    :param window_s: length of the span.
-    :param overage: share of the limit over that span.
-    :param headroom: operations besides.
-    """
-
-    window_s: float = 5.0
-    overage: float = 0.0
-    headroom: float = 0.0
-
-    def cushion(self, rate_per_s: float, burst: float) -> float:
-        """Return how many operations a bucket may hold above its burst."""
-        tolerated = self.overage * (rate_per_s * self.window_s + burst) + self.headroom
-        return TOLERANCE_SHARE * tolerated
-
-
 @dataclass(slots=True)
 class _Peer:
     admitted: int
@@ -54,12 +35,14 @@
 
     :param rate_per_s: operations a second, over all hosts.
     :param burst: operations that may come at once, over all hosts.
+    :param headroom: operations by which any span of time may pass the limit.
     :param now_ms: time of creation.
     """
 
-    def __init__(self, rate_per_s: float, burst: float, now_ms: int) -> None:
+    def __init__(self, rate_per_s: float, burst: float, headroom: float, now_ms: int) -> None:
         self._rate_per_s = rate_per_s
-        self._burst = burst
+        self._headroom = headroom
+        self._burst = burst + HEADROOM_SHARE * headroom
         self._level = burst * START_SHARE
         self._allowance = 0.0
         self._updated_ms = now_ms
@@ -75,7 +58,7 @@
     def configure(self, rate_per_s: float, burst: float) -> None:
         """Change the limit; what the bucket holds is cut to a smaller burst."""
         self._rate_per_s = rate_per_s
-        self._burst = burst
+        self._burst = burst + HEADROOM_SHARE * self._headroom
         self._level = min(self._level, burst)
         self._allowance = min(self._allowance, burst)
 
--- a/packages/figcrank-coordination/tests/quotas/test_shared_limit.py
+++ b/packages/figcrank-coordination/tests/quotas/test_shared_limit.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from figcrank.coordination.quotas import QuotaTolerance, SharedLimit
+from figcrank.coordination.quotas import SharedLimit
 
 TICK_MS = 300
 WINDOW_MS = 5_000
-TOLERANCE = QuotaTolerance(window_s=5, overage=0.1, headroom=20)
+HEADROOM = 20
 
 
 class Fleet:
@@ -16,8 +16,7 @@
 
     def __init__(self, hosts, rate, burst, seed=1):
         self.rate, self.burst = rate, burst
-        held = burst + TOLERANCE.cushion(rate, burst)
-        self.limits = {f"h{n}": SharedLimit(rate, held, 0) for n in range(hosts)}
+        self.limits = {f"h{n}": SharedLimit(rate, burst, HEADROOM, 0) for n in range(hosts)}
         self.cut = set()
         self.admitted_ms = []
         self.refused = 0
@@ -58,7 +57,7 @@
         return best
 
     def allowed_in_a_window(self):
-        return (self.rate * 5 + self.burst) * 1.1 + 20
+        return (self.rate * 5 + self.burst) * 1.1 + HEADROOM
 
 
 @pytest.mark.parametrize("seed", range(5))
@@ -94,7 +93,7 @@
 
 @pytest.mark.parametrize("seed", range(5))
 def test_hosts_that_are_cut_off_do_not_add_to_the_limit(seed):
-    """Two of eight hosts are cut off in the moment in which a workspace sends 7.5 times its usual."""
+    """Two of eight hosts are cut off just when a workspace begins to send 7.5 times its usual."""
     fleet = Fleet(8, 61, 61, seed)
     fleet.run(5_000, lambda _: 38 / 8)
     fleet.cut = {"h1", "h2"}
@@ -103,7 +102,7 @@
 
 
 def test_an_operation_that_reached_no_server_does_not_count():
-    limit = SharedLimit(1, 10, 0)
+    limit = SharedLimit(1, 10, 0, 0)
     limit.share_out(10_000)
     admitted = 0
     for _ in range(100):
@@ -115,19 +114,19 @@
 
 
 def test_a_start_grants_less_than_a_whole_burst():
-    limit = SharedLimit(1, 10, 0)
+    limit = SharedLimit(1, 10, 0, 0)
     limit.share_out(0)
     assert sum(limit.admit(0) for _ in range(20)) <= 5
 
 
 def test_a_lower_limit_binds_at_once():
-    limit = SharedLimit(100, 100, 0)
+    limit = SharedLimit(100, 100, 0, 0)
     limit.share_out(10_000)
     limit.configure(2, 2)
     assert sum(limit.admit(10_000) for _ in range(50)) <= 2
 
 
 def test_a_refusal_says_when_to_come_back():
-    limit = SharedLimit(10, 1, 0)
+    limit = SharedLimit(10, 1, 0, 0)
     assert not limit.admit(0)
     assert 1 <= limit.retry_after_ms() <= 200
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
@@ -63,7 +63,9 @@
         self._log = EventLog(settings.host, self._clock)
         self._metrics = Metrics()
         boot_id = random.SystemRandom().getrandbits(48)
-        self._view = FleetView(settings.host, boot_id, settings.peer_address, settings.tolerance)
+        self._view = FleetView(
+            settings.host, boot_id, settings.peer_address, settings.limit_headroom
+        )
         self._router = Router(
             self._view,
             server_codec,
@@ -224,7 +226,6 @@
             return
         self._log.event("settings_changed", before=self._settings, after=settings)
         self._settings = settings
-        self._view.set_tolerance(settings.tolerance)
 
     def _reload_for_ever(self) -> None:
         """Notice settings that change without a signal."""
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_settings.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_settings.py
@@ -2,8 +2,6 @@
 
 from dataclasses import dataclass
 
-from figcrank.coordination.quotas import QuotaTolerance
-
 
 @dataclass(frozen=True, slots=True)
 class SessionHostSettings:
@@ -17,7 +15,7 @@
     :param metrics_address: ``(ip, port)`` of the metrics.
     :param seeds: heartbeat addresses of a few hosts that may be up.
     :param grace_ms: time between the order to stop and the end of the process.
-    :param tolerance: how far operations may pass a workspace's limit.
+    :param limit_headroom: operations by which any span of time may pass a workspace's limit.
     """
 
     host: str
@@ -28,4 +26,4 @@
     metrics_address: tuple[str, int]
     seeds: tuple[tuple[str, int], ...] = ()
     grace_ms: int = 6_000
-    tolerance: QuotaTolerance = QuotaTolerance()
+    limit_headroom: float = 0.0
