--- a/packages/figcrank-coordination/src/figcrank/coordination/placement/_health.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/placement/_health.py
@@ -3,7 +3,7 @@
 FIRST_BACKOFF_MS = 100  # a crashed process is back after a second at the least
 MAX_BACKOFF_MS = 1_000  # a returned server is found within a second
 LATENCY_WEIGHT = 0.1  # weight of the newest answer in the moving average
-START_LATENCY_MS = 30.0  # typical work of one statement, until answers tell
+START_LATENCY_MS = 5.0  # below any real one, so that a server without work so far gets some
 
 
 class ServerHealth:
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_peer_link.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_peer_link.py
@@ -80,6 +80,7 @@
             peer = next((p for p in self._view.peers.all() if p.address == address), None)
             if peer is not None:
                 self._send(peer)
+            self._fetch_from(address)  # it may know hosts that no listing has told
         self._fetch_if_newer(beat.catalog_version, beat.registry_revision, address)
 
     def _note_primary(self, group: str, source: str) -> None:
@@ -125,7 +126,11 @@
     def _fetch_if_newer(self, catalog_version: int, revision: int, address: Address) -> None:
         own_version = self._view.catalog.version if self._view.catalog else 0
         newer = catalog_version > own_version or revision > self._view.registry.revision
-        if newer and not self._fetching:
+        if newer:
+            self._fetch_from(address)
+
+    def _fetch_from(self, address: Address) -> None:
+        if not self._fetching:
             self._fetching = True
             eventlet.spawn_n(self._fetch, address)
 
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_store_loop.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_store_loop.py
@@ -68,6 +68,8 @@
             self._metrics.count("store_calls", call=name, result=error.kind.name.lower())
             if error.kind in (StoreErrorKind.NOT_DONE, StoreErrorKind.UNKNOWN):
                 self._note_failure(name, error)
+            elif error.kind is StoreErrorKind.UNREADABLE:
+                self._log.event("store_unreadable", call=name, reason=error.detail)
             raise
         self._metrics.count("store_calls", call=name, result="ok")
         self._note_success()
