--- a/packages/figcrank-coordination/src/figcrank/coordination/placement/_connections.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/placement/_connections.py
@@ -14,6 +14,15 @@
     return max(1, (max_connections - SPARE_CONNECTIONS) // max(1, hosts))
 
 
+def kept_connections(quota: int) -> int:
+    """Return how many of its connections to a server a host keeps while they are not all in use.
+
+    A server drops the connections of hosts that lost power only after seconds. While the hosts
+    keep no more than half, all of them can come back at once and find room.
+    """
+    return max(1, quota // 2)
+
+
 @dataclass(frozen=True, slots=True)
 class Waiter:
     """A statement that waits for a connection.
--- a/packages/figcrank-coordination/tests/placement/test_connections.py
+++ b/packages/figcrank-coordination/tests/placement/test_connections.py
@@ -1,6 +1,6 @@
 import pytest
 
-from figcrank.coordination.placement import Waiter, connection_quota, next_waiter
+from figcrank.coordination.placement import Waiter, connection_quota, kept_connections, next_waiter
 
 
 @pytest.mark.parametrize(("limit", "hosts"), [(34, 8), (39, 9), (34, 9), (39, 12), (258, 66)])
@@ -8,6 +8,12 @@
     assert connection_quota(limit, hosts) * hosts <= limit
 
 
+@pytest.mark.parametrize(("limit", "hosts"), [(34, 8), (39, 9), (258, 66)])
+def test_hosts_that_lost_power_find_room_while_their_old_connections_last(limit, hosts):
+    """Seen on scale-2: for three seconds after a loss of power new connections were refused."""
+    assert 2 * hosts * kept_connections(connection_quota(limit, hosts)) <= limit
+
+
 def test_a_host_holds_at_least_one_connection():
     assert connection_quota(4, 100) == 1
 
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_pool.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_pool.py
@@ -5,7 +5,7 @@
 import eventlet
 from eventlet.event import Event
 
-from figcrank.coordination.placement import ServerHealth, Waiter, next_waiter
+from figcrank.coordination.placement import ServerHealth, Waiter, kept_connections, next_waiter
 from figcrank.protocol.sessions import ServerCodec, ServerReply, SessionFailure
 from figcrank.state._catalog import ServerEntry
 from figcrank.state._clock import Clock
@@ -163,7 +163,8 @@
         """Take back a connection that is between statements and outside any transaction."""
         self._busy.discard(connection)
         if not connection.closed:
-            if len(self._idle) + self.busy >= self.limit:
+            kept = self.limit if self._waiters else kept_connections(self.limit)
+            if len(self._idle) + self.busy >= kept:
                 connection.close()
             else:
                 self._idle.append(connection)
