Test, lint and install the platform's folder; install under a lock

Two makes started together broke the environment: pip ran into a half-made one. Now the second waits and finds it done; an interrupted one is begun anew. Checked with two runs started together in a fresh clone.

--- a/Makefile
+++ b/Makefile
@@ -2,11 +2,12 @@
 VENV := .venv
 BIN := $(VENV)/bin
 LOCK := requirements/dev.lock
-PACKAGES := $(wildcard packages/figcrank-*)
+PACKAGES := $(wildcard packages/figcrank-*) platform
+SOURCES := packages platform
 STAMP := $(VENV)/.installed
 LISTEN ?= 127.0.0.1:8080
 
-.PHONY: run test lint measure format lock fleet load-run
+.PHONY: run test lint measure format lock fleet load-run platform
 
 run: $(STAMP)
 	$(BIN)/figcrankd --embedded --listen $(LISTEN)
@@ -17,27 +18,32 @@
 load-run: $(STAMP)
 	$(BIN)/python -m figcrank.cli.bench
 
+# Twice, because the folder platform/ would hide the standard library's module from one run of all.
 test: $(STAMP)
+	cd platform && ../$(BIN)/pytest
 	$(BIN)/pytest
 
+platform: $(STAMP)
+	$(BIN)/python platform/tests/calm_day.py
+
 measure: $(STAMP)
 	$(BIN)/python -m figcrank.measure
 
 lint: $(STAMP)
-	$(BIN)/black --check --quiet packages
-	$(BIN)/ruff check --quiet packages
+	$(BIN)/black --check --quiet $(SOURCES)
+	$(BIN)/ruff check --quiet $(SOURCES)
 	$(BIN)/lint-imports --no-cache
 
 format: $(STAMP)
-	$(BIN)/black --quiet packages
-	$(BIN)/ruff check --quiet --fix packages
+	$(BIN)/black --quiet $(SOURCES)
+	$(BIN)/ruff check --quiet --fix $(SOURCES)
 
 lock: $(STAMP)
 	cd requirements && pip-compile --generate-hashes --allow-unsafe --strip-extras --no-header \
 		--no-emit-index-url --no-emit-trusted-host --no-emit-find-links -o dev.lock dev.in
 
-$(STAMP): $(LOCK) $(wildcard packages/*/pyproject.toml)
-	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install --quiet --require-hashes -r $(LOCK)
-	$(BIN)/pip install --quiet --no-deps --no-build-isolation $(addprefix -e ,$(PACKAGES))
-	touch $@
+# One installation at a time; one that was interrupted leaves no stamp and is begun anew.
+INPUTS := $(LOCK) $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
+
+$(STAMP): $(INPUTS)
+	flock .install.lock sh requirements/install.sh $(PYTHON) $(VENV) $(STAMP) $(LOCK) $(PACKAGES)
--- /dev/null
+++ b/requirements/install.sh
@@ -0,0 +1,21 @@
+#!/bin/sh
+# Installs everything that development needs; run under a lock, as "make" does.
+# Arguments: python, environment, stamp, lock file, packages.
+set -eu
+python=$1 environment=$2 stamp=$3 lock=$4
+shift 4
+inputs=$lock
+editable=
+for package in "$@"; do
+  inputs="$inputs $package/pyproject.toml"
+  editable="$editable -e ./$package"
+done
+# Another run may have installed it while this one waited for the lock.
+if [ -e "$stamp" ] && [ -z "$(find $inputs -newer "$stamp")" ]; then
+  exit 0
+fi
+rm -rf "$environment"
+"$python" -m venv "$environment"
+"$environment/bin/pip" install --quiet --require-hashes -r "$lock"
+"$environment/bin/pip" install --quiet --no-deps --no-build-isolation $editable
+touch "$stamp"
