Write primaries down with their address before any is replaced

Ruled out: the store (it answered), the lease. Change: the coordinator writes each primary's id, term and address to the store once, and a primary without an entry is used by that address until it is replaced.

--- a/packages/figcrank-protocol/src/figcrank/protocol/heartbeats.py
+++ b/packages/figcrank-protocol/src/figcrank/protocol/heartbeats.py
@@ -21,6 +21,7 @@
     :param server_id: the primary; while moving, the one that is being replaced.
     :param moving: whether a replacement is under way and the old primary must not be used.
     :param planned: whether the old primary still works, so that statements there may end.
+    :param address: its ``ip:port``; its entry in the registry may have lapsed.
     """
 
     version: int
@@ -28,10 +29,12 @@
     server_id: str
     moving: bool = False
     planned: bool = False
+    address: str = ""
 
     def to_fields(self) -> list:
         """Return the record as a list for JSON."""
-        return [self.version, self.term, self.server_id, int(self.moving), int(self.planned)]
+        flags = [int(self.moving), int(self.planned)]
+        return [self.version, self.term, self.server_id, *flags, self.address]
 
     @classmethod
     def from_fields(cls, fields: list) -> "PrimaryRecord":
@@ -39,8 +42,9 @@
 
         :raises ValueError: if it is none.
         """
-        version, term, server_id, moving, planned = fields
-        return cls(int(version), int(term), str(server_id), bool(moving), bool(planned))
+        version, term, server_id, moving, planned, address = fields
+        flags = bool(moving), bool(planned)
+        return cls(int(version), int(term), str(server_id), *flags, str(address))
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
@@ -48,6 +48,7 @@
 ASK_QUIET_MS = 300  # between readings of what hosts said through the store
 DEMOTE_FOR_MS = 8_000  # a primary that was cut off is demoted once it is reached
 DEMOTE_PAUSE_MS = 400
+NOTE_PAUSE_MS = 3_000  # between tries to write down primaries that nobody has replaced
 ORDERS = 5  # tries of one server's promotion while the call is refused or its answer lost
 ORDER_PAUSE_MS = 100  # between refused orders; the call's rate is fifty a second
 
@@ -90,6 +91,7 @@
         self._under_way: set[str] = set()
         self._stored = StoredPrimaries()
         self._renewed_ms = NEVER_MS
+        self._note_at_ms = 0
         self._missing_since_ms: dict[str, int] = {}
 
     def run(self) -> None:
@@ -112,6 +114,9 @@
         reason = reason_to_replace(self._evidence(group, record, now_ms))
         if reason is not None:
             self._start(group, record, reason)
+        elif not record.version and record.term and now_ms >= self._note_at_ms:
+            self._note_at_ms = now_ms + NOTE_PAUSE_MS
+            eventlet.spawn_n(self._note_primaries)
 
     def _is_coordinator(self, now_ms: int) -> bool:
         view = self._view
@@ -170,7 +175,7 @@
 
     def _steps(self, group: str, record: PrimaryRecord, reason: Reason | None) -> str:
         planned = reason is Reason.LEAVING
-        moving = PrimaryRecord(record.version + 1, record.term, record.server_id, True, planned)
+        moving = replace(record, version=record.version + 1, moving=True, planned=planned)
         stored_ms = self._write(group, moving)
         self._merge(group, moving)
         demoted = self._stop_old(group, moving, planned)
@@ -182,12 +187,29 @@
         if leader is None:
             return "no server took over"
         server_id, term = leader
-        done = PrimaryRecord(moving.version + 1, term, server_id)
+        address = self._address_of(server_id)
+        done = PrimaryRecord(moving.version + 1, term, server_id, address=address)
         self._merge(group, done)
         eventlet.spawn_n(self._demote_later, record.server_id, group, term)
         self._write(group, done)
         return "done"
 
+    def _note_primaries(self) -> None:
+        """Write the primaries that nobody has replaced yet, for hosts that start later.
+
+        A primary that is cut off from the store loses its entry there, and with it its address.
+        """
+        for group, record in self._view.book.all().items():
+            address = self._address_of(record.server_id)
+            if record.version or not record.term or not address or group in self._under_way:
+                continue
+            noted = replace(record, version=1, address=address)
+            try:
+                self._write(group, noted)
+            except StoreError:
+                return  # logged and counted where the call was made; tried again later
+            self._merge(group, noted)
+
     # The store's record.
 
     def _write(self, group: str, record: PrimaryRecord) -> int:
@@ -252,6 +274,10 @@
             self._await_catch_up(group, entry)
         return self._demote(entry, record.term + 1)
 
+    def _address_of(self, server_id: str) -> str:
+        entry = self._entry(server_id)
+        return entry.address if entry else ""
+
     def _entry(self, server_id: str) -> ServerEntry | None:
         pool = self._router.pool(server_id)
         return pool.entry if pool else None
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
@@ -7,7 +7,7 @@
 from figcrank.coordination.placement import Candidate, connection_quota, rank
 from figcrank.protocol.heartbeats import Trouble
 from figcrank.protocol.sessions import ServerCodec, ServerReply, SessionFailure
-from figcrank.state._catalog import DatabaseRoute, ReadMode
+from figcrank.state._catalog import DatabaseRoute, ReadMode, ServerEntry
 from figcrank.state._clock import Clock
 from figcrank.state._positions import Position
 from figcrank.transport.streams._connection import OpenError, ServerConnection
@@ -55,7 +55,7 @@
     def pool(self, server_id: str) -> ServerPool | None:
         """Return the pool of a server, ``None`` if it is not registered."""
         pool = self._pools.get(server_id)
-        entry = self.view.registry.servers.get(server_id)
+        entry = self.view.registry.servers.get(server_id) or self._lapsed_primary(server_id)
         if entry is None:
             return pool
         if pool is not None and pool.entry.address != entry.address:
@@ -68,6 +68,13 @@
         pool.entry = entry
         return pool
 
+    def _lapsed_primary(self, server_id: str) -> ServerEntry | None:
+        """Return the entry of a primary that only the record of primaries names."""
+        for group, record in self.view.book.all().items():
+            if record.server_id == server_id and record.address:
+                return ServerEntry(server_id, group, record.address, "", 1, False, True)
+        return None
+
     def pools(self) -> list[ServerPool]:
         """Return every pool."""
         return list(self._pools.values())
@@ -128,7 +135,7 @@
         candidates = []
         required = self._required(route, after, now_ms)
         usable = self.view.primary_use(route.group, now_ms) is PrimaryUse.USABLE
-        for entry in self.view.registry.of_group(route.group):
+        for entry in self._entries_of(route.group):
             pool = self.pool(entry.server_id)
             if entry.server_id in tried or not pool.health.usable(now_ms):
                 continue
@@ -143,6 +150,14 @@
             candidates.append(self._candidate(pool, leads, workspace))
         return [pools[candidate.server_id] for candidate in rank(candidates)]
 
+    def _entries_of(self, group: str) -> list[ServerEntry]:
+        entries = list(self.view.registry.of_group(group))
+        record = self.view.book.get(group)
+        if record is not None and record.server_id not in self.view.registry.servers:
+            lapsed = self._lapsed_primary(record.server_id)
+            entries.extend([lapsed] if lapsed else [])
+        return entries
+
     def _required(
         self, route: DatabaseRoute, after: Position | None, now_ms: int
     ) -> Position | None:
