Forget what a restarted peer's earlier boot reported

Cause: the earlier boot was forgotten only with a heartbeat that carried counts; a host's first ones after a start carry none. Its entry stayed overdue, so that shares of limits stood still. Ruled out: the rate, the level.

--- a/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
@@ -146,12 +146,13 @@
 
     def _take_spent(self, peer: Peer, beat: Heartbeat, old_boot: int) -> None:
         reporter = f"{peer.name}/{beat.boot_id}"
+        if old_boot != beat.boot_id:
+            for limit in self.limits.values():
+                limit.forget(f"{peer.name}/{old_boot}")
         for workspace, (admitted, asked) in beat.spent.items():
             limit = self.limits.get(workspace)
             if limit is None:
                 continue
-            if old_boot != beat.boot_id:
-                limit.forget(f"{peer.name}/{old_boot}")
             limit.report(reporter, admitted, asked, peer.heard_ms)
 
     def _take_observed(self, peer: Peer, beat: Heartbeat) -> None:
--- a/packages/figcrank-coordination/src/figcrank/coordination/quotas/_shared_limit.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/quotas/_shared_limit.py
@@ -122,6 +122,10 @@
             # Both sides of a partition last agreed on the shares as they are now.
             known.reserved_share = known.share
 
+    def peers(self) -> set[str]:
+        """Return the peers that have reported."""
+        return set(self._peers)
+
     def forget(self, peer: str) -> None:
         """Drop a peer that is gone."""
         self._peers.pop(peer, None)
--- a/packages/figcrank-coordination/tests/fleet/test_fleet_view.py
+++ b/packages/figcrank-coordination/tests/fleet/test_fleet_view.py
@@ -87,6 +87,17 @@
     assert view.catalog.version == 7
 
 
+def test_a_restarted_peer_leaves_nothing_of_its_earlier_boot_in_the_limits():
+    """Seen on trouble-2: shares stood still after restarts, and callers were refused."""
+    view = make_view()
+    view.adopt_catalog(catalog(1), 0)
+    address = ("10.0.0.2", 7000)
+    view.receive(Heartbeat("b", 1, 10, spent={"w": (3, 4)}), address, 100)
+    view.receive(Heartbeat("b", 2, 5), address, 400)
+    view.receive(Heartbeat("b", 2, 6, spent={"w": (0, 0)}), address, 700)
+    assert view.limits["w"].peers() == {"b/2"}
+
+
 def listing(revision, *ids):
     entries = {i: ServerEntry(i, "g", "10.1.0.1:80", "a", 5, False, False) for i in ids}
     return Registry(revision, entries)
