Tell a failed request's story from the logs; let idle hosts check a doubted primary

Cause of the mended fault: a primary's crash that only one host noticed was never acted on, because two reporters are needed and hosts without work for it had no way to notice; found by test_a_write_in_doubt_at_a_failover. Ruled out: the coordinator (it had the report).

--- a/packages/figcrank-cli/src/figcrank/cli/_ctl_parser.py
+++ b/packages/figcrank-cli/src/figcrank/cli/_ctl_parser.py
@@ -6,7 +6,14 @@
 import re
 from typing import Any, NoReturn
 
-from figcrank.cli import _ctl_config, _ctl_edits, _ctl_fleet, _ctl_load, _ctl_trace
+from figcrank.cli import (
+    _ctl_config,
+    _ctl_edits,
+    _ctl_fleet,
+    _ctl_load,
+    _ctl_logs,
+    _ctl_trace,
+)
 from figcrank.cli._ctl_errors import ExitCode
 from figcrank.protocol.objects import CONFIG_KINDS
 from figcrank.state import ProfileMode
@@ -60,6 +67,7 @@
     _add_config_commands(commands)
     _add_trace(commands)
     _add_load(commands)
+    _add_logs(commands)
     return parser
 
 
@@ -301,3 +309,15 @@
     if not 0 < number <= most:
         raise argparse.ArgumentTypeError(f"{text!r} is no number above 0 and up to {most:g}")
     return number
+
+
+def _add_logs(commands: Any) -> None:
+    text = "tell from log files what became of a request, who led when, or what was refused"
+    parser = _add(commands, "logs", _ctl_logs.show_logs, text, remote=False)
+    parser.add_argument("files", nargs="+", metavar="FILE", help="log lines of hosts; - for input")
+    choice = parser.add_mutually_exclusive_group()
+    choice.add_argument("--request", metavar="ID", help="all about one request, over all hosts")
+    choice.add_argument(
+        "--beliefs", action="store_true", help="who was primary when, and what changed a belief"
+    )
+    choice.add_argument("--plot", metavar="PICTURE", help="refusals of each second, as a picture")
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
@@ -91,7 +91,7 @@
             self._log,
             self._metrics,
         )
-        runner = StatementRunner(self._router, self._clock, self._metrics)
+        runner = StatementRunner(self._router, self._clock, self._metrics, self._log)
         self._services = SessionServices(
             caller_codec, self._router, runner, self._clock, self._log, self._metrics
         )
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_log.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_log.py
@@ -7,6 +7,7 @@
 import functools
 import json
 import os
+import time
 from collections.abc import Callable
 
 import eventlet
@@ -70,7 +71,9 @@
             self._append(now_ms, "lines_dropped", dropped)
 
     def _append(self, now_ms: int, event: str, fields: dict) -> None:
-        line = {"t_ms": now_ms, "host": self._host, "event": event, **fields}
+        # The time of day may jump; it serves to lay the logs of several hosts side by side.
+        at_ms = time.time_ns() // 1_000_000
+        line = {"at_ms": at_ms, "t_ms": now_ms, "host": self._host, "event": event, **fields}
         self._lines.append(json.dumps(line, separators=(",", ":"), default=str) + "\n")
 
     def flush(self) -> None:
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
@@ -18,6 +18,7 @@
 RECHECK_MS = 100  # a lease can lapse and return without an event
 GONE_GRACE_MS = 2_500  # entries that lapsed with the store are back within two seconds
 SILENT_MS = 500  # a statement unanswered for so long makes its server suspect
+DOUBT_MS = 200  # an answer older than this says nothing against a peer's trouble
 FENCED_END_MS = 200  # statements under way at a primary that others don't reach end within it
 PLANNED_END_MS = 900  # open transactions at a leaving primary may end in this time
 DEFAULT_CONNECTIONS = 8  # for a group that the configuration does not name yet
@@ -228,6 +229,8 @@
     def tick(self) -> None:
         """Bring pools in line with the registry, and look for servers that stay silent."""
         now_ms = self._clock.now_ms()
+        for record in self.view.book.all().values():
+            self.pool(record.server_id)  # a host without work for it may have to check it
         for pool in self.pools():
             self._set_limit(pool)
             self._check_entry(pool, now_ms)
@@ -252,11 +255,20 @@
     def _check_silence(self, pool: ServerPool, now_ms: int) -> None:
         waited_ms = pool.oldest_outstanding_ms(now_ms)
         silent = waited_ms >= SILENT_MS and now_ms - pool.health.ok_ms >= SILENT_MS
-        failing = pool.health.failing_since_ms is not None and self.is_primary(pool)
-        if (silent or failing) and pool.health.usable(now_ms) and not pool.being_checked:
+        leads = self.is_primary(pool)
+        failing = leads and pool.health.failing_since_ms is not None
+        doubted = leads and self._is_doubted(pool, now_ms)
+        if (silent or failing or doubted) and pool.health.usable(now_ms) and not pool.being_checked:
             pool.being_checked = True
             eventlet.spawn_n(self.check_server, pool)
 
+    def _is_doubted(self, pool: ServerPool, now_ms: int) -> bool:
+        """Return whether a peer can't reach a primary that this host has not used lately."""
+        if now_ms - pool.health.ok_ms < DOUBT_MS or pool.health.failing_since_ms is not None:
+            return False
+        told = (peer.beat.trouble.get(pool.entry.group) for peer in self.view.peers.live(now_ms))
+        return any(trouble and trouble.server_id == pool.entry.server_id for trouble in told)
+
     def check_server(self, pool: ServerPool) -> None:
         """Open a connection of its own to a server to see whether it answers, and close it."""
         entry = pool.entry
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_work.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_work.py
@@ -23,6 +23,7 @@
 from figcrank.state._clock import Clock
 from figcrank.state._positions import Position
 from figcrank.transport.streams._connection import OpenError, ServerConnection
+from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._metrics import Metrics
 from figcrank.transport.streams._pool import ServerPool
 from figcrank.transport.streams._router import Router
@@ -85,9 +86,11 @@
     :param router: the servers.
     :param clock: this host's clock.
     :param metrics: where tries are counted.
+    :param log: where failed tries are written.
     """
 
-    def __init__(self, router: Router, clock: Clock, metrics: Metrics) -> None:
+    def __init__(self, router: Router, clock: Clock, metrics: Metrics, log: EventLog) -> None:
+        self._log = log
         self._router = router
         self._codec = router.codec
         self._clock = clock
@@ -319,6 +322,7 @@
             else:
                 failure, detail = reply.failure, reply.detail
             step = after_read(failure, tries)
+            self._log_try(statement, done, failure, detail, step)
             if step is Step.TELL:
                 payload = reply.payload if reply else b""
                 return Answer(payload, failure, detail, tries, server_id, 0, done.after)
@@ -335,6 +339,21 @@
             return Answer(b"", SessionFailure.TIMEOUT, detail, tries)
         return Answer(b"", SessionFailure.BUSY, detail, tries)
 
+    def _log_try(
+        self, statement: Statement, done: _Try, failure: SessionFailure, detail: str, step: Step
+    ) -> None:
+        self._log.event(
+            "try_failed",
+            id=statement.request.request_id,
+            server=done.pool.entry.server_id,
+            group=done.pool.entry.group,
+            failure=failure.name.lower(),
+            reason=detail,
+            required=done.after,
+            held=done.pool.position,
+            next=step.name.lower(),
+        )
+
     def _collector(self, results: LightQueue, attempt: _Try):  # noqa: ANN202
         def collect(connection: ServerConnection, reply: ServerReply | None) -> None:
             if reply is None:
