--- a/packages/figcrank-coordination/src/figcrank/coordination/primaries/_replacement.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/primaries/_replacement.py
@@ -19,6 +19,8 @@
 SILENT_MS = 500  # longer than the slowest statement's usual work behind a full queue
 REPORTERS_SHARE = 0.25  # below a quarter of the hosts, a promotion harms more callers than it helps
 LEASE_MARGIN_MS = 100  # between a host's check of its lease and the statement's arrival
+SETTLING_MS = 3_000  # a partition ends after some seconds; one replacement in it is enough
+SETTLING_SHARE = 0.6  # of the hosts, for another replacement within that time
 MISSING_MS = 3_000  # entries that lapsed in an outage of the store are back within two seconds
 
 
@@ -37,6 +39,7 @@
     :param record: the belief about its group.
     :param registry: the registered servers.
     :param missing_ms: for how long the primary has had no entry.
+    :param believed_ms: for how long it has been taken for the primary.
     :param registry_fresh: whether the registry is recent and the store was not away lately.
     :param own_trouble: this host's trouble with it, if any.
     :param peer_troubles: the live peers' troubles, ``None`` for each peer that has none.
@@ -45,6 +48,7 @@
     record: PrimaryRecord
     registry: Registry
     missing_ms: int
+    believed_ms: int
     registry_fresh: bool
     own_trouble: Trouble | None
     peer_troubles: tuple[Trouble | None, ...]
@@ -59,7 +63,9 @@
     primary_id = evidence.record.server_id
     reporters = sum(1 for trouble in troubles if trouble and _counts(trouble, primary_id))
     hosts = len(troubles)
-    needed = 1 if hosts == 1 else max(2, REPORTERS_SHARE * hosts)
+    # Hosts that are cut off from a new primary are cut off from others too; wait for their return.
+    share = SETTLING_SHARE if evidence.believed_ms < SETTLING_MS else REPORTERS_SHARE
+    needed = 1 if hosts == 1 else max(2, share * hosts)
     if reporters >= needed:
         return Reason.UNREACHABLE
     if evidence.registry_fresh and entry is None and evidence.missing_ms >= MISSING_MS:
--- a/packages/figcrank-coordination/tests/primaries/test_replacement.py
+++ b/packages/figcrank-coordination/tests/primaries/test_replacement.py
@@ -24,9 +24,12 @@
     return Registry(1, {item.server_id: item for item in entries})
 
 
-def evidence(own=None, peers=(None,) * 7, servers=None, missing_ms=0, fresh=True):
+def evidence(
+    own=None, peers=(None,) * 7, servers=None, missing_ms=0, fresh=True, believed_ms=60_000
+):
     known = registry(entry("p"), entry("r")) if servers is None else servers
-    return Evidence(PrimaryRecord(0, 1, "p"), known, missing_ms, fresh, own, peers)
+    record = PrimaryRecord(0, 1, "p")
+    return Evidence(record, known, missing_ms, believed_ms, fresh, own, peers)
 
 
 SILENT = Trouble("p", 600, refused=False)
@@ -51,6 +54,16 @@
     assert reason_to_replace(evidence(own=SILENT, peers=peers)) is Reason.UNREACHABLE
 
 
+def test_a_new_primary_is_not_replaced_again_for_the_hosts_of_one_partition():
+    """Seen on trouble-3: four of nine hosts could not reach the new primary either."""
+    peers = (SILENT,) * 3 + (None,) * 4
+    assert reason_to_replace(evidence(own=SILENT, peers=peers, believed_ms=1_000)) is None
+    assert reason_to_replace(evidence(own=SILENT, peers=peers)) is Reason.UNREACHABLE
+    crashed = (SILENT,) * 7
+    case = evidence(own=SILENT, peers=crashed, believed_ms=1_000)
+    assert reason_to_replace(case) is Reason.UNREACHABLE
+
+
 def test_a_host_alone_decides_alone():
     assert reason_to_replace(evidence(own=REFUSED, peers=())) is Reason.UNREACHABLE
 
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
@@ -44,7 +44,7 @@
 CATCH_UP_MS = 600  # wait for the next primary of a planned replacement to hold every commit
 PROMOTED_MS = 3_000  # the longest promotion known is one second
 POLL_MS = 40  # how often the promoted server is asked whether it leads
-QUIET_MS = 1_200  # hosts end their work at a leaving primary within this time
+QUIET_MS = 800  # hosts end their work at a leaving primary within this time
 ASK_QUIET_MS = 300  # between readings of what hosts said through the store
 DEMOTE_FOR_MS = 8_000  # a primary that was cut off is demoted once it is reached
 DEMOTE_PAUSE_MS = 400
@@ -136,6 +136,7 @@
             record,
             self._view.registry,
             now_ms - self._missing_since_ms.get(group, now_ms),
+            self._view.book.unchanged_for_ms(group, now_ms),
             self._store.registry_is_fresh(now_ms),
             self._view.trouble.get(group),
             tuple(peer.beat.trouble.get(group) for peer in live if peer.beat),
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
@@ -20,7 +20,7 @@
 SILENT_MS = 500  # a statement unanswered for so long makes its server suspect
 DOUBT_MS = 200  # an answer older than this says nothing against a peer's trouble
 FENCED_END_MS = 200  # statements under way at a primary that others don't reach end within it
-PLANNED_END_MS = 900  # open transactions at a leaving primary may end in this time
+PLANNED_END_MS = 500  # open transactions at a leaving primary may end in this time
 DEFAULT_CONNECTIONS = 8  # for a group that the configuration does not name yet
 
 
