Let two thirds of the hosts hold a primary while the store is away

Now more than two thirds hold it, and fewer than a third never replace one against the rest. Ruled out: the heartbeats (all live hosts were heard).

--- a/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
@@ -115,13 +115,14 @@
     def lease_since_ms(self, now_ms: int) -> int:
         """Return when the belief about primaries was last confirmed.
 
-        A majority of hosts confirms it for a while after the last reading of the store, or after
-        the last time at which every host was heard: the others may be able to replace a primary.
+        More than two thirds of the hosts confirm it: fewer than a third replace no primary. A
+        bare majority does so for a while after the last reading of the store, or after the last
+        time at which every host was heard.
         """
         stored_ms = max(self.confirmed_ms, self.peers.store_confirmed_ms())
         whole_ms = max(stored_ms, self.peers.all_since_ms(now_ms))
         if now_ms - whole_ms > MAJORITY_LEASE_MS:
-            return stored_ms
+            return max(stored_ms, self.peers.two_thirds_since_ms(now_ms))
         return max(stored_ms, self.peers.majority_since_ms(now_ms))
 
     def primary_of(self, group: str) -> ServerEntry | None:
--- a/packages/figcrank-coordination/src/figcrank/coordination/peers/_table.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/peers/_table.py
@@ -95,9 +95,18 @@
 
     def majority_since_ms(self, now_ms: int) -> int:
         """Return the newest time since which a majority of hosts, this one included, was heard."""
-        times = sorted([now_ms, *(peer.since_ms for peer in self._peers.values())], reverse=True)
+        times = self._times(now_ms)
         return times[len(times) // 2]
 
+    def two_thirds_since_ms(self, now_ms: int) -> int:
+        """Return the newest time since which more than two thirds of the hosts were heard."""
+        times = self._times(now_ms)
+        return times[2 * len(times) // 3]
+
+    def _times(self, now_ms: int) -> list[int]:
+        others = (peer.since_ms for peer in self._peers.values())
+        return sorted([now_ms, *others], reverse=True)
+
     def all_since_ms(self, now_ms: int) -> int:
         """Return the newest time since which every known host was heard."""
         return min((peer.since_ms for peer in self._peers.values()), default=now_ms)
--- a/packages/figcrank-coordination/src/figcrank/coordination/primaries/_replacement.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/primaries/_replacement.py
@@ -89,6 +89,7 @@
     :param hosts: hosts of the fleet, this one included.
     :param quiet: hosts that use it no more, this one included.
     :param majority_quiet_ms: since when the hosts that may still use it are no majority.
+    :param third_quiet_ms: since when a third of the hosts uses it no more.
     """
 
     stored_ms: int
@@ -97,14 +98,16 @@
     hosts: int
     quiet: int
     majority_quiet_ms: int
+    third_quiet_ms: int
 
 
 def may_promote(fence: Fence, now_ms: int) -> bool:
     """Return whether another server may be promoted now."""
     if fence.demoted or fence.refused or fence.quiet >= fence.hosts:
         return True
-    if now_ms - fence.stored_ms >= MAJORITY_LEASE_MS + LEASE_MARGIN_MS:
-        return True
+    majority_ended = now_ms - fence.stored_ms >= MAJORITY_LEASE_MS + LEASE_MARGIN_MS
+    if majority_ended and fence.third_quiet_ms != NEVER_MS:
+        return now_ms - fence.third_quiet_ms >= LEASE_MS
     if fence.majority_quiet_ms == NEVER_MS:
         return False
     return now_ms - max(fence.stored_ms, fence.majority_quiet_ms) >= LEASE_MS
--- a/packages/figcrank-coordination/tests/fleet/test_fleet_view.py
+++ b/packages/figcrank-coordination/tests/fleet/test_fleet_view.py
@@ -43,6 +43,18 @@
     assert view.primary_use("g", 9_000) is PrimaryUse.USABLE
 
 
+def test_more_than_two_thirds_hold_a_primary_while_the_store_is_away():
+    """Seen on trouble-3: one of nine hosts was lost in an outage, and no primary was used."""
+    view = make_view()
+    for number in range(2, 9):
+        address = (f"10.0.0.{number}", 7000)
+        view.peers.register(f"h{number}", address, 8_000)
+        if number > 2:
+            beat = Heartbeat(f"h{number}", 1, 5, echo_ms=8_900)
+            view.receive(beat, address, 9_000)
+    assert view.primary_use("g", 9_000) is PrimaryUse.USABLE
+
+
 def test_a_host_that_was_suspended_believes_nothing_until_it_is_confirmed():
     view, other = make_view(), make_view("b", 2)
     exchange(view, other, 1_000)
--- a/packages/figcrank-coordination/tests/primaries/test_replacement.py
+++ b/packages/figcrank-coordination/tests/primaries/test_replacement.py
@@ -98,6 +98,7 @@
         "hosts": 8,
         "quiet": 3,
         "majority_quiet_ms": NEVER_MS,
+        "third_quiet_ms": 1_000,
     }
     return Fence(**{**fields, **changes})
 
@@ -107,6 +108,17 @@
     assert may_promote(fence(), 1_100 + MAJORITY_LEASE_MS)
 
 
+def test_less_than_a_third_of_the_hosts_never_promotes_against_the_rest():
+    """The rest holds the primary while the store is away, however long that is."""
+    assert not may_promote(fence(quiet=2, third_quiet_ms=NEVER_MS), 900_000)
+
+
+def test_a_third_that_is_quiet_only_now_waits_a_lease():
+    case = fence(third_quiet_ms=60_000)
+    assert not may_promote(case, 60_000 + LEASE_MS - 1)
+    assert may_promote(case, 60_000 + LEASE_MS)
+
+
 @pytest.mark.parametrize("change", [{"demoted": True}, {"refused": True}, {"quiet": 8}])
 def test_a_promotion_is_safe_once_the_old_primary_can_acknowledge_nothing(change):
     assert may_promote(fence(**change), 1_000)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
@@ -45,6 +45,7 @@
 PROMOTED_MS = 3_000  # the longest promotion known is one second
 POLL_MS = 40  # how often the promoted server is asked whether it leads
 QUIET_MS = 800  # hosts end their work at a leaving primary within this time
+FENCE_MS = 5_000  # longer than the longest lease and the answers that it waits for
 ASK_QUIET_MS = 300  # between readings of what hosts said through the store
 DEMOTE_FOR_MS = 8_000  # a primary that was cut off is demoted once it is reached
 DEMOTE_PAUSE_MS = 400
@@ -325,10 +326,10 @@
     def _await_fence(
         self, group: str, record: PrimaryRecord, stored_ms: int, demoted: bool
     ) -> bool:
-        majority_ms = NEVER_MS
+        majority_ms = third_ms = NEVER_MS
         told: set[str] = set()
         asked_ms = stored_ms
-        deadline_ms = self._clock.now_ms() + 2 * TAKEOVER_MS
+        deadline_ms = self._clock.now_ms() + FENCE_MS
         while self._clock.now_ms() < deadline_ms:
             now_ms = self._clock.now_ms()
             self._router.tick()
@@ -338,9 +339,12 @@
                 asked_ms = now_ms
             if majority_ms == NEVER_MS and 2 * (hosts - quiet) <= hosts:
                 majority_ms = now_ms
+            if third_ms == NEVER_MS and 3 * quiet >= hosts:
+                third_ms = now_ms
             pool = self._router.pool(record.server_id)
             refused = pool is not None and pool.health.refused_ms is not None
-            if may_promote(Fence(stored_ms, demoted, refused, hosts, quiet, majority_ms), now_ms):
+            fence = Fence(stored_ms, demoted, refused, hosts, quiet, majority_ms, third_ms)
+            if may_promote(fence, now_ms):
                 return True
             eventlet.sleep(POLL_MS / 2_000)
         self._log.event(
