--- a/packages/figcrank-coordination/src/figcrank/coordination/primaries/_replacement.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/primaries/_replacement.py
@@ -5,7 +5,7 @@
 that it uses it no more, or those that said nothing must have lost their lease.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 from dataclasses import dataclass
 from enum import Enum, auto
 
@@ -114,17 +114,18 @@
 
 
 def best_candidates(
-    reports: Iterable[tuple[str, ServerReport]], registry: Registry
+    reports: Iterable[tuple[str, ServerReport]], leaving: Set[str]
 ) -> list[tuple[str, ServerReport]]:
     """Return the servers that may lead, the one with the most complete log first.
 
     A server that is about to leave comes last, however complete its log is.
+
+    :param reports: what the servers say of themselves, by id.
+    :param leaving: ids of the servers that are about to leave.
     """
 
     def rank(item: tuple[str, ServerReport]) -> tuple:
         server_id, report = item
-        entry = registry.servers.get(server_id)
-        stays = entry is not None and not entry.draining
-        return stays, report.position or ORIGIN, server_id
+        return server_id not in leaving, report.position or ORIGIN, server_id
 
     return sorted(reports, key=rank, reverse=True)
--- a/packages/figcrank-coordination/tests/primaries/test_replacement.py
+++ b/packages/figcrank-coordination/tests/primaries/test_replacement.py
@@ -136,11 +136,9 @@
 
 def test_the_most_complete_log_is_promoted():
     reports = [("a", report(10)), ("b", report(12)), ("c", report(11))]
-    servers = registry(entry("a"), entry("b"), entry("c"))
-    assert best_candidates(reports, servers)[0][0] == "b"
+    assert best_candidates(reports, set())[0][0] == "b"
 
 
 def test_a_server_that_leaves_is_promoted_last():
     reports = [("a", report(10)), ("b", report(10))]
-    servers = registry(entry("a"), entry("b", draining=True))
-    assert [server_id for server_id, _ in best_candidates(reports, servers)] == ["a", "b"]
+    assert [server_id for server_id, _ in best_candidates(reports, {"b"})] == ["a", "b"]
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
@@ -144,7 +144,7 @@
         )
 
     def _start(self, group: str, record: PrimaryRecord, reason: Reason | None) -> None:
-        others = [e for e in self._view.registry.of_group(group) if e.server_id != record.server_id]
+        others = [e for e in self._router.entries_of(group) if e.server_id != record.server_id]
         if not others:
             return
         self._under_way.add(group)
@@ -318,7 +318,7 @@
             return
         deadline_ms = self._clock.now_ms() + CATCH_UP_MS
         while self._clock.now_ms() < deadline_ms:
-            candidates = best_candidates(self._reports(group, old.server_id), self._view.registry)
+            candidates = self._candidates(group, old.server_id)
             if candidates and (candidates[0][1].position or target.position) >= target.position:
                 return
             eventlet.sleep(POLL_MS / 1_000)
@@ -384,8 +384,7 @@
         return None
 
     def _promote(self, group: str, record: PrimaryRecord) -> tuple[str, int] | None:
-        reports = self._reports(group, record.server_id)
-        for server_id, report in best_candidates(reports, self._view.registry):
+        for server_id, report in self._candidates(group, record.server_id):
             leader = self._promote_one(group, record, server_id, report)
             if leader is not None:
                 return leader
@@ -427,9 +426,14 @@
             eventlet.sleep(POLL_MS / 1_000)
         return None
 
+    def _candidates(self, group: str, old_id: str) -> list[tuple[str, ServerReport]]:
+        """Return the servers that may lead next, the best first."""
+        leaving = {e.server_id for e in self._router.entries_of(group) if e.draining}
+        return best_candidates(self._reports(group, old_id), leaving)
+
     def _reports(self, group: str, old_id: str) -> list[tuple[str, ServerReport]]:
         """Return what the group's other servers say of themselves."""
-        entries = [e for e in self._view.registry.of_group(group) if e.server_id != old_id]
+        entries = [e for e in self._router.entries_of(group) if e.server_id != old_id]
         threads = [(e.server_id, eventlet.spawn(self._status, e)) for e in entries]
         reports = [(server_id, thread.wait()) for server_id, thread in threads]
         return [(server_id, report) for server_id, report in reports if report is not None]
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
@@ -136,7 +136,7 @@
         candidates = []
         required = self._required(route, after, now_ms)
         usable = self.view.primary_use(route.group, now_ms) is PrimaryUse.USABLE
-        for entry in self._entries_of(route.group):
+        for entry in self.entries_of(route.group):
             pool = self.pool(entry.server_id)
             if entry.server_id in tried or not pool.health.usable(now_ms):
                 continue
@@ -151,13 +151,17 @@
             candidates.append(self._candidate(pool, leads, workspace))
         return [pools[candidate.server_id] for candidate in rank(candidates)]
 
-    def _entries_of(self, group: str) -> list[ServerEntry]:
-        entries = list(self.view.registry.of_group(group))
+    def entries_of(self, group: str) -> list[ServerEntry]:
+        """Return the servers of a group, those included whose entries may have lapsed."""
+        known = {entry.server_id: entry for entry in self.view.registry.of_group(group)}
+        for pool in self.pools():
+            if pool.entry.group == group:
+                known.setdefault(pool.entry.server_id, pool.entry)
         record = self.view.book.get(group)
-        if record is not None and record.server_id not in self.view.registry.servers:
+        if record is not None and record.server_id not in known:
             lapsed = self._lapsed_primary(record.server_id)
-            entries.extend([lapsed] if lapsed else [])
-        return entries
+            known.update({record.server_id: lapsed} if lapsed else {})
+        return list(known.values())
 
     def _required(
         self, route: DatabaseRoute, after: Position | None, now_ms: int
