--- a/packages/figcrank-coordination/src/figcrank/coordination/primaries/_book.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/primaries/_book.py
@@ -9,9 +9,7 @@
 from figcrank.state._catalog import Registry
 
 LEASE_MS = 1_500  # five heartbeats; a promotion waits this long for hosts that don't answer
-MAJORITY_LEASE_MS = (
-    3_000  # two leases; a promotion waits this long for hosts that may be a majority
-)
+MAJORITY_LEASE_MS = 3_000  # two leases; a promotion waits so long for a possible majority
 
 
 class PrimaryBook:
