Let one host at a time replace a primary

Cause: after an outage of the store four hosts took themselves for the coordinator. Ruled out: leases, the demotion. Change: the claim is a decision of its own; a record written by another host is left to it, one that was lost is never taken back, and a takeover outranks what the earlier host may still announce.

--- a/packages/figcrank-coordination/src/figcrank/coordination/primaries/__init__.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/primaries/__init__.py
@@ -3,6 +3,9 @@
 from figcrank.coordination.primaries._book import LEASE_MS as LEASE_MS
 from figcrank.coordination.primaries._book import MAJORITY_LEASE_MS as MAJORITY_LEASE_MS
 from figcrank.coordination.primaries._book import PrimaryBook as PrimaryBook
+from figcrank.coordination.primaries._claim import claim as claim
+from figcrank.coordination.primaries._claim import moving_record as moving_record
+from figcrank.coordination.primaries._claim import settled_record as settled_record
 from figcrank.coordination.primaries._replacement import Evidence as Evidence
 from figcrank.coordination.primaries._replacement import Fence as Fence
 from figcrank.coordination.primaries._replacement import Reason as Reason
--- a/packages/figcrank-protocol/src/figcrank/protocol/heartbeats.py
+++ b/packages/figcrank-protocol/src/figcrank/protocol/heartbeats.py
@@ -47,6 +47,22 @@
         return cls(int(version), int(term), str(server_id), *flags, str(address))
 
 
+@dataclass(frozen=True, slots=True)
+class StoredPrimaries:
+    """The record of primaries that the store keeps for the fleet.
+
+    :param revision: its revision; 0 if it was never written.
+    :param holder: host that may promote.
+    :param token: grows whenever the holder changes.
+    :param records: by group.
+    """
+
+    revision: int = 0
+    holder: str = ""
+    token: int = 0
+    records: dict[str, PrimaryRecord] = field(default_factory=dict)
+
+
 @dataclass(frozen=True, slots=True)
 class Trouble:
     """A primary that does not answer a host.
--- a/packages/figcrank-transport/src/figcrank/transport/streams/__init__.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/__init__.py
@@ -3,7 +3,6 @@
 from figcrank.transport.streams._host import SessionHost as SessionHost
 from figcrank.transport.streams._ports import FailoverService as FailoverService
 from figcrank.transport.streams._ports import Store as Store
-from figcrank.transport.streams._ports import StoredPrimaries as StoredPrimaries
 from figcrank.transport.streams._ports import StoreError as StoreError
 from figcrank.transport.streams._ports import StoreErrorKind as StoreErrorKind
 from figcrank.transport.streams._settings import SessionHostSettings as SessionHostSettings
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_ports.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_ports.py
@@ -1,10 +1,10 @@
 """What the session proxy needs of a deployment's store and of its failover call."""
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum, auto
 
-from figcrank.protocol.heartbeats import PrimaryRecord
+from figcrank.protocol.heartbeats import StoredPrimaries
 from figcrank.state._catalog import Catalog, Registry
 
 
@@ -32,22 +32,6 @@
         self.detail = detail
 
 
-@dataclass(frozen=True, slots=True)
-class StoredPrimaries:
-    """The record of primaries that the store keeps for the fleet.
-
-    :param revision: its revision; 0 if it was never written.
-    :param holder: host that may promote.
-    :param token: grows whenever the holder changes.
-    :param records: by group.
-    """
-
-    revision: int = 0
-    holder: str = ""
-    token: int = 0
-    records: dict[str, PrimaryRecord] = field(default_factory=dict)
-
-
 @dataclass(frozen=True, slots=True)
 class CatalogDocument:
     """The configuration as the store holds it.
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
@@ -15,10 +15,13 @@
     Fence,
     Reason,
     best_candidates,
+    claim,
     may_promote,
+    moving_record,
     reason_to_replace,
+    settled_record,
 )
-from figcrank.protocol.heartbeats import NEVER_MS, PrimaryRecord
+from figcrank.protocol.heartbeats import NEVER_MS, PrimaryRecord, StoredPrimaries
 from figcrank.protocol.sessions import ServerCodec, ServerReport
 from figcrank.state._catalog import ServerEntry
 from figcrank.state._clock import Clock
@@ -30,7 +33,6 @@
 from figcrank.transport.streams._ports import (
     FailoverService,
     PromoteOutcome,
-    StoredPrimaries,
     StoreError,
     StoreErrorKind,
 )
@@ -39,7 +41,7 @@
 
 TICK_MS = 60  # a crash is acted on within two of them
 ORDER_MS = 600  # the holder orders a promotion within this time after it renewed the record
-TAKEOVER_MS = 1_500  # a replacement without an end for so long is taken over by another host
+TAKEOVER_MS = 2_500  # longer than a change of holder, a fence and a promotion of one second
 STATUS_MS = 250  # a status answer takes a round trip and a free slot
 CATCH_UP_MS = 600  # wait for the next primary of a planned replacement to hold every commit
 PROMOTED_MS = 3_000  # the longest promotion known is one second
@@ -50,6 +52,7 @@
 DEMOTE_FOR_MS = 8_000  # a primary that was cut off is demoted once it is reached
 DEMOTE_PAUSE_MS = 400
 NOTE_PAUSE_MS = 3_000  # between tries to write down primaries that nobody has replaced
+WRITE_TRIES = 3  # of the record, whose revision other groups change as well
 ORDERS = 5  # tries of one server's promotion while the call is refused or its answer lost
 ORDER_PAUSE_MS = 100  # between refused orders; the call's rate is fifty a second
 
@@ -177,9 +180,11 @@
 
     def _steps(self, group: str, record: PrimaryRecord, reason: Reason | None) -> str:
         planned = reason is Reason.LEAVING
-        moving = replace(record, version=record.version + 1, moving=True, planned=planned)
+        moving = moving_record(record, planned)
         stored_ms = self._write(group, moving)
         self._merge(group, moving)
+        if self._view.book.get(group) != moving:
+            return "a newer belief came first"
         demoted = self._stop_old(group, moving, planned)
         leader = self._find_leader(group, moving)
         if leader is None:
@@ -189,11 +194,10 @@
         if leader is None:
             return "no server took over"
         server_id, term = leader
-        address = self._address_of(server_id)
-        done = PrimaryRecord(moving.version + 1, term, server_id, address=address)
+        done = settled_record(moving, server_id, term, self._address_of(server_id))
         self._merge(group, done)
         eventlet.spawn_n(self._demote_later, record.server_id, group, term)
-        self._write(group, done)
+        self._write(group, done, renews=True)
         return "done"
 
     def _note_primaries(self) -> None:
@@ -214,22 +218,15 @@
 
     # The store's record.
 
-    def _write(self, group: str, record: PrimaryRecord) -> int:
+    def _write(self, group: str, record: PrimaryRecord, renews: bool = False) -> int:
         """Write a belief as the holder; return the time after which it may be acted on."""
-        for _ in range(3):
+        for _ in range(WRITE_TRIES):
             if not self._stored.revision:
                 self._stored = self._store.call("read_primaries")
-            known = self._stored.records.get(group)
-            if known is not None and known.version >= record.version and known != record:
-                self._merge(group, known)
-                raise StoreError(StoreErrorKind.CONFLICT, "another host changed the record")
-            holds = self._stored.holder == self._view.host
-            wanted = replace(
-                self._stored,
-                holder=self._view.host,
-                token=self._stored.token if holds else self._stored.token + 1,
-                records={**self._stored.records, group: record},
-            )
+            wanted = claim(self._stored, group, record, self._view.host, renews)
+            if wanted is None:
+                self._give_way(group)
+            took = self._stored.holder != self._view.host
             renewed_ms = self._clock.now_ms()
             try:
                 self._stored = self._store.call("write_primaries", wanted)
@@ -239,15 +236,27 @@
                     raise
                 continue
             self._renewed_ms = renewed_ms
-            if not holds:
+            if took:
+                # The holder before may still order a promotion within this time.
                 eventlet.sleep(ORDER_MS / 1_000)
                 self._renewed_ms = NEVER_MS
             return self._clock.now_ms()
         raise StoreError(StoreErrorKind.UNKNOWN, "the record could not be written")
 
+    def _give_way(self, group: str) -> None:
+        """Take over what another host has written.
+
+        :raises StoreError: always; this host has nothing more to do for the group.
+        """
+        known = self._stored.records.get(group)
+        self._stored = StoredPrimaries()
+        if known is not None:
+            self._merge(group, known)
+        raise StoreError(StoreErrorKind.CONFLICT, "another host has the replacement in hand")
+
     def _renew(self, group: str, record: PrimaryRecord) -> None:
         if self._renewed_ms == NEVER_MS or self._clock.now_ms() - self._renewed_ms > ORDER_MS // 2:
-            self._write(group, record)
+            self._write(group, record, renews=True)
 
     def _merge(self, group: str, record: PrimaryRecord) -> None:
         if self._view.merge_primary(group, record, self._clock.now_ms()):
