--- a/packages/figcrank-transport/src/figcrank/transport/streams/_store_loop.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_store_loop.py
@@ -17,7 +17,8 @@
 CHECK_MS = 250  # how often a host asks itself whether it must read
 BACKOFF_MS = (200, 400, 800)  # after failures in a row; calls that fail are priced as well
 OVERDUE_MS = 700  # two heartbeats; a reading must be passed on before leases end
-RETRY_MS = 1_000  # a host that failed to reach the store offers itself again after this time
+RETRY_MS = 1_000  # for each failure in a row, a host does not offer to read for the others
+MAX_RETRY_MS = 8_000  # as long as the store turns single hosts away; others read meanwhile
 CONFIRM_MS = 400  # three confirmations fit into a lease
 STALE_REGISTRY_MS = 3_000  # a list this old means that the watching hosts don't reach this one
 AWAY_MS = 2_500  # after an outage of the store, entries that lapsed are back within two seconds
@@ -179,7 +180,8 @@
         while True:
             eventlet.sleep(CONFIRM_MS / 1_000)
             now_ms = self._clock.now_ms()
-            if not self._view.store_ok and now_ms - self._failed_ms > RETRY_MS:
+            retry_ms = min(MAX_RETRY_MS, RETRY_MS * self._failures)
+            if not self._view.store_ok and now_ms - self._failed_ms > retry_ms:
                 self._view.store_ok = True  # a host that doesn't read would never find out
             heard_ms = max(
                 self._view.peers.majority_since_ms(now_ms),
