--- a/packages/figcrank-transport/src/figcrank/transport/streams/_store_loop.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_store_loop.py
@@ -91,6 +91,15 @@
             self._log.event("store_reached")
         self._view.store_ok = True
 
+    def offer_again(self, now_ms: int) -> None:
+        """Let this host read for the others again once it has been silent long enough.
+
+        A host that doesn't read would never find out that the store answers it again.
+        """
+        retry_ms = min(MAX_RETRY_MS, RETRY_MS * self._failures)
+        if not self._view.store_ok and now_ms - self._failed_ms > retry_ms:
+            self._view.store_ok = True
+
     def backoff_ms(self) -> int:
         """Return how long to wait after the failures in a row."""
         if self._view.catalog is None:
@@ -180,9 +189,7 @@
         while True:
             eventlet.sleep(CONFIRM_MS / 1_000)
             now_ms = self._clock.now_ms()
-            retry_ms = min(MAX_RETRY_MS, RETRY_MS * self._failures)
-            if not self._view.store_ok and now_ms - self._failed_ms > retry_ms:
-                self._view.store_ok = True  # a host that doesn't read would never find out
+            self.offer_again(now_ms)
             heard_ms = max(
                 self._view.peers.majority_since_ms(now_ms),
                 self._view.peers.store_confirmed_ms(),
