Split what prepares connections and what asks servers from their large modules

No change of behaviour: _work keeps what is tried again, _preparing gives connections their values and prepared statements, _replacer keeps the steps, _questions asks servers.

--- a/packages/figcrank-coordination/src/figcrank/coordination/__init__.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/__init__.py
@@ -5,7 +5,7 @@
 feed their outcomes back as events. Send a ``Tick`` every ``Timings.tick_ms`` milliseconds.
 """
 
-import importlib
+from figcrank.state._lazy import lazy_names
 
 _MODULE_OF = {
     "Action": "figcrank.coordination._actions",
@@ -49,13 +49,4 @@
     "Timings": "figcrank.coordination._settings",
 }
 __all__ = list(_MODULE_OF)
-
-
-def __getattr__(name: str) -> object:
-    """Import a public name on its first use, so that a process loads only what it needs."""
-    module = _MODULE_OF.get(name)
-    if module is None:
-        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
-    value = getattr(importlib.import_module(module), name)
-    globals()[name] = value
-    return value
+__getattr__ = lazy_names(__name__, _MODULE_OF)
--- a/packages/figcrank-protocol/src/figcrank/protocol/__init__.py
+++ b/packages/figcrank-protocol/src/figcrank/protocol/__init__.py
@@ -1,6 +1,6 @@
 """Typed messages and failures of every hop; see :mod:`figcrank.protocol.codecs` for JSON."""
 
-import importlib
+from figcrank.state._lazy import lazy_names
 
 _MODULE_OF = {
     "REQUESTS_TABLE": "figcrank.protocol._backend",
@@ -99,13 +99,4 @@
     "is_read": "figcrank.protocol._statements",
 }
 __all__ = list(_MODULE_OF)
-
-
-def __getattr__(name: str) -> object:
-    """Import a public name on its first use, so that a process loads only what it needs."""
-    module = _MODULE_OF.get(name)
-    if module is None:
-        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
-    value = getattr(importlib.import_module(module), name)
-    globals()[name] = value
-    return value
+__getattr__ = lazy_names(__name__, _MODULE_OF)
--- a/packages/figcrank-state/src/figcrank/state/__init__.py
+++ b/packages/figcrank-state/src/figcrank/state/__init__.py
@@ -1,6 +1,6 @@
 """Values that decisions are made on; nothing here performs input or output."""
 
-import importlib
+from figcrank.state._lazy import lazy_names
 
 _MODULE_OF = {
     "MILLI": "figcrank.state._buckets",
@@ -32,13 +32,4 @@
     "key_digest": "figcrank.state._workspaces",
 }
 __all__ = list(_MODULE_OF)
-
-
-def __getattr__(name: str) -> object:
-    """Import a public name on its first use, so that a process loads only what it needs."""
-    module = _MODULE_OF.get(name)
-    if module is None:
-        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
-    value = getattr(importlib.import_module(module), name)
-    globals()[name] = value
-    return value
+__getattr__ = lazy_names(__name__, _MODULE_OF)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
@@ -25,24 +25,22 @@
 from figcrank.protocol.sessions import ServerCodec, ServerReport
 from figcrank.state._catalog import ServerEntry
 from figcrank.state._clock import Clock
-from figcrank.transport.streams._connection import OpenError, ServerConnection
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._metrics import Metrics
 from figcrank.transport.streams._peer_link import PeerLink
-from figcrank.transport.streams._pool import split_address
 from figcrank.transport.streams._ports import (
     FailoverService,
     PromoteOutcome,
     StoreError,
     StoreErrorKind,
 )
+from figcrank.transport.streams._questions import ServerQuestions
 from figcrank.transport.streams._router import Router
 from figcrank.transport.streams._store_loop import StoreLoop
 
 TICK_MS = 60  # a crash is acted on within two of them
 ORDER_MS = 600  # the holder orders a promotion within this time after it renewed the record
 TAKEOVER_MS = 2_500  # longer than a change of holder, a fence and a promotion of one second
-STATUS_MS = 250  # a status answer takes a round trip and a free slot
 CATCH_UP_MS = 600  # wait for the next primary of a planned replacement to hold every commit
 PROMOTED_MS = 3_000  # the longest promotion known is one second
 POLL_MS = 40  # how often the promoted server is asked whether it leads
@@ -88,7 +86,7 @@
         self._link = link
         self._store = store
         self._service = service
-        self._codec = codec
+        self._questions = ServerQuestions(view.host, router, codec, clock)
         self._clock = clock
         self._log = log
         self._metrics = metrics
@@ -322,7 +320,7 @@
 
     def _await_catch_up(self, group: str, old: ServerEntry) -> None:
         """Wait for one replica that stays to hold every commit of the old primary."""
-        target = self._status(old)
+        target = self._questions.status(old)
         if target is None or target.position is None:
             return
         deadline_ms = self._clock.now_ms() + CATCH_UP_MS
@@ -366,7 +364,7 @@
         return False
 
     def _demote(self, entry: ServerEntry, term: int) -> bool:
-        report = self._ask(entry, self._codec.demote(term))
+        report = self._questions.demote(entry, term)
         demoted = report is not None and not report.is_primary
         if demoted:
             self._log.event("primary_demoted", server=entry.server_id, term=term)
@@ -429,7 +427,7 @@
         deadline_ms = self._clock.now_ms() + PROMOTED_MS
         while self._clock.now_ms() < deadline_ms:
             entry = self._entry(server_id)
-            report = self._status(entry) if entry else None
+            report = self._questions.status(entry) if entry else None
             if report is not None and report.is_primary and report.term > old_term:
                 return server_id, report.term
             eventlet.sleep(POLL_MS / 1_000)
@@ -443,27 +441,6 @@
     def _reports(self, group: str, old_id: str) -> list[tuple[str, ServerReport]]:
         """Return what the group's other servers say of themselves."""
         entries = [e for e in self._router.entries_of(group) if e.server_id != old_id]
-        threads = [(e.server_id, eventlet.spawn(self._status, e)) for e in entries]
+        threads = [(e.server_id, eventlet.spawn(self._questions.status, e)) for e in entries]
         reports = [(server_id, thread.wait()) for server_id, thread in threads]
         return [(server_id, report) for server_id, report in reports if report is not None]
-
-    def _status(self, entry: ServerEntry) -> ServerReport | None:
-        return self._ask(entry, self._codec.status())
-
-    def _ask(self, entry: ServerEntry, text: str) -> ServerReport | None:
-        """Send a statement of this host's own on a connection that is closed afterwards."""
-        hello = self._codec.start(entry.group, self._view.host, entry.server_id)
-        try:
-            connection, _ = ServerConnection.open(
-                split_address(entry.address), self._codec, hello, self._view.host, self._clock
-            )
-        except OpenError as error:
-            pool = self._router.pool(entry.server_id)
-            if pool is not None and error.refused:
-                pool.health.failed(self._clock.now_ms(), refused=True)
-            return None
-        try:
-            reply = connection.ask(self._codec.query(self._codec.OWN_ID, text), STATUS_MS)
-        finally:
-            connection.close()
-        return self._codec.read_status(reply) if reply else None
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_work.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_work.py
@@ -17,7 +17,6 @@
     ServerReply,
     SessionFailure,
     TransactionState,
-    Verb,
 )
 from figcrank.state._catalog import DatabaseRoute, ReadMode
 from figcrank.state._clock import Clock
@@ -26,6 +25,7 @@
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._metrics import Metrics
 from figcrank.transport.streams._pool import ServerPool
+from figcrank.transport.streams._preparing import ConnectionPreparer
 from figcrank.transport.streams._router import Router
 
 if TYPE_CHECKING:
@@ -94,8 +94,7 @@
         self._router = router
         self._codec = router.codec
         self._clock = clock
-        self._metrics = metrics
-        self._shapes: dict[tuple[bool, str], str] = {}
+        self._preparer = ConnectionPreparer(router.codec, metrics)
 
     # Single statements.
 
@@ -188,36 +187,10 @@
             if not self._router.is_primary(pool) or not self._router.primary_usable(route.group):
                 pool.release(connection)
                 continue
-            if self._apply_values(session, connection):
+            if self._preparer.apply_values(session, connection):
                 return pool, connection
             self._router.lost(pool, connection)
 
-    def _apply_values(self, session: "CallerSession", connection: ServerConnection) -> bool:
-        """Give a connection the session's values; return whether that worked."""
-        if connection.values == session.values:
-            return True
-        if not connection.values.items() <= session.values.items() and not (
-            connection.values.keys() <= session.values.keys()
-        ):
-            if not self._own(connection, self._codec.reset()):
-                return False
-            connection.values = {}
-            connection.prepared.clear()
-        for name, value in session.values.items():
-            if connection.values.get(name) == value:
-                continue
-            if not self._own(connection, self._codec.set_value(name, value)):
-                return False
-            connection.values[name] = value
-        return True
-
-    def _own(self, connection: ServerConnection, text: str) -> bool:
-        """Run a statement of this host; return whether it succeeded."""
-        self._metrics.count("own_statements", kind=text.partition(" ")[0].lower())
-        data = self._codec.query(self._codec.OWN_ID, text)
-        reply = connection.ask(data, SECOND_TRY_MS)
-        return reply is not None and reply.failure is None
-
     def _send(
         self, connection: ServerConnection, statement: Statement, deadline_ms: int
     ) -> ServerReply | None:
@@ -225,31 +198,9 @@
 
         :raises OpenError: if it could not be prepared and was not sent.
         """
-        data = self._encode(connection, statement, None)
+        data = self._preparer.encode(connection, statement, None)
         return connection.ask(data, deadline_ms - self._clock.now_ms())
 
-    def _encode(
-        self, connection: ServerConnection, statement: Statement, after: Position | None
-    ) -> bytes:
-        request = statement.request
-        if request.verb is not Verb.EXECUTE:
-            return self._codec.query(request.request_id, request.text, after)
-        name = self._shape_name(statement)
-        if name not in connection.prepared:
-            text = self._codec.prepare(name, statement.is_write, statement.shape)
-            if not self._own(connection, text):
-                raise OpenError(SessionFailure.UNREACHABLE, "preparing a statement failed")
-            connection.prepared.add(name)
-        text = self._codec.execute(name, request.rest)
-        return self._codec.query(request.request_id, text, after)
-
-    def _shape_name(self, statement: Statement) -> str:
-        key = (statement.is_write, statement.shape)
-        name = self._shapes.get(key)
-        if name is None:
-            name = self._shapes[key] = f"f{len(self._shapes)}"
-        return name
-
     def _learn(self, pool: ServerPool, connection: ServerConnection, reply: ServerReply) -> None:
         self._router.learn(pool, connection.sent_ms, reply)
 
@@ -296,7 +247,7 @@
             if attempt is not None:
                 tries += 1
                 try:
-                    data = self._encode(attempt.connection, statement, attempt.after)
+                    data = self._preparer.encode(attempt.connection, statement, attempt.after)
                 except OpenError:
                     self._router.lost(attempt.pool, attempt.connection)
                     tried.add(attempt.pool.entry.server_id)
@@ -404,7 +355,7 @@
             if after is None and not self._router.primary_usable(route.group):
                 pool.release(connection)
                 continue
-            if self._apply_values(session, connection):
+            if self._preparer.apply_values(session, connection):
                 return _Try(pool, connection, after)
             self._router.lost(pool, connection)
 
@@ -461,7 +412,7 @@
         statement: Statement,
         deadline_ms: int,
     ) -> ServerReply | None:
-        if not self._apply_values(session, connection):
+        if not self._preparer.apply_values(session, connection):
             return None
         try:
             return self._send(connection, statement, deadline_ms)
