Send no write on a connection that the server has ended

Ruled out: a write that had run (the server's list has none). Change: before a write or a commit the connection is looked at; the unit test fails without that. A commit that was not sent is told as aborted.

--- a/packages/figcrank-transport/src/figcrank/transport/streams/_connection.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_connection.py
@@ -105,6 +105,20 @@
             raise OpenError(refusal or SessionFailure.UNREACHABLE, detail)
         return connection, reply
 
+    def is_lost(self) -> bool:
+        """Return whether the other side has ended the connection, even if nobody has read that yet.
+
+        Asked before a statement that must not be sent in vain: nothing of it is at the server then.
+        """
+        if self.closed:
+            return True
+        try:
+            return not self._sock.fd.recv(1, std_socket.MSG_PEEK | std_socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False  # nothing has come, as it should be between two statements
+        except OSError:
+            return True
+
     def send(self, data: bytes, sink: Sink) -> None:
         """Send a statement; ``sink`` gets its answer, or ``None`` once the connection is lost."""
         self._sink = sink
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_work.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_work.py
@@ -136,6 +136,9 @@
                 pool, connection = self._primary_connection(session, route, workspace, deadline_ms)
             except OpenError as error:
                 return Answer(b"", SessionFailure.BUSY, str(error), tries)
+            if connection.is_lost():
+                self._router.lost(pool, connection)
+                continue
             tries += 1
             try:
                 reply = self._send(connection, statement, deadline_ms)
@@ -464,9 +467,13 @@
             if failure is not None:
                 return Answer(b"", failure, "the transaction could not begin")
         pool, connection = transaction.pool, transaction.connection
-        reply = self._send(connection, statement, deadline_ms)
         server_id = pool.entry.server_id
         transaction.connection = None
+        if connection.is_lost():
+            self._router.lost(pool, connection)
+            detail = "the server's connection was lost before the commit was sent"
+            return Answer(b"", SessionFailure.ABORTED, detail, 0, server_id)
+        reply = self._send(connection, statement, deadline_ms)
         if reply is None:
             self._router.lost(pool, connection)
             return self._timed(
