Drop what nothing calls, and find a peer by its address in one place

Read over the whole change: two fields of the sessions' services and a store call had no caller; three places searched all peers for an address that the table is keyed by; an answer was copied field by field. Left: entries of hosts that are gone stay in the store, since nothing removes them.

--- a/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
@@ -132,7 +132,7 @@
 
     def receive(self, beat: Heartbeat, address: tuple[str, int], now_ms: int) -> list[str]:
         """Take in a heartbeat; return the groups whose primary it changed."""
-        before = next((p for p in self.peers.all() if p.address == address), None)
+        before = self.peers.at(address)
         old_boot = before.beat.boot_id if before and before.beat else beat.boot_id
         peer = self.peers.receive(beat, address, now_ms)
         if peer is None:
--- a/packages/figcrank-coordination/src/figcrank/coordination/peers/_table.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/peers/_table.py
@@ -80,6 +80,10 @@
             del self._peers[peer.address]
         return gone
 
+    def at(self, address: tuple[str, int]) -> Peer | None:
+        """Return the host with an address, ``None`` if it is unknown."""
+        return self._peers.get(address)
+
     def all(self) -> list[Peer]:
         """Return every known host."""
         return list(self._peers.values())
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_peer_link.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_peer_link.py
@@ -71,13 +71,13 @@
 
     def _receive(self, data: bytes, address: Address) -> None:
         beat = decode_heartbeat(data)
-        known = next((p for p in self._view.peers.all() if p.address == address), None)
+        known = self._view.peers.at(address)
         is_new = known is None or known.beat is None or known.beat.boot_id != beat.boot_id
         for group in self._view.receive(beat, address, self._clock.now_ms()):
             self._note_primary(group, beat.host)
         if is_new:
             self._log.event("peer_heard", peer=beat.host, boot=beat.boot_id)
-            peer = next((p for p in self._view.peers.all() if p.address == address), None)
+            peer = self._view.peers.at(address)
             if peer is not None:
                 self._send(peer)
             self._fetch_from(address)  # it may know hosts that no listing has told
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_ports.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_ports.py
@@ -74,10 +74,6 @@
     def register_host(self, host: str, address: tuple[str, int]) -> None:
         """Write a host's heartbeat address."""
 
-    @abstractmethod
-    def remove_host(self, host: str) -> None:
-        """Remove a host's entry."""
-
     @abstractmethod
     def write_quiet(self, host: str, quiet: dict[str, tuple[int, list[str]]]) -> None:
         """Write which hosts use a replaced primary no more, as one host heard it.
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
@@ -91,8 +91,6 @@
     log: EventLog
     metrics: Metrics
     sessions: set["CallerSession"] = field(default_factory=set)
-    draining: bool = False
-    refuse_transactions_from_ms: int | None = None
 
 
 class CallerSession:
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_work.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_work.py
@@ -1,6 +1,6 @@
 """Runs a session's statements at servers, with what is tried again when one fails."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 import eventlet
@@ -112,15 +112,7 @@
 
     def _timed(self, answer: Answer, started_ms: int) -> Answer:
         took_ms = self._clock.now_ms() - started_ms
-        return Answer(
-            answer.payload,
-            answer.failure,
-            answer.detail,
-            answer.tries,
-            answer.server_id,
-            took_ms,
-            answer.required,
-        )
+        return replace(answer, took_ms=took_ms)
 
     def _write(
         self,
