Leave out of heartbeats what the receiver is known to have

Cause: each heartbeat repeated every workspace's counts, every primary and all troubles, changed or not: 84 workspaces are 2.1 KB a datagram, all to all.

Change: the sender notes when each part last changed, and leaves out what is older than the heartbeat that the receiver echoes. The receiver completes it from the one before. A receiver without a base (it started anew, or heard a sender that did) echoes nothing, so the next heartbeat to it is whole.

Ruled out: fewer heartbeats (a lease must hear a majority five times), counts told only when a limit is near (a cut-off host's share is then not known). A binary format saves little: names are most of the bytes.

--- a/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
@@ -5,11 +5,17 @@
 
 from enum import Enum, auto
 
-from figcrank.coordination.peers import Peer, PeerTable
+from figcrank.coordination.peers import ChangeLog, Peer, PeerTable
 from figcrank.coordination.placement import FreshnessLog
 from figcrank.coordination.primaries import LEASE_MS, MAJORITY_LEASE_MS, PrimaryBook
 from figcrank.coordination.quotas import SharedLimit
-from figcrank.protocol.heartbeats import NEVER_MS, Heartbeat, PrimaryRecord, Trouble
+from figcrank.protocol.heartbeats import (
+    NEVER_MS,
+    OMITTABLE,
+    Heartbeat,
+    PrimaryRecord,
+    Trouble,
+)
 from figcrank.state._catalog import Catalog, Registry, ServerEntry
 
 SILENT_PEER_MS = 900  # three heartbeats; from then on a peer is taken to spend its whole share
@@ -55,6 +61,8 @@
         self.limits: dict[str, SharedLimit] = {}
         self.trouble: dict[str, Trouble] = {}
         self.quiet: set[str] = set()
+        self._state_changes = ChangeLog()
+        self._spent_changes = ChangeLog()
 
     def adopt_catalog(self, catalog: Catalog, now_ms: int) -> bool:
         """Put a configuration in force; return whether it is newer than the one that was."""
@@ -137,7 +145,7 @@
         peer = self.peers.receive(beat, address, now_ms)
         if peer is None:
             return []
-        self._take_spent(peer, beat, old_boot)
+        self._take_spent(peer, peer.beat, old_boot)
         self._take_observed(peer, beat)
         return [
             group
@@ -166,10 +174,24 @@
             self.freshness_of(group).observe(peer.since_ms - age_ms, position)
 
     def beat_for(self, peer: Peer, now_ms: int) -> Heartbeat:
-        """Return the heartbeat that a peer is sent now."""
-        echo_ms = peer.beat.sent_ms if peer.beat else NEVER_MS
-        held_ms = now_ms - peer.heard_ms if peer.beat else 0
+        """Return the heartbeat that a peer is sent now, without what it is known to have."""
+        has_base = peer.beat is not None and not peer.needs_whole
+        echo_ms = peer.beat.sent_ms if has_base else NEVER_MS
+        held_ms = now_ms - peer.heard_ms if has_base else 0
         confirmed_ms = max(self.confirmed_ms, self.peers.store_confirmed_ms())
+        echoed_ms = peer.beat.echo_ms if peer.beat else NEVER_MS
+        state = {
+            "primaries": self.book.replaced(),
+            "quiet": tuple(sorted(self.quiet)),
+            "trouble": dict(self.trouble),
+        }
+        spent = {name: (limit.admitted, limit.asked) for name, limit in self.limits.items()}
+        self._state_changes.note(state, now_ms)
+        self._spent_changes.note(spent, now_ms)
+        partial = echoed_ms != NEVER_MS
+        if partial:
+            state = self._state_changes.newer(state, echoed_ms)
+            spent = self._spent_changes.newer(spent, echoed_ms)
         return Heartbeat(
             self.host,
             self.boot_id,
@@ -182,11 +204,11 @@
             _age_ms(self.registry_ms, now_ms),
             self.store_ok,
             _age_ms(confirmed_ms, now_ms),
-            self.book.replaced(),
-            tuple(sorted(self.quiet)),
-            self._observed(now_ms),
-            dict(self.trouble),
-            {name: (limit.admitted, limit.asked) for name, limit in self.limits.items()},
+            observed=self._observed(now_ms),
+            spent=spent,
+            partial=partial,
+            unchanged=tuple(name for name in OMITTABLE if name not in state),
+            **state,
         )
 
     def _observed(self, now_ms: int) -> dict:
--- a/packages/figcrank-coordination/src/figcrank/coordination/peers/_table.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/peers/_table.py
@@ -21,7 +21,8 @@
     :param address: ``(ip, port)`` of its heartbeats.
     :param heard_ms: when its last heartbeat arrived; ``NEVER_MS`` if none has.
     :param since_ms: a time after which its last heartbeat was sent, by this host's clock.
-    :param beat: its last heartbeat.
+    :param beat: its last heartbeat, completed.
+    :param needs_whole: whether its heartbeats leave out what this host never got.
     """
 
     name: str
@@ -30,6 +31,7 @@
     heard_ms: int = NEVER_MS
     since_ms: int = NEVER_MS
     beat: Heartbeat | None = None
+    needs_whole: bool = False
 
 
 class PeerTable:
@@ -55,15 +57,23 @@
             known.name = name
 
     def receive(self, beat: Heartbeat, address: tuple[str, int], now_ms: int) -> Peer | None:
-        """Take in a heartbeat; return its sender, ``None`` if it is older than the last one."""
+        """Take in a heartbeat; return its sender.
+
+        ``None`` if it is older than the last one, or leaves out what this host never got; the
+        sender learns the latter from the next heartbeat to it, which echoes nothing.
+        """
         if beat.host == self._host or address == self._address:
             return None
         peer = self._peers.setdefault(address, Peer(beat.host, address, now_ms))
-        last = peer.beat
-        if last and last.boot_id == beat.boot_id and last.sent_ms > beat.sent_ms:
+        last = peer.beat if peer.beat and peer.beat.boot_id == beat.boot_id else None
+        if last and last.sent_ms > beat.sent_ms:
+            return None
+        if beat.partial and last is None:
+            peer.needs_whole = True
             return None
+        peer.needs_whole = False
         peer.name = beat.host
-        peer.beat = beat
+        peer.beat = beat.completed(last) if beat.partial else beat
         peer.heard_ms = now_ms
         if beat.echo_ms != NEVER_MS and beat.echo_ms <= now_ms:
             peer.since_ms = max(peer.since_ms, min(now_ms, beat.echo_ms + beat.echo_held_ms))
--- a/packages/figcrank-protocol/src/figcrank/protocol/heartbeats.py
+++ b/packages/figcrank-protocol/src/figcrank/protocol/heartbeats.py
@@ -1,7 +1,11 @@
-"""The heartbeat that hosts of the session proxy send each other, one UDP datagram of JSON."""
+"""The heartbeat that hosts of the session proxy send each other, one UDP datagram of JSON.
+
+Most of what a host believes is the same from one heartbeat to the next. A heartbeat to a peer that
+echoes an earlier one leaves out what has not changed since; ``Heartbeat.completed`` fills it in.
+"""
 
 import json
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from figcrank.state._positions import Position
 
@@ -97,6 +101,8 @@
     :param observed: newest position of each group's primary with its age.
     :param trouble: groups whose primary does not answer it.
     :param spent: admitted and asked operations since its start, by workspace.
+    :param partial: whether workspaces with the same counts as before are left out of ``spent``.
+    :param unchanged: names of the fields that are left out for being the same as before.
     """
 
     host: str
@@ -115,19 +121,36 @@
     observed: dict[str, tuple[Position, int]] = field(default_factory=dict)
     trouble: dict[str, Trouble] = field(default_factory=dict)
     spent: dict[str, tuple[int, int]] = field(default_factory=dict)
+    partial: bool = False
+    unchanged: tuple[str, ...] = ()
+
+    def completed(self, before: "Heartbeat") -> "Heartbeat":
+        """Return this heartbeat with what it left out.
+
+        :param before: the sender's heartbeat before, completed, of the same start of the sender.
+        """
+        kept = {name: getattr(before, name) for name in self.unchanged}
+        spent = {**before.spent, **self.spent} if self.partial else self.spent
+        return replace(self, **kept, spent=spent, partial=False, unchanged=())
+
+
+# Fields that a heartbeat may leave out.
+OMITTABLE = ("primaries", "quiet", "trouble")
 
 
 def encode_heartbeat(beat: Heartbeat) -> bytes:
     """Return the datagram of a heartbeat."""
+    primaries = {group: record.to_fields() for group, record in beat.primaries.items()}
+    trouble = {g: [t.server_id, t.failing_ms, int(t.refused)] for g, t in beat.trouble.items()}
+    left_out = [name in beat.unchanged for name in OMITTABLE]
+    values = zip(left_out, (primaries, beat.quiet, trouble), strict=True)
     fields = (
         [beat.host, beat.boot_id, beat.sent_ms, beat.echo_ms, beat.echo_held_ms],
         [int(beat.leaving), beat.catalog_version, beat.registry_revision, beat.registry_age_ms],
         [int(beat.store_ok), beat.confirmed_age_ms],
-        {group: record.to_fields() for group, record in beat.primaries.items()},
-        beat.quiet,
+        [None if omitted else value for omitted, value in values],
         {g: [p.term, p.offset, age_ms] for g, (p, age_ms) in beat.observed.items()},
-        {g: [t.server_id, t.failing_ms, int(t.refused)] for g, t in beat.trouble.items()},
-        beat.spent,
+        [int(beat.partial), beat.spent],
     )
     return json.dumps(fields, separators=(",", ":")).encode()
 
@@ -138,7 +161,9 @@
     :raises HeartbeatError: if it is none.
     """
     try:
-        who, state, store, primaries, quiet, observed, trouble, spent = json.loads(data)
+        who, state, store, omittable, observed, (partial, spent) = json.loads(data)
+        unchanged = tuple(n for n, v in zip(OMITTABLE, omittable, strict=True) if v is None)
+        primaries, quiet, trouble = omittable
         host, boot_id, sent_ms, echo_ms, echo_held_ms = who
         leaving, catalog_version, registry_revision, registry_age_ms = state
         store_ok, confirmed_age_ms = store
@@ -154,11 +179,13 @@
             int(registry_age_ms),
             bool(store_ok),
             int(confirmed_age_ms),
-            {group: PrimaryRecord.from_fields(item) for group, item in primaries.items()},
-            tuple(quiet),
+            {g: PrimaryRecord.from_fields(item) for g, item in (primaries or {}).items()},
+            tuple(quiet or ()),
             {g: (Position(int(t), int(n)), int(age)) for g, (t, n, age) in observed.items()},
-            {g: Trouble(str(s), int(ms), bool(r)) for g, (s, ms, r) in trouble.items()},
+            {g: Trouble(str(s), int(ms), bool(r)) for g, (s, ms, r) in (trouble or {}).items()},
             {w: (int(admitted), int(asked)) for w, (admitted, asked) in spent.items()},
+            bool(partial),
+            unchanged,
         )
     except (ValueError, TypeError, AttributeError, RecursionError) as error:
         raise HeartbeatError(f"a datagram of {len(data)} bytes is no heartbeat: {error}") from error
