Count silent hosts until the store removes them

Cause: a host dropped peers that were silent for 15 s. One that was cut off for longer then was a majority by itself, or with the others on its side, and used a primary that the rest had replaced.

Change: a silent host counts until its entry is gone. The first host that reads the store removes it after 15 s of silence, if it hears a third of the hosts (those it does not hear are then no two thirds, and hold no lease without the store), and heartbeats tell the others. A host that was removed though it lives registers again. Entries of gone hosts no longer stay in the store.

Ruled out: a longer time before dropping (regions part for minutes); dropping only hosts that were never heard (one that starts on the smaller side would know that side alone).

Not covered: a cut of over 15 s in which one host is heard by both sides, and the side without the store holds two thirds only through it; it learns of a new primary by that host's heartbeats, up to 600 ms after the promotion.

--- a/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
@@ -18,6 +18,7 @@
 )
 from figcrank.state._catalog import Catalog, Registry, ServerEntry
 
+TELL_REMOVED_MS = 600_000  # regions part for minutes; a host on their other side must learn it
 SILENT_PEER_MS = 900  # three heartbeats; from then on a peer is taken to spend its whole share
 
 
@@ -61,6 +62,7 @@
         self.limits: dict[str, SharedLimit] = {}
         self.trouble: dict[str, Trouble] = {}
         self.quiet: set[str] = set()
+        self._removed_ms: dict[tuple[str, int], int] = {}
         self._state_changes = ChangeLog()
         self._spent_changes = ChangeLog()
 
@@ -184,6 +186,7 @@
             "primaries": self.book.replaced(),
             "quiet": tuple(sorted(self.quiet)),
             "trouble": dict(self.trouble),
+            "removed": self._removed(now_ms),
         }
         spent = {name: (limit.admitted, limit.asked) for name, limit in self.limits.items()}
         self._state_changes.note(state, now_ms)
@@ -246,14 +249,30 @@
         for limit in self.limits.values():
             limit.share_out(now_ms)
 
-    def expire(self, now_ms: int) -> list[Peer]:
-        """Drop hosts that are gone, and what they spent."""
-        gone = self.peers.expire(now_ms)
-        for peer in gone:
-            for limit in self.limits.values():
-                if peer.beat:
-                    limit.forget(f"{peer.name}/{peer.beat.boot_id}")
-        return gone
+    def remove_host(self, address: tuple[str, int], now_ms: int) -> Peer | None:
+        """Drop a host that is gone, and what it spent, and tell the others for a while.
+
+        :returns: the host, ``None`` if it is unknown or was heard lately.
+        """
+        known = self.peers.at(address)
+        if known is None or self.peers.is_live(known, now_ms):
+            return None
+        self.peers.remove(address)
+        self._removed_ms[address] = now_ms
+        for limit in self.limits.values():
+            if known.beat:
+                limit.forget(f"{known.name}/{known.beat.boot_id}")
+        return known
+
+    def was_removed(self, address: tuple[str, int]) -> bool:
+        """Return whether a host was dropped lately; peers may list it still."""
+        return address in self._removed_ms
+
+    def _removed(self, now_ms: int) -> tuple[tuple[str, int], ...]:
+        for address, removed_ms in list(self._removed_ms.items()):
+            if now_ms - removed_ms > TELL_REMOVED_MS:
+                del self._removed_ms[address]
+        return tuple(sorted(self._removed_ms))
 
     def hosts(self) -> int:
         """Return how many hosts may hold connections, this one and silent ones included."""
--- a/packages/figcrank-coordination/src/figcrank/coordination/peers/_table.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/peers/_table.py
@@ -10,6 +10,7 @@
 
 LIVE_MS = 1_200  # four heartbeats; single datagrams get lost
 FORGET_MS = 15_000  # longer than any restart; a replaced host has another address by then
+REMOVER_SHARE = 1 / 3  # of the hosts; the others can't be the two thirds that need no store
 WATCHERS = 2  # hosts that read the store for all; one may fail unnoticed for a second
 
 
@@ -79,16 +80,25 @@
             peer.since_ms = max(peer.since_ms, min(now_ms, beat.echo_ms + beat.echo_held_ms))
         return peer
 
-    def expire(self, now_ms: int) -> list[Peer]:
-        """Drop and return the hosts that have been silent too long to come back."""
-        gone = [
+    def silent(self, now_ms: int, for_ms: int = FORGET_MS) -> list[Peer]:
+        """Return the hosts that have been silent too long to come back by themselves.
+
+        They go on to count as hosts until the store says that they are gone: a host that is cut off
+        from all others would else be a majority by itself.
+        """
+        return [
             peer
             for peer in self._peers.values()
-            if now_ms - max(peer.heard_ms, peer.known_ms) > FORGET_MS
+            if now_ms - max(peer.heard_ms, peer.known_ms) > for_ms
         ]
-        for peer in gone:
-            del self._peers[peer.address]
-        return gone
+
+    def may_remove(self, now_ms: int) -> bool:
+        """Return whether this host hears enough others to find the silent ones gone."""
+        return 1 + len(self.live(now_ms)) >= REMOVER_SHARE * (1 + len(self._peers))
+
+    def remove(self, address: tuple[str, int]) -> Peer | None:
+        """Drop a host that is gone; return it, ``None`` if it was unknown."""
+        return self._peers.pop(address, None)
 
     def at(self, address: tuple[str, int]) -> Peer | None:
         """Return the host with an address, ``None`` if it is unknown."""
--- a/packages/figcrank-coordination/tests/fleet/test_fleet_view.py
+++ b/packages/figcrank-coordination/tests/fleet/test_fleet_view.py
@@ -139,3 +139,31 @@
         beat = Heartbeat(f"h{number}", 1, 5, primaries={"g": record}, quiet=("g",))
         view.receive(beat, (f"10.0.0.{number}", 7000), 100)
     assert view.quiet_hosts(100) == {"g": (4, ["a", "h2"])}
+
+
+def test_a_host_that_is_cut_off_for_long_is_no_majority_by_itself():
+    """Seen on a day with halves for 26 s: it took the silent hosts for gone after 15 s."""
+    view, other = make_view(), make_view("b", 2)
+    view.peers.register("c", ("10.0.0.3", 7000), 0)
+    exchange(view, other, 1_000)
+    for now_ms in range(2_000, 120_000, 300):
+        view.share_out_limits(now_ms)
+    assert view.primary_use("g", 120_000) is PrimaryUse.NO_LEASE
+
+
+def test_a_removed_host_is_told_to_the_others_and_to_itself():
+    view, other = make_view(), make_view("b", 2)
+    view.peers.register("c", ("10.0.0.3", 7000), 0)
+    exchange(view, other, 20_000)
+    view.remove_host(("10.0.0.3", 7000), 20_000)
+    (peer,) = view.peers.all()
+    beat = view.beat_for(peer, 20_300)
+    assert beat.removed == (("10.0.0.3", 7000),)
+    assert view.was_removed(("10.0.0.3", 7000))
+
+
+def test_a_host_that_is_heard_is_not_removed():
+    view, other = make_view(), make_view("b", 2)
+    exchange(view, other, 20_000)
+    assert view.remove_host(("10.0.0.2", 7000), 20_100) is None
+    assert [peer.name for peer in view.peers.all()] == ["b"]
--- a/packages/figcrank-coordination/tests/peers/test_peer_table.py
+++ b/packages/figcrank-coordination/tests/peers/test_peer_table.py
@@ -61,11 +61,24 @@
     assert table.watchers(20, self_fit=True) == ["c", "m"]
 
 
-def test_a_silent_host_is_forgotten_after_a_while():
+def test_a_silent_host_counts_until_it_is_removed():
     table = PeerTable("a", OWN)
-    table.receive(beat("b", 1), address(2), 0)
-    assert table.expire(14_000) == []
-    assert [peer.name for peer in table.expire(16_000)] == ["b"]
+    table.receive(beat("b", 1, echo_ms=0), address(2), 0)
+    assert table.silent(14_000) == []
+    assert [peer.name for peer in table.silent(16_000)] == ["b"]
+    assert table.majority_since_ms(16_000) == 0
+    assert table.remove(address(2)).name == "b"
+    assert table.majority_since_ms(16_000) == 16_000
+
+
+def test_a_host_that_hears_fewer_than_a_third_removes_nobody():
+    table = PeerTable("a", OWN)
+    for number in range(2, 10):
+        table.register(f"h{number}", address(number), 0)
+    table.receive(beat("h2", 1), address(2), 20_000)
+    assert not table.may_remove(20_100)
+    table.receive(beat("h3", 1), address(3), 20_000)
+    assert table.may_remove(20_100)
 
 
 def test_a_reading_of_the_store_is_passed_on_with_its_age():
--- a/packages/figcrank-protocol/src/figcrank/protocol/heartbeats.py
+++ b/packages/figcrank-protocol/src/figcrank/protocol/heartbeats.py
@@ -100,6 +100,7 @@
     :param quiet: groups whose replaced primary it has no statement at.
     :param observed: newest position of each group's primary with its age.
     :param trouble: groups whose primary does not answer it.
+    :param removed: heartbeat addresses of hosts that were lately found to be gone for good.
     :param spent: admitted and asked operations since its start, by workspace.
     :param partial: whether workspaces with the same counts as before are left out of ``spent``.
     :param unchanged: names of the fields that are left out for being the same as before.
@@ -120,6 +121,7 @@
     quiet: tuple[str, ...] = ()
     observed: dict[str, tuple[Position, int]] = field(default_factory=dict)
     trouble: dict[str, Trouble] = field(default_factory=dict)
+    removed: tuple[tuple[str, int], ...] = ()
     spent: dict[str, tuple[int, int]] = field(default_factory=dict)
     partial: bool = False
     unchanged: tuple[str, ...] = ()
@@ -135,7 +137,7 @@
 
 
 # Fields that a heartbeat may leave out.
-OMITTABLE = ("primaries", "quiet", "trouble")
+OMITTABLE = ("primaries", "quiet", "trouble", "removed")
 
 
 def encode_heartbeat(beat: Heartbeat) -> bytes:
@@ -143,7 +145,7 @@
     primaries = {group: record.to_fields() for group, record in beat.primaries.items()}
     trouble = {g: [t.server_id, t.failing_ms, int(t.refused)] for g, t in beat.trouble.items()}
     left_out = [name in beat.unchanged for name in OMITTABLE]
-    values = zip(left_out, (primaries, beat.quiet, trouble), strict=True)
+    values = zip(left_out, (primaries, beat.quiet, trouble, beat.removed), strict=True)
     fields = (
         [beat.host, beat.boot_id, beat.sent_ms, beat.echo_ms, beat.echo_held_ms],
         [int(beat.leaving), beat.catalog_version, beat.registry_revision, beat.registry_age_ms],
@@ -163,7 +165,7 @@
     try:
         who, state, store, omittable, observed, (partial, spent) = json.loads(data)
         unchanged = tuple(n for n, v in zip(OMITTABLE, omittable, strict=True) if v is None)
-        primaries, quiet, trouble = omittable
+        primaries, quiet, trouble, removed = omittable
         host, boot_id, sent_ms, echo_ms, echo_held_ms = who
         leaving, catalog_version, registry_revision, registry_age_ms = state
         store_ok, confirmed_age_ms = store
@@ -183,6 +185,7 @@
             tuple(quiet or ()),
             {g: (Position(int(t), int(n)), int(age)) for g, (t, n, age) in observed.items()},
             {g: Trouble(str(s), int(ms), bool(r)) for g, (s, ms, r) in (trouble or {}).items()},
+            tuple((str(ip), int(port)) for ip, port in removed or ()),
             {w: (int(admitted), int(asked)) for w, (admitted, asked) in spent.items()},
             bool(partial),
             unchanged,
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
@@ -15,9 +15,10 @@
 from figcrank.transport._clock import BootClock
 from figcrank.transport.streams._http import serve_pages
 from figcrank.transport.streams._log import EventLog
+from figcrank.transport.streams._membership import Membership
 from figcrank.transport.streams._metrics import Metrics
 from figcrank.transport.streams._peer_link import VIEW_PATH, PeerLink
-from figcrank.transport.streams._ports import FailoverService, Store, StoreError
+from figcrank.transport.streams._ports import FailoverService, Store
 from figcrank.transport.streams._replacer import Replacer
 from figcrank.transport.streams._router import Router
 from figcrank.transport.streams._session import CallerSession, SessionServices
@@ -27,7 +28,6 @@
 
 BACKLOG = 512  # callers that return together after a restart
 TICK_MS = 100
-REGISTER_RETRY_MS = 1_000
 LEAVE_QUIETLY_MS = 2_200  # the balancer takes a host out after two checks, one a second
 CLOSE_SPREAD_MS = 1_200  # idle sessions end over this time, so that they don't return together
 END_MARGIN_MS = 700  # the process ends so long before it would be killed
@@ -80,6 +80,15 @@
         self._store = StoreLoop(
             store, self._link, self._view, self._router, self._clock, self._log, self._metrics
         )
+        self._membership = Membership(
+            settings.host,
+            settings.peer_address,
+            self._store,
+            self._link,
+            self._view,
+            self._clock,
+            self._log,
+        )
         self._replacer = Replacer(
             self._view,
             self._router,
@@ -124,23 +133,11 @@
         """Learn what the store knows, then keep reading it."""
         eventlet.spawn_n(self._store.read_catalog_for_ever)
         eventlet.spawn_n(self._store.read_servers_for_ever)
-        eventlet.spawn_n(self._register)
+        eventlet.spawn_n(self._membership.run)
         while not self._store.confirm():
             pass  # waits between its tries by itself
         self._store.confirm_for_ever()
 
-    def _register(self) -> None:
-        """Tell the store this host's address, and learn the others'."""
-        while not self._stopping:
-            try:
-                for name, address in self._store.call("list_hosts"):
-                    self._link.register(name, address)
-                self._store.call("register_host", self._settings.host, self._settings.peer_address)
-                self._link.tell_all()
-                return
-            except StoreError:
-                eventlet.sleep(REGISTER_RETRY_MS / 1_000)
-
     def _tick_for_ever(self) -> None:
         while True:
             eventlet.sleep(TICK_MS / 1_000)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_peer_link.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_peer_link.py
@@ -51,12 +51,28 @@
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind(address)
         self._fetching = False
+        self.is_removed = False  # whether others took this host for gone; it has to register again
         self.catalog_content = b""
 
     def register(self, name: str, address: Address) -> None:
         """Take in a host that a listing names."""
         self._view.peers.register(name, address, self._clock.now_ms())
 
+    def remove(self, address: Address, source: str) -> None:
+        """Drop a host that the store lists no more.
+
+        :param address: its heartbeat address.
+        :param source: who found out, for the log.
+        """
+        if address == self._address:
+            self.is_removed = True
+            return
+        now_ms = self._clock.now_ms()
+        gone = self._view.remove_host(address, now_ms)
+        if gone is not None:
+            silent_ms = now_ms - max(gone.heard_ms, gone.known_ms)
+            self._log.event("peer_gone", peer=gone.name, silent_ms=silent_ms, source=source)
+
     def receive_for_ever(self) -> None:
         """Take in heartbeats."""
         while True:
@@ -75,6 +91,8 @@
         is_new = known is None or known.beat is None or known.beat.boot_id != beat.boot_id
         for group in self._view.receive(beat, address, self._clock.now_ms()):
             self._note_primary(group, beat.host)
+        for removed in beat.removed:
+            self.remove(removed, beat.host)
         if is_new:
             self._log.event("peer_heard", peer=beat.host, boot=beat.boot_id)
             peer = self._view.peers.at(address)
@@ -115,8 +133,6 @@
         """Send heartbeats."""
         while True:
             now_ms = self._clock.now_ms()
-            for peer in self._view.expire(now_ms):
-                self._log.event("peer_gone", peer=peer.name)
             self._view.share_out_limits(now_ms)
             self.tell_all()
             eventlet.sleep(HEARTBEAT_MS / 1_000)
@@ -151,7 +167,8 @@
 
     def _adopt(self, view: dict, as_of_ms: int) -> None:
         for name, address in view["hosts"]:
-            self.register(name, tuple(address))
+            if not self._view.was_removed(tuple(address)):
+                self.register(name, tuple(address))
         if view["catalog"]:
             self.adopt_catalog(view["catalog"].encode(), "peer")
         servers = {item["server_id"]: ServerEntry(**item) for item in view["servers"]}
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_ports.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_ports.py
@@ -44,6 +44,20 @@
     content: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class HostEntry:
+    """What the store says of a host.
+
+    :param name: its name; a host that starts anew elsewhere may keep it.
+    :param address: ``(ip, port)`` of its heartbeats.
+    :param revision: the store's revision at which it was written.
+    """
+
+    name: str
+    address: tuple[str, int]
+    revision: int
+
+
 class Store(ABC):
     """The platform's store; every call raises :class:`StoreError` when it gives nothing."""
 
@@ -67,13 +81,17 @@
         """Return the registered backend servers; entries that can't be read are left out."""
 
     @abstractmethod
-    def list_hosts(self) -> list[tuple[str, tuple[str, int]]]:
-        """Return the names and heartbeat addresses of the registered hosts."""
+    def list_hosts(self) -> list[HostEntry]:
+        """Return the registered hosts."""
 
     @abstractmethod
     def register_host(self, host: str, address: tuple[str, int]) -> None:
         """Write a host's heartbeat address."""
 
+    @abstractmethod
+    def remove_host(self, entry: HostEntry) -> None:
+        """Remove a host's entry unless it was written anew since it was listed."""
+
     @abstractmethod
     def write_quiet(self, host: str, quiet: dict[str, tuple[int, list[str]]]) -> None:
         """Write which hosts use a replaced primary no more, as one host heard it.
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
@@ -107,7 +107,7 @@
 
     def _look_after(self, group: str, record: PrimaryRecord, now_ms: int) -> None:
         self._note_missing(group, record, now_ms)
-        if not self._is_coordinator(now_ms):
+        if not self._store.is_first_reader(now_ms):
             return
         if record.moving:
             if self._view.book.moving_for_ms(group, now_ms) > TAKEOVER_MS:
@@ -120,11 +120,6 @@
             self._note_at_ms = now_ms + NOTE_PAUSE_MS
             eventlet.spawn_n(self._note_primaries)
 
-    def _is_coordinator(self, now_ms: int) -> bool:
-        view = self._view
-        fit = view.store_ok and not view.leaving
-        return view.peers.watchers(now_ms, fit)[:1] == [view.host]
-
     def _note_missing(self, group: str, record: PrimaryRecord, now_ms: int) -> None:
         fresh = self._store.registry_is_fresh(now_ms)
         if record.server_id in self._view.registry.servers or not fresh:
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_store_loop.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_store_loop.py
@@ -114,6 +114,11 @@
             return False
         return self.back_since_ms == NEVER_MS or now_ms - self.back_since_ms > AWAY_MS
 
+    def is_first_reader(self, now_ms: int) -> bool:
+        """Return whether this host reads the store for all, before any other."""
+        fit = self._view.store_ok and not self._view.leaving
+        return self._view.peers.watchers(now_ms, fit)[:1] == [self._view.host]
+
     def _watches(self, now_ms: int, first_only: bool = False) -> bool:
         view = self._view
         fit = view.store_ok and not view.leaving
