Send callers elsewhere while a host is cut off from the others and the store

Cause: a host without a lease held each statement for its whole time, hoping for the lease.

Change: once the lease has been gone for 1 s (three heartbeats, two readings of the store), work on primaries is refused at once, with the reason and for how long. Hosts that hear half of the fleet stay ready, so neither the store's absence nor a partition takes out more than the smaller side.

Ruled out: not ready on the loss of the lease alone (a fleet in halves without the store would be out as a whole).

--- a/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
@@ -19,6 +19,7 @@
 from figcrank.state._catalog import Catalog, Registry, ServerEntry
 
 TELL_REMOVED_MS = 600_000  # regions part for minutes; a host on their other side must learn it
+HOPELESS_MS = 1_000  # three heartbeats or two readings of the store, and nothing was heard
 SILENT_PEER_MS = 900  # three heartbeats; from then on a peer is taken to spend its whole share
 
 
@@ -38,6 +39,7 @@
     :param boot_id: drawn anew at each start.
     :param address: its heartbeat address.
     :param headroom: operations by which any span of time may pass a workspace's limit.
+    :param started_ms: when this host started.
     """
 
     def __init__(
@@ -46,8 +48,10 @@
         boot_id: int,
         address: tuple[str, int],
         headroom: float = 0.0,
+        started_ms: int = 0,
     ) -> None:
         self._headroom = headroom
+        self._started_ms = started_ms
         self.host = host
         self.boot_id = boot_id
         self.peers = PeerTable(host, address)
@@ -135,6 +139,25 @@
             return max(stored_ms, self.peers.two_thirds_since_ms(now_ms))
         return max(stored_ms, self.peers.majority_since_ms(now_ms))
 
+    def lease_lost_ms(self, now_ms: int) -> int:
+        """Return for how long this host has had no lease on primaries; 0 while it has one."""
+        ended_ms = max(self.lease_since_ms(now_ms) + LEASE_MS, self._started_ms)
+        return max(0, now_ms - ended_ms)
+
+    def lease_is_hopeless(self, now_ms: int) -> bool:
+        """Return whether the lease will not be back within a statement's time."""
+        return self.lease_lost_ms(now_ms) >= HOPELESS_MS
+
+    def is_isolated(self, now_ms: int) -> bool:
+        """Return whether callers are better off at other hosts.
+
+        At most a minority of hosts is isolated at once, so that the store's absence or a partition
+        does not take all of them out.
+        """
+        if 2 * (1 + len(self.peers.live(now_ms))) >= self.hosts():
+            return False
+        return self.lease_is_hopeless(now_ms)
+
     def primary_of(self, group: str) -> ServerEntry | None:
         """Return the entry of the believed primary, ``None`` if it is unknown."""
         record = self.book.get(group)
--- a/packages/figcrank-coordination/tests/fleet/test_fleet_view.py
+++ b/packages/figcrank-coordination/tests/fleet/test_fleet_view.py
@@ -1,6 +1,6 @@
 import pytest
 
-from figcrank.coordination.fleet import FleetView, PrimaryUse
+from figcrank.coordination.fleet import HOPELESS_MS, FleetView, PrimaryUse
 from figcrank.coordination.primaries import LEASE_MS, MAJORITY_LEASE_MS
 from figcrank.protocol.heartbeats import Heartbeat, PrimaryRecord
 from figcrank.state import Position
@@ -167,3 +167,35 @@
     exchange(view, other, 20_000)
     assert view.remove_host(("10.0.0.2", 7000), 20_100) is None
     assert [peer.name for peer in view.peers.all()] == ["b"]
+
+
+def make_fleet_of_five(heard, now_ms, started_ms=0):
+    view = FleetView("a", 1, ("10.0.0.1", 7000), started_ms=started_ms)
+    for number in range(2, 6):
+        address = (f"10.0.0.{number}", 7000)
+        view.peers.register(f"h{number}", address, started_ms)
+        if number < 2 + heard:
+            view.receive(Heartbeat(f"h{number}", 1, 5, echo_ms=now_ms), address, now_ms)
+    return view
+
+
+def test_a_host_that_hears_few_others_and_no_store_is_isolated():
+    view = make_fleet_of_five(heard=1, now_ms=9_000)
+    assert view.lease_lost_ms(9_000) >= HOPELESS_MS
+    assert view.is_isolated(9_000)
+
+
+def test_hosts_that_hear_half_of_the_fleet_stay_ready_whatever_the_store_does():
+    view = make_fleet_of_five(heard=2, now_ms=9_000)
+    assert not view.is_isolated(9_000)
+
+
+def test_a_host_that_reads_the_store_is_not_isolated():
+    view = make_fleet_of_five(heard=0, now_ms=9_000)
+    view.confirmed_ms = 8_800
+    assert not view.is_isolated(9_000)
+
+
+def test_a_host_that_has_just_started_is_not_isolated():
+    view = make_fleet_of_five(heard=0, now_ms=9_000, started_ms=8_500)
+    assert not view.is_isolated(9_000)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
@@ -14,6 +14,7 @@
 from figcrank.protocol.sessions import CallerCodec, ServerCodec
 from figcrank.transport._clock import BootClock
 from figcrank.transport.streams._http import serve_pages
+from figcrank.transport.streams._isolation import IsolationWatch
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._membership import Membership
 from figcrank.transport.streams._metrics import Metrics
@@ -64,7 +65,11 @@
         self._metrics = Metrics()
         boot_id = random.SystemRandom().getrandbits(48)
         self._view = FleetView(
-            settings.host, boot_id, settings.peer_address, settings.limit_headroom
+            settings.host,
+            boot_id,
+            settings.peer_address,
+            settings.limit_headroom,
+            self._clock.now_ms(),
         )
         self._router = Router(
             self._view,
@@ -104,6 +109,9 @@
         self._services = SessionServices(
             caller_codec, self._router, runner, self._clock, self._log, self._metrics
         )
+        self._isolation = IsolationWatch(
+            self._view, lambda: self._services.sessions, self._clock, self._log
+        )
         self._metrics.watch(self._gauges)
         self._stopping = False
 
@@ -121,6 +129,7 @@
             self._tick_for_ever,
             self._log.run,
             self._replacer.run,
+            self._isolation.run,
             self._reload_for_ever,
         ):
             eventlet.spawn_n(loop)
@@ -181,7 +190,7 @@
 
     def _readiness(self, _query: dict[str, str]) -> tuple[int, bytes]:
         ready = not self._stopping and self._view.catalog is not None
-        ready = ready and bool(self._view.registry.servers)
+        ready = ready and bool(self._view.registry.servers) and not self._isolation.isolated
         return (200, b"ready") if ready else (503, b"not ready")
 
     def _metrics_page(self, _query: dict[str, str]) -> tuple[int, bytes]:
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
@@ -103,6 +103,10 @@
                 pool = self.pool(self.view.book.get(group).server_id)
                 if pool is not None and pool.health.usable(now_ms):
                     return pool
+            if use is PrimaryUse.NO_LEASE and self.view.lease_is_hopeless(now_ms):
+                lost_ms = self.view.lease_lost_ms(now_ms)
+                detail = f"this host has heard too few hosts and no store for {lost_ms} ms"
+                raise OpenError(SessionFailure.BUSY, detail)
             left_ms = deadline_ms - now_ms
             if left_ms <= 0:
                 raise OpenError(SessionFailure.BUSY, f"the primary is {use.name.lower()}")
