Play randomized faults against real hosts, and check what was promised

platform/tests/soak: a seed draws 19 kinds of fault (hosts killed, stopped, paused, all killed; servers crash, lead, lag, are cut from each other; links delayed, silent either way, reset by a loopback proxy; the store down, silent, losing answers; a primary split off while a host is paused) that overlap for 12 s. Callers write, read in three kinds of route and ask for more than their limit meanwhile. Checked from what callers and servers saw: no acknowledged write lost or doubled, none run that was refused, none acknowledged by a replaced primary, no stale read, no limit passed, every host serves again within 15 s, none ends or logs an internal error. Each run prints one line of JSON.

Not covered: datagrams between hosts (their addresses identify hosts, so no proxy can stand between), clocks (a pause moves them on), more than one group.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,9 @@
 STAMP := $(VENV)/.installed
 LISTEN ?= 127.0.0.1:8080
 
-.PHONY: run test lint measure format lock fleet load-run platform
+SOAK ?= --seeds 5
+
+.PHONY: run test lint measure format lock fleet load-run platform soak
 
 run: $(STAMP)
 	$(BIN)/figcrankd --embedded --listen $(LISTEN)
@@ -26,6 +28,9 @@
 platform: $(STAMP)
 	$(BIN)/python platform/tests/calm_day.py
 
+soak: $(STAMP)
+	cd platform/tests && ../../$(BIN)/python -W ignore -m soak $(SOAK)
+
 measure: $(STAMP)
 	$(BIN)/python -m figcrank.measure
 
