Give a server that rejects work less of it at once

Nine hosts hold up to four connections each, 36 before 3 slots and 24 places in the queue (Patna: 32 before 45, where it does not happen). Once the queue is full, a statement is rejected, its connection goes to another workspace's statement, which opens a new one (12 ms of a slot), and that is rejected again: 11,326 connections for 15,520 requests, 11,493 of them rejected. The retries of callers kept it full.

Change: ConcurrencyLimit (coordination/placement). On a rejection a host halves what it has in flight at that server, at most once in 100 ms and never below one, and adds two a second again; the rest waits at the host, by workspace, priority and arrival, each at its first place in the order. A transaction between two statements does not count. While a server rejects nothing, nothing changes.

Ruled out: a fixed limit of slots by hosts (callers often meet on few hosts); following latency (work of 8 to 55 ms with a long tail says little of a queue).

--- a/packages/figcrank-coordination/src/figcrank/coordination/placement/__init__.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/placement/__init__.py
@@ -1,5 +1,6 @@
 """Which server and connection a statement gets, and how fresh a replica must be."""
 
+from figcrank.coordination.placement._concurrency import ConcurrencyLimit as ConcurrencyLimit
 from figcrank.coordination.placement._connections import Waiter as Waiter
 from figcrank.coordination.placement._connections import connection_quota as connection_quota
 from figcrank.coordination.placement._connections import kept_connections as kept_connections
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_pool.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_pool.py
@@ -5,8 +5,19 @@
 import eventlet
 from eventlet.event import Event
 
-from figcrank.coordination.placement import ServerHealth, Waiter, kept_connections, next_waiter
-from figcrank.protocol.sessions import ServerCodec, ServerReply, SessionFailure
+from figcrank.coordination.placement import (
+    ConcurrencyLimit,
+    ServerHealth,
+    Waiter,
+    kept_connections,
+    next_waiter,
+)
+from figcrank.protocol.sessions import (
+    ServerCodec,
+    ServerReply,
+    SessionFailure,
+    TransactionState,
+)
 from figcrank.state._catalog import ServerEntry
 from figcrank.state._clock import Clock
 from figcrank.state._positions import Position
@@ -49,12 +60,34 @@
         self._opening: dict[str, int] = {}
         self._waiters: list[tuple[Waiter, Event]] = []
         self._orders = itertools.count()
+        self._granted = 0  # waiters that were woken and have not run yet
+        self._concurrency = ConcurrencyLimit()
 
     @property
     def busy(self) -> int:
         """Return how many connections are in use or being opened."""
         return len(self._busy) + sum(self._opening.values())
 
+    @property
+    def in_flight(self) -> int:
+        """Return how much work of this host the server has or is about to get.
+
+        A transaction between two statements needs nothing of the server but its connection.
+        """
+        idle_state = TransactionState.IDLE
+        working = sum(1 for c in self._busy if c.outstanding or c.state is idle_state)
+        return working + sum(self._opening.values())
+
+    @property
+    def allowed(self) -> int:
+        """Return how much work may be in flight."""
+        return self._concurrency.allowed(self.limit, self._clock.now_ms())
+
+    def rejected(self) -> None:
+        """Count a statement or connection that the server had no room for in its queue."""
+        self._concurrency.rejected(self.in_flight, self._clock.now_ms())
+        self._metrics.count("server_rejections", server=self.entry.server_id)
+
     @property
     def waiting(self) -> int:
         """Return how many statements wait for a connection."""
@@ -77,13 +110,15 @@
         :param values: the session's values; a connection that has them is preferred.
         :raises OpenError: if none can be had.
         """
+        waiter = Waiter(workspace, priority, deadline_ms, next(self._orders))
         while True:
-            connection = self._take_idle(workspace, values)
-            if connection is not None:
-                return connection
-            if self._has_room():
-                return self._open(workspace)
-            self._wait(workspace, priority, deadline_ms)
+            if self.in_flight < self.allowed:
+                connection = self._take_idle(workspace, values)
+                if connection is not None:
+                    return connection
+                if self._has_room():
+                    return self._open(workspace)
+            self._wait(waiter)
 
     def _take_idle(self, workspace: str, values: dict[str, str]) -> ServerConnection | None:
         best = None
@@ -120,6 +155,8 @@
             return connection
         except OpenError as error:
             self._metrics.count("server_connections", result=error.failure.name.lower())
+            if error.failure is SessionFailure.BUSY:
+                self.rejected()
             if error.failure in (SessionFailure.UNREACHABLE, SessionFailure.WRONG_SERVER):
                 refused = error.refused or error.failure is SessionFailure.WRONG_SERVER
                 self.health.failed(self._clock.now_ms(), refused)
@@ -127,7 +164,7 @@
         finally:
             self._opening[workspace] -= 1
             if connection is None:
-                self._wake()
+                self.admit_waiters()
             else:
                 self._metrics.time("server_connect", "all", self._clock.now_ms() - started_ms)
 
@@ -143,20 +180,22 @@
         if connection in self._idle:
             self._idle.remove(connection)
 
-    def _wait(self, workspace: str, priority: int, deadline_ms: int) -> None:
-        left_ms = deadline_ms - self._clock.now_ms()
+    def _wait(self, waiter: Waiter) -> None:
+        left_ms = waiter.deadline_ms - self._clock.now_ms()
         if left_ms <= 0:
             raise OpenError(SessionFailure.BUSY, "no connection came free in time")
         turn = Event()
-        entry = (Waiter(workspace, priority, deadline_ms, next(self._orders)), turn)
+        entry = (waiter, turn)
         self._waiters.append(entry)
         with eventlet.Timeout(left_ms / 1_000, False):
             turn.wait()
+            self._granted -= 1
             return
         if entry in self._waiters:
             self._waiters.remove(entry)
-        elif turn.ready():
-            self._wake()  # the turn came too late; pass it on
+        else:
+            self._granted -= 1
+            self.admit_waiters()  # the turn came too late; pass it on
         raise OpenError(SessionFailure.BUSY, "no connection came free in time")
 
     def release(self, connection: ServerConnection) -> None:
@@ -168,22 +207,29 @@
                 connection.close()
             else:
                 self._idle.append(connection)
-        self._wake()
+        self.admit_waiters()
 
     def discard(self, connection: ServerConnection) -> None:
         """Close a connection that can't be used again."""
         self._busy.discard(connection)
         connection.close()
-        self._wake()
+        self.admit_waiters()
 
-    def _wake(self) -> None:
-        if not self._waiters:
-            return
+    def admit_waiters(self) -> None:
+        """Let as many waiters try as there is room for."""
+        while self._waiters:
+            room = min(self.allowed - self.in_flight, self.limit - self.busy)
+            if room <= self._granted:
+                return
+            self._grant()
+
+    def _grant(self) -> None:
         busy: dict[str, int] = {}
         for connection in self._busy:
             busy[connection.workspace] = busy.get(connection.workspace, 0) + 1
         index = next_waiter([waiter for waiter, _ in self._waiters], busy)
         _, turn = self._waiters.pop(index)
+        self._granted += 1
         turn.send(None)
 
     def close_all(self) -> None:
@@ -192,7 +238,7 @@
         for connection in [*self._idle, *busy]:
             connection.close()
         self._idle.clear()
-        self._wake()
+        self.admit_waiters()
 
     def close_idle(self) -> None:
         """End the connections that are not in use."""
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
@@ -210,6 +210,8 @@
         pool.health.answered(now_ms, now_ms - sent_ms if measured and succeeded else None)
         if succeeded or reply.failure is SessionFailure.FAILED:
             pool.health.statement_ended(succeeded)
+        if reply.failure is SessionFailure.BUSY:
+            pool.rejected()
         if reply.failure is SessionFailure.LAGGING:
             pool.lagging_until_ms = now_ms + LAGGING_PAUSE_MS
         if reply.position is None:
@@ -241,6 +243,7 @@
             self.pool(record.server_id)  # a host without work for it may have to check it
         for pool in self.pools():
             self._set_limit(pool)
+            pool.admit_waiters()
             self._check_entry(pool, now_ms)
             self._check_silence(pool, now_ms)
         self._end_fenced_work(now_ms)
