Give each concern of the host core a folder

They are in groups, limits, membership, configuration, store and requests now, each with the few names re-exported that others use; the root keeps the core, its events, actions, settings and the way out. Tests moved alike. No line of logic changed; the session proxy imports none of these modules.

--- a/packages/figcrank-coordination/src/figcrank/coordination/__init__.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/__init__.py
@@ -43,8 +43,8 @@
     "Tick": "figcrank.coordination._events",
     "TransactionReceived": "figcrank.coordination._events",
     "WorkFinished": "figcrank.coordination._events",
-    "FairQueue": "figcrank.coordination._queues",
-    "Queued": "figcrank.coordination._queues",
+    "FairQueue": "figcrank.coordination.groups._queues",
+    "Queued": "figcrank.coordination.groups._queues",
     "CoreSettings": "figcrank.coordination._settings",
     "Timings": "figcrank.coordination._settings",
 }
--- a/packages/figcrank-coordination/src/figcrank/coordination/_core.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/_core.py
@@ -4,14 +4,13 @@
 
 from figcrank.coordination import _events as events
 from figcrank.coordination._actions import Action, RespondOperator, RespondPeer, SetReady, Stop
-from figcrank.coordination._configuration import Configuration
-from figcrank.coordination._entry import Entry
-from figcrank.coordination._limits import Limiter
-from figcrank.coordination._membership import Membership
-from figcrank.coordination._owner import GroupOwner
-from figcrank.coordination._placement import Placement
 from figcrank.coordination._port import Port
 from figcrank.coordination._settings import CoreSettings
+from figcrank.coordination.configuration import Configuration
+from figcrank.coordination.groups import GroupOwner
+from figcrank.coordination.limits import Limiter
+from figcrank.coordination.membership import Membership, Placement
+from figcrank.coordination.requests import Entry
 from figcrank.protocol import (
     Accepted,
     Ack,
--- a/packages/figcrank-coordination/src/figcrank/coordination/_configuration.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/configuration/_configuration.py
@@ -2,16 +2,16 @@
 
 from collections.abc import Callable
 
-from figcrank.coordination._edit_rules import check_edit
-from figcrank.coordination._edits import Editor, OnEdited
-from figcrank.coordination._freshness import Freshness
-from figcrank.coordination._ledger import MAX_REVISION_STEP, Ledger
-from figcrank.coordination._membership import Membership
-from figcrank.coordination._platform import PlatformClient
 from figcrank.coordination._port import Port
 from figcrank.coordination._settings import CoreSettings
-from figcrank.coordination._spread import Spread
-from figcrank.coordination._watch import StoreWatch
+from figcrank.coordination.configuration._edit_rules import check_edit
+from figcrank.coordination.configuration._edits import Editor, OnEdited
+from figcrank.coordination.configuration._freshness import Freshness
+from figcrank.coordination.configuration._ledger import MAX_REVISION_STEP, Ledger
+from figcrank.coordination.configuration._spread import Spread
+from figcrank.coordination.configuration._watch import StoreWatch
+from figcrank.coordination.membership import Membership
+from figcrank.coordination.store import PlatformClient
 from figcrank.protocol import (
     ConfigPull,
     ConfigPush,
--- a/packages/figcrank-coordination/src/figcrank/coordination/_edits.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/configuration/_edits.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
-from figcrank.coordination._platform import PlatformClient
 from figcrank.coordination._port import OnPlatform
 from figcrank.coordination._settings import CoreSettings
+from figcrank.coordination.store import PlatformClient
 from figcrank.protocol import (
     EditConflict,
     EditDone,
--- a/packages/figcrank-coordination/src/figcrank/coordination/_freshness.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/configuration/_freshness.py
@@ -1,7 +1,7 @@
 """Whether what this host knows of the configuration is new enough to serve keys on."""
 
-from figcrank.coordination._membership import UNKNOWN_AGE_MS, Membership
-from figcrank.coordination._platform import PlatformClient
+from figcrank.coordination.membership import UNKNOWN_AGE_MS, Membership
+from figcrank.coordination.store import PlatformClient
 from figcrank.protocol import Digest
 
 # Age of a host that never heard from the store; an answer to a probe can't exceed it by much.
--- a/packages/figcrank-coordination/src/figcrank/coordination/_spread.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/configuration/_spread.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass
 
 from figcrank.coordination._events import PeerFailed
-from figcrank.coordination._membership import Membership
 from figcrank.coordination._port import Port
+from figcrank.coordination.membership import Membership
 from figcrank.protocol import ConfigPull, ConfigPush, PeerReply
 from figcrank.protocol.objects import stored_text
 from figcrank.state import ConfigObject, Host
--- a/packages/figcrank-coordination/src/figcrank/coordination/_watch.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/configuration/_watch.py
@@ -4,10 +4,10 @@
 
 import xxhash
 
-from figcrank.coordination._freshness import Freshness
-from figcrank.coordination._membership import Membership
-from figcrank.coordination._platform import WATCHERS_PER_CELL, PlatformClient
 from figcrank.coordination._settings import CoreSettings
+from figcrank.coordination.configuration._freshness import Freshness
+from figcrank.coordination.membership import Membership
+from figcrank.coordination.store import WATCHERS_PER_CELL, PlatformClient
 from figcrank.protocol import (
     HostList,
     ListHosts,
--- a/packages/figcrank-coordination/src/figcrank/coordination/_failover.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/groups/_failover.py
@@ -4,11 +4,11 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from figcrank.coordination._group_view import GroupView
-from figcrank.coordination._placement import Placement
 from figcrank.coordination._port import Port
-from figcrank.coordination._reports import Reports
 from figcrank.coordination._settings import CoreSettings
+from figcrank.coordination.groups._group_view import GroupView
+from figcrank.coordination.groups._reports import Reports
+from figcrank.coordination.membership import Placement
 from figcrank.protocol import (
     Failure,
     FailureKind,
--- a/packages/figcrank-coordination/src/figcrank/coordination/_lost_commits.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/groups/_lost_commits.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from figcrank.coordination._open_transactions import transaction_lost
+from figcrank.coordination.groups._open_transactions import transaction_lost
 from figcrank.protocol import (
     Failure,
     OwnedAnswer,
--- a/packages/figcrank-coordination/src/figcrank/coordination/_majority.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/groups/_majority.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from figcrank.coordination._group_view import GroupView
 from figcrank.coordination._port import Port
 from figcrank.coordination._settings import CoreSettings
+from figcrank.coordination.groups._group_view import GroupView
 from figcrank.protocol import QueryStatus, ServerReply, StatusReply
 from figcrank.state import Group, Position, Server, ServerStatus
 
--- a/packages/figcrank-coordination/src/figcrank/coordination/_open_transactions.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/groups/_open_transactions.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from figcrank.coordination._pool import Connection
+from figcrank.coordination.groups._pool import Connection
 from figcrank.protocol import (
     Failure,
     FailureKind,
--- a/packages/figcrank-coordination/src/figcrank/coordination/_owner.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/groups/_owner.py
@@ -5,18 +5,18 @@
 
 from figcrank.coordination._call import RETRY_AFTER_MS
 from figcrank.coordination._events import ConnectionFailed, ConnectionOpened, WorkFinished
-from figcrank.coordination._failover import Failover
-from figcrank.coordination._group_view import GroupView
-from figcrank.coordination._majority import MajorityWait
-from figcrank.coordination._placement import Placement
-from figcrank.coordination._pool import Pool, Share
 from figcrank.coordination._port import Port
-from figcrank.coordination._reports import Reports
-from figcrank.coordination._routing import Reads
 from figcrank.coordination._settings import CoreSettings
-from figcrank.coordination._settlement import Settlement
-from figcrank.coordination._transactions import Transactions
-from figcrank.coordination._writes import Writes
+from figcrank.coordination.groups._failover import Failover
+from figcrank.coordination.groups._group_view import GroupView
+from figcrank.coordination.groups._majority import MajorityWait
+from figcrank.coordination.groups._pool import Pool, Share
+from figcrank.coordination.groups._reports import Reports
+from figcrank.coordination.groups._routing import Reads
+from figcrank.coordination.groups._settlement import Settlement
+from figcrank.coordination.groups._transactions import Transactions
+from figcrank.coordination.groups._writes import Writes
+from figcrank.coordination.membership import Placement
 from figcrank.protocol import (
     Failure,
     FailureKind,
--- a/packages/figcrank-coordination/src/figcrank/coordination/_reports.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/groups/_reports.py
@@ -2,10 +2,10 @@
 
 from dataclasses import dataclass
 
-from figcrank.coordination._group_view import GroupView
-from figcrank.coordination._placement import Placement
 from figcrank.coordination._port import Port
 from figcrank.coordination._settings import CoreSettings
+from figcrank.coordination.groups._group_view import GroupView
+from figcrank.coordination.membership import Placement
 from figcrank.protocol import GroupReport
 from figcrank.state import Group
 
--- a/packages/figcrank-coordination/src/figcrank/coordination/_routing.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/groups/_routing.py
@@ -4,12 +4,12 @@
 from dataclasses import dataclass, field
 
 from figcrank.coordination._actions import CountMetric
-from figcrank.coordination._group_view import GroupView
-from figcrank.coordination._pool import Pool
 from figcrank.coordination._port import Port
-from figcrank.coordination._queues import FairQueue, Queued
 from figcrank.coordination._settings import CoreSettings
-from figcrank.coordination._writes import (
+from figcrank.coordination.groups._group_view import GroupView
+from figcrank.coordination.groups._pool import Pool
+from figcrank.coordination.groups._queues import FairQueue, Queued
+from figcrank.coordination.groups._writes import (
     ANSWER_MARGIN_MS,
     MAX_QUEUED_PER_WORKSPACE,
     RETRY_AFTER_MS,
--- a/packages/figcrank-coordination/src/figcrank/coordination/_settlement.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/groups/_settlement.py
@@ -4,10 +4,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from figcrank.coordination._group_view import GroupView
-from figcrank.coordination._majority import MajorityWait
 from figcrank.coordination._port import Port
 from figcrank.coordination._settings import CoreSettings
+from figcrank.coordination.groups._group_view import GroupView
+from figcrank.coordination.groups._majority import MajorityWait
 from figcrank.protocol import Lookup, RecordReply, ServerReply
 from figcrank.state import Group, Position, ServerStatus
 
--- a/packages/figcrank-coordination/src/figcrank/coordination/_transactions.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/groups/_transactions.py
@@ -2,10 +2,12 @@
 
 from collections.abc import Callable
 
-from figcrank.coordination._group_view import GroupView
-from figcrank.coordination._lost_commits import commit_record
-from figcrank.coordination._majority import MajorityWait
-from figcrank.coordination._open_transactions import (
+from figcrank.coordination._port import Port
+from figcrank.coordination._settings import CoreSettings
+from figcrank.coordination.groups._group_view import GroupView
+from figcrank.coordination.groups._lost_commits import commit_record
+from figcrank.coordination.groups._majority import MajorityWait
+from figcrank.coordination.groups._open_transactions import (
     OnAnswer,
     OpenTransaction,
     Step,
@@ -15,12 +17,10 @@
     transaction_lost,
     unknown_transaction,
 )
-from figcrank.coordination._pool import Connection, Pool
-from figcrank.coordination._port import Port
-from figcrank.coordination._queues import FairQueue, Queued
-from figcrank.coordination._settings import CoreSettings
-from figcrank.coordination._settlement import Attempt, Settlement
-from figcrank.coordination._writes import (
+from figcrank.coordination.groups._pool import Connection, Pool
+from figcrank.coordination.groups._queues import FairQueue, Queued
+from figcrank.coordination.groups._settlement import Attempt, Settlement
+from figcrank.coordination.groups._writes import (
     ANSWER_MARGIN_MS,
     MAX_QUEUED_PER_WORKSPACE,
     RETRY_AFTER_MS,
--- a/packages/figcrank-coordination/src/figcrank/coordination/_writes.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/groups/_writes.py
@@ -4,13 +4,13 @@
 from dataclasses import dataclass, replace
 
 from figcrank.coordination._call import RETRY_AFTER_MS
-from figcrank.coordination._group_view import GroupView
-from figcrank.coordination._majority import MajorityWait
-from figcrank.coordination._pool import Connection, Pool
 from figcrank.coordination._port import Port
-from figcrank.coordination._queues import FairQueue, Queued
 from figcrank.coordination._settings import CoreSettings
-from figcrank.coordination._settlement import Attempt, Settlement
+from figcrank.coordination.groups._group_view import GroupView
+from figcrank.coordination.groups._majority import MajorityWait
+from figcrank.coordination.groups._pool import Connection, Pool
+from figcrank.coordination.groups._queues import FairQueue, Queued
+from figcrank.coordination.groups._settlement import Attempt, Settlement
 from figcrank.protocol import (
     Failure,
     FailureKind,
--- /dev/null
+++ b/packages/figcrank-coordination/src/figcrank/coordination/limits/__init__.py
@@ -0,0 +1,5 @@
+"""Limits of workspaces: tokens lent by a home host to the hosts that ask for them."""
+
+from figcrank.coordination.limits._limit_timings import MAX_WAIT_MS as MAX_WAIT_MS
+from figcrank.coordination.limits._limits import Limiter as Limiter
+from figcrank.coordination.limits._limits import LimitMessage as LimitMessage
--- a/packages/figcrank-coordination/src/figcrank/coordination/_borrower.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/limits/_borrower.py
@@ -5,11 +5,11 @@
 from dataclasses import dataclass, field
 
 from figcrank.coordination._actions import CountMetric
-from figcrank.coordination._configuration import Configuration
-from figcrank.coordination._limit_timings import ANSWER_TIMEOUT_MS, MAX_WAIT_MS
 from figcrank.coordination._port import Port
 from figcrank.coordination._settings import CoreSettings
-from figcrank.coordination._slices import Purse
+from figcrank.coordination.configuration import Configuration
+from figcrank.coordination.limits._limit_timings import ANSWER_TIMEOUT_MS, MAX_WAIT_MS
+from figcrank.coordination.limits._slices import Purse
 from figcrank.protocol import (
     Demand,
     DemandReport,
--- a/packages/figcrank-coordination/src/figcrank/coordination/_home_buckets.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/limits/_home_buckets.py
@@ -7,8 +7,8 @@
 
 from dataclasses import dataclass
 
-from figcrank.coordination._demand import DemandRate, whole_tokens
-from figcrank.coordination._limit_timings import (
+from figcrank.coordination.limits._demand import DemandRate, whole_tokens
+from figcrank.coordination.limits._limit_timings import (
     LEASE_MARGIN_MS,
     LENDING_HORIZON_MS,
     MAX_WAIT_MS,
--- a/packages/figcrank-coordination/src/figcrank/coordination/_homes.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/limits/_homes.py
@@ -1,7 +1,7 @@
 """Which host this host believes to be home to a workspace's limit."""
 
-from figcrank.coordination._limit_timings import HOME_SILENCE_MS
-from figcrank.coordination._placement import Placement
+from figcrank.coordination.limits._limit_timings import HOME_SILENCE_MS
+from figcrank.coordination.membership import Placement
 from figcrank.state import Host, HostState
 
 CHECK_INTERVAL_MS = 50
--- a/packages/figcrank-coordination/src/figcrank/coordination/_lender.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/limits/_lender.py
@@ -3,16 +3,16 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from figcrank.coordination._borrower import SOLICITATION
-from figcrank.coordination._configuration import Configuration
-from figcrank.coordination._home_buckets import HomeBucket, most_lent_milli
-from figcrank.coordination._homes import Homes
-from figcrank.coordination._limit_timings import ACTIVE_MS, LEASE_MARGIN_MS
-from figcrank.coordination._placement import Placement
 from figcrank.coordination._port import Port
 from figcrank.coordination._settings import CoreSettings
-from figcrank.coordination._slices import MAX_FREE_MS
-from figcrank.coordination._support import PauseDetector, Support, Voters
+from figcrank.coordination.configuration import Configuration
+from figcrank.coordination.limits._borrower import SOLICITATION
+from figcrank.coordination.limits._home_buckets import HomeBucket, most_lent_milli
+from figcrank.coordination.limits._homes import Homes
+from figcrank.coordination.limits._limit_timings import ACTIVE_MS, LEASE_MARGIN_MS
+from figcrank.coordination.limits._slices import MAX_FREE_MS
+from figcrank.coordination.limits._support import PauseDetector, Support, Voters
+from figcrank.coordination.membership import Placement
 from figcrank.protocol import Demand, DemandReport, HomeHandover, Slice, SliceGrants
 from figcrank.state import MILLI, Host, Workspace
 
--- a/packages/figcrank-coordination/src/figcrank/coordination/_limits.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/limits/_limits.py
@@ -8,13 +8,13 @@
 
 from collections.abc import Callable
 
-from figcrank.coordination._borrower import Borrower
-from figcrank.coordination._configuration import Configuration
-from figcrank.coordination._homes import Homes
-from figcrank.coordination._lender import Lender
-from figcrank.coordination._placement import Placement
 from figcrank.coordination._port import Port
 from figcrank.coordination._settings import CoreSettings
+from figcrank.coordination.configuration import Configuration
+from figcrank.coordination.limits._borrower import Borrower
+from figcrank.coordination.limits._homes import Homes
+from figcrank.coordination.limits._lender import Lender
+from figcrank.coordination.membership import Placement
 from figcrank.protocol import (
     DemandReport,
     Failure,
--- a/packages/figcrank-coordination/src/figcrank/coordination/_slices.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/limits/_slices.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from figcrank.coordination._limit_timings import SILENCE_MS
+from figcrank.coordination.limits._limit_timings import SILENCE_MS
 from figcrank.protocol import Demand, Slice
 from figcrank.state import MILLI
 
--- a/packages/figcrank-coordination/src/figcrank/coordination/_support.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/limits/_support.py
@@ -17,14 +17,14 @@
 under the name of one that was home; and homes in different cells, which each lend the whole rate.
 """
 
-from figcrank.coordination._limit_timings import (
+from figcrank.coordination.limits._limit_timings import (
     BACKLOG_MS,
     PAUSE_MS,
     SOLICIT_AGE_MS,
     SUPPORT_MS,
     VOTER_MEMORY_MS,
 )
-from figcrank.coordination._placement import Placement
+from figcrank.coordination.membership import Placement
 from figcrank.state import Host, HostState
 
 
--- a/packages/figcrank-coordination/src/figcrank/coordination/_membership.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/membership/_membership.py
@@ -4,24 +4,24 @@
 
 import msgspec
 
-from figcrank.coordination._candidates import Candidates
-from figcrank.coordination._member_table import (
+from figcrank.coordination._port import Port
+from figcrank.coordination._settings import CoreSettings
+from figcrank.coordination.membership._candidates import Candidates
+from figcrank.coordination.membership._member_table import (
     Member,
     MemberTable,
     host_of,
     is_plausible,
     is_possible,
 )
-from figcrank.coordination._port import Port
-from figcrank.coordination._probes import (
+from figcrank.coordination.membership._probes import (
     Probe,
     ProbeList,
     ProbePurpose,
     Rotation,
     shuffled,
 )
-from figcrank.coordination._quorum import Quorum
-from figcrank.coordination._settings import CoreSettings
+from figcrank.coordination.membership._quorum import Quorum
 from figcrank.protocol import Ack, Digest, MemberUpdate, Ping, PingRequest, PlatformHost
 from figcrank.state import Host, HostState, RandomSource
 
--- a/packages/figcrank-coordination/src/figcrank/coordination/_placement.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/membership/_placement.py
@@ -2,8 +2,8 @@
 
 import xxhash
 
-from figcrank.coordination._membership import Membership
 from figcrank.coordination._settings import CoreSettings
+from figcrank.coordination.membership._membership import Membership
 from figcrank.state import Host, HostState
 
 
--- a/packages/figcrank-coordination/src/figcrank/coordination/_quorum.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/membership/_quorum.py
@@ -2,8 +2,8 @@
 
 from collections import deque
 
-from figcrank.coordination._member_table import MemberViews
-from figcrank.coordination._probes import Probe, ProbePurpose
+from figcrank.coordination.membership._member_table import MemberViews
+from figcrank.coordination.membership._probes import Probe, ProbePurpose
 from figcrank.state import Host, HostState
 
 PROBES_KEPT = 64
--- a/packages/figcrank-coordination/src/figcrank/coordination/_checks.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/requests/_checks.py
@@ -4,10 +4,10 @@
 from collections.abc import Collection
 
 from figcrank.coordination._call import RETRY_AFTER_MS, Call
-from figcrank.coordination._configuration import Configuration
 from figcrank.coordination._events import Credentials, StatementsReceived, TransactionReceived
-from figcrank.coordination._open_transactions import group_of
 from figcrank.coordination._settings import CoreSettings
+from figcrank.coordination.configuration import Configuration
+from figcrank.coordination.groups import group_of
 from figcrank.protocol import (
     Failure,
     FailureKind,
--- a/packages/figcrank-coordination/src/figcrank/coordination/_entry.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/requests/_entry.py
@@ -7,21 +7,24 @@
 
 from figcrank.coordination._actions import RecordSpan, Refuse, Respond
 from figcrank.coordination._call import RETRY_AFTER_MS, Call, as_certain, is_harmless, too_late
-from figcrank.coordination._checks import Checks
-from figcrank.coordination._configuration import Configuration
 from figcrank.coordination._events import (
     PeerFailed,
     StatementsReceived,
     TransactionReceived,
 )
-from figcrank.coordination._limits import Limiter
-from figcrank.coordination._lost_commits import lost_transaction, settled, settling_request
-from figcrank.coordination._membership import Membership
-from figcrank.coordination._open_transactions import host_of
-from figcrank.coordination._owner import GroupOwner
-from figcrank.coordination._placement import Placement
 from figcrank.coordination._port import Port
 from figcrank.coordination._settings import CoreSettings
+from figcrank.coordination.configuration import Configuration
+from figcrank.coordination.groups import (
+    GroupOwner,
+    host_of,
+    lost_transaction,
+    settled,
+    settling_request,
+)
+from figcrank.coordination.limits import Limiter
+from figcrank.coordination.membership import Membership, Placement
+from figcrank.coordination.requests._checks import Checks
 from figcrank.protocol import (
     Failure,
     FailureKind,
--- a/packages/figcrank-coordination/src/figcrank/coordination/_platform.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/store/_platform.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Callable
 
-from figcrank.coordination._breaker import CircuitBreaker
-from figcrank.coordination._membership import Membership
 from figcrank.coordination._port import OnPlatform, Port
+from figcrank.coordination.membership import Membership
+from figcrank.coordination.store._breaker import CircuitBreaker
 from figcrank.protocol import PlatformCall, PlatformFailed, PlatformResult
 from figcrank.state import RandomSource
 
--- a/packages/figcrank-coordination/tests/test_edits.py
+++ b/packages/figcrank-coordination/tests/configuration/test_edits.py
@@ -3,9 +3,9 @@
 import pytest
 
 from figcrank.coordination import CallPlatform, CoreSettings, PlatformReplied
-from figcrank.coordination._edits import EDIT_DEADLINE_MS, SETTLE_INTERVAL_MS, Editor
-from figcrank.coordination._platform import PlatformClient
 from figcrank.coordination._port import Port
+from figcrank.coordination.configuration._edits import EDIT_DEADLINE_MS, SETTLE_INTERVAL_MS, Editor
+from figcrank.coordination.store._platform import PlatformClient
 from figcrank.protocol import (
     EditConflict,
     EditDone,
--- a/packages/figcrank-coordination/tests/test_freshness.py
+++ b/packages/figcrank-coordination/tests/configuration/test_freshness.py
@@ -1,8 +1,8 @@
 import pytest
 
-from figcrank.coordination._freshness import NEVER_MS, Freshness
-from figcrank.coordination._membership import UNKNOWN_AGE_MS
-from figcrank.coordination._watch import WATCH_WAIT_MS, _confirmed_ms
+from figcrank.coordination.configuration._freshness import NEVER_MS, Freshness
+from figcrank.coordination.configuration._watch import WATCH_WAIT_MS, _confirmed_ms
+from figcrank.coordination.membership._membership import UNKNOWN_AGE_MS
 from figcrank.protocol import Digest, ObjectList, StoredObject
 
 LIMIT_MS = 1_500
--- a/packages/figcrank-coordination/tests/test_ledger.py
+++ b/packages/figcrank-coordination/tests/configuration/test_ledger.py
@@ -1,6 +1,6 @@
 import pytest
 
-from figcrank.coordination._ledger import Ledger
+from figcrank.coordination.configuration._ledger import Ledger
 from figcrank.protocol import ConfigPush
 from figcrank.state import ConfigObject, Key, ObjectId, Workspace
 
--- a/packages/figcrank-coordination/tests/groups/test_campaigns.py
+++ b/packages/figcrank-coordination/tests/groups/test_campaigns.py
@@ -5,10 +5,10 @@
 import pytest
 
 from figcrank.coordination import CallServer, CoreSettings, ServerReplied
-from figcrank.coordination._failover import Failover
-from figcrank.coordination._group_view import GroupView
 from figcrank.coordination._port import Port
-from figcrank.coordination._reports import Reports
+from figcrank.coordination.groups._failover import Failover
+from figcrank.coordination.groups._group_view import GroupView
+from figcrank.coordination.groups._reports import Reports
 from figcrank.protocol import (
     Fence,
     Follow,
--- a/packages/figcrank-coordination/tests/groups/test_group_view.py
+++ b/packages/figcrank-coordination/tests/groups/test_group_view.py
@@ -1,9 +1,9 @@
 import pytest
 
 from figcrank.coordination import CallServer, CoreSettings, ServerReplied
-from figcrank.coordination._group_view import GroupView
-from figcrank.coordination._majority import MajorityWait
 from figcrank.coordination._port import Port
+from figcrank.coordination.groups._group_view import GroupView
+from figcrank.coordination.groups._majority import MajorityWait
 from figcrank.protocol import ServerFailure, ServerFailureKind, StatusReply
 from figcrank.standins.samples import group_of
 from figcrank.state import Host, Position, ServerRole, ServerStatus
--- a/packages/figcrank-coordination/tests/groups/test_pool.py
+++ b/packages/figcrank-coordination/tests/groups/test_pool.py
@@ -9,8 +9,8 @@
     StartWork,
     WorkFinished,
 )
-from figcrank.coordination._pool import Pool, Share
 from figcrank.coordination._port import GRACE_MS, Port
+from figcrank.coordination.groups._pool import Pool, Share
 from figcrank.protocol import ReadWork, WorkDone, WorkFailed, WriteWork
 from figcrank.standins.samples import group_of
 from figcrank.state import ORIGIN, Host
--- a/packages/figcrank-coordination/tests/test_home_buckets.py
+++ b/packages/figcrank-coordination/tests/limits/test_home_buckets.py
@@ -1,7 +1,7 @@
 import pytest
 
-from figcrank.coordination._home_buckets import HomeBucket
-from figcrank.coordination._slices import RETURN_AFTER_MS, Purse
+from figcrank.coordination.limits._home_buckets import HomeBucket
+from figcrank.coordination.limits._slices import RETURN_AFTER_MS, Purse
 from figcrank.protocol import Demand, Slice
 from figcrank.state import MILLI, Workspace
 
--- a/packages/figcrank-coordination/tests/test_homes.py
+++ b/packages/figcrank-coordination/tests/limits/test_homes.py
@@ -1,9 +1,9 @@
 import pytest
 
 from figcrank.coordination import CoreSettings
-from figcrank.coordination._homes import Homes
-from figcrank.coordination._limit_timings import HOME_SILENCE_MS
-from figcrank.coordination._placement import Placement
+from figcrank.coordination.limits._homes import Homes
+from figcrank.coordination.limits._limit_timings import HOME_SILENCE_MS
+from figcrank.coordination.membership._placement import Placement
 from figcrank.measure._limit_fleet import View, make_host
 
 HOSTS = tuple(make_host(number) for number in range(5))
--- a/packages/figcrank-coordination/tests/test_support.py
+++ b/packages/figcrank-coordination/tests/limits/test_support.py
@@ -1,5 +1,5 @@
-from figcrank.coordination._limit_timings import BACKLOG_MS, SUPPORT_MS, VOTER_MEMORY_MS
-from figcrank.coordination._support import PauseDetector, Support, Voters
+from figcrank.coordination.limits._limit_timings import BACKLOG_MS, SUPPORT_MS, VOTER_MEMORY_MS
+from figcrank.coordination.limits._support import PauseDetector, Support, Voters
 from figcrank.measure._limit_fleet import View, make_host
 
 HOSTS = tuple(make_host(number) for number in range(9))
--- a/packages/figcrank-coordination/tests/test_placement.py
+++ b/packages/figcrank-coordination/tests/membership/test_placement.py
@@ -1,5 +1,5 @@
 from figcrank.coordination import CoreSettings
-from figcrank.coordination._placement import Placement
+from figcrank.coordination.membership._placement import Placement
 from figcrank.state import Host
 
 HOSTS = tuple(Host(f"host-{n}", f"zone-{n % 3}", f"g{n}", f"p{n}") for n in range(9))
--- a/packages/figcrank-coordination/tests/test_quorum.py
+++ b/packages/figcrank-coordination/tests/membership/test_quorum.py
@@ -1,8 +1,8 @@
 import pytest
 
-from figcrank.coordination._member_table import Member, MemberViews
-from figcrank.coordination._probes import Probe, ProbePurpose
-from figcrank.coordination._quorum import Quorum
+from figcrank.coordination.membership._member_table import Member, MemberViews
+from figcrank.coordination.membership._probes import Probe, ProbePurpose
+from figcrank.coordination.membership._quorum import Quorum
 from figcrank.state import HostState
 
 NOW_MS = 10_000
--- a/packages/figcrank-coordination/tests/test_platform_calls.py
+++ b/packages/figcrank-coordination/tests/store/test_platform_calls.py
@@ -3,9 +3,9 @@
 import pytest
 
 from figcrank.coordination import CallPlatform, PlatformReplied
-from figcrank.coordination._breaker import BreakerState, CircuitBreaker
-from figcrank.coordination._platform import MAX_IN_FLIGHT, MIN_PACE_MS, PlatformClient
 from figcrank.coordination._port import Port
+from figcrank.coordination.store._breaker import BreakerState, CircuitBreaker
+from figcrank.coordination.store._platform import MAX_IN_FLIGHT, MIN_PACE_MS, PlatformClient
 from figcrank.protocol import ListHosts, ObjectList, PlatformFailed
 
 
--- a/packages/figcrank-measure/src/figcrank/measure/_limit_fleet.py
+++ b/packages/figcrank-measure/src/figcrank/measure/_limit_fleet.py
@@ -7,9 +7,9 @@
 from random import Random
 
 from figcrank.coordination import CoreSettings, SendGossip
-from figcrank.coordination._limits import Limiter, LimitMessage
-from figcrank.coordination._placement import Placement
 from figcrank.coordination._port import Port
+from figcrank.coordination.limits import Limiter, LimitMessage
+from figcrank.coordination.membership import Placement
 from figcrank.protocol import Failure
 from figcrank.state import MILLI, ConfigObject, ConfigSnapshot, Host, HostState, ObjectId, Workspace
 
--- a/packages/figcrank-measure/src/figcrank/measure/_limit_rivals.py
+++ b/packages/figcrank-measure/src/figcrank/measure/_limit_rivals.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from figcrank.coordination._limit_timings import MAX_WAIT_MS
+from figcrank.coordination.limits import MAX_WAIT_MS
 from figcrank.measure._limit_fleet import Arrival
 from figcrank.state import MILLI, TokenBucket, Workspace
 
