--- a/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 
+from figcrank.coordination.owners import HostRole
 from figcrank.coordination.peers import ChangeTracker, Peer, PeerTable
 from figcrank.coordination.placement import PositionHistory
 from figcrank.coordination.primaries import LEASE_MS, MAJORITY_LEASE_MS, PrimaryTable
@@ -17,6 +18,7 @@
     PrimaryFailure,
     PrimaryRecord,
 )
+from figcrank.protocol.owners import Owner
 from figcrank.state._catalog import Catalog, Registry, ServerEntry
 from figcrank.state._positions import Position
 
@@ -65,6 +67,7 @@
     :param address: heartbeat address of this host.
     :param headroom: operations by which a workspace's limit may be exceeded in any time span.
     :param started_ms: time at which this host started.
+    :param availability_zone: availability zone of this host.
     """
 
     def __init__(
@@ -74,7 +77,10 @@
         address: tuple[str, int],
         headroom: float = 0.0,
         started_ms: int = 0,
+        availability_zone: str = "",
     ) -> None:
+        self.itself = Owner(host, address, availability_zone)
+        self.role = HostRole.UNDECIDED
         self._headroom = headroom
         self._started_ms = started_ms
         self.host = host
@@ -95,6 +101,16 @@
         self._state_changes = ChangeTracker()
         self._spent_changes = ChangeTracker()
 
+    @property
+    def is_owner(self) -> bool:
+        """Return whether this host is an owner."""
+        return self.role is HostRole.OWNER
+
+    def owners(self) -> list[Owner]:
+        """Return every owner that this host knows as an owner, including itself."""
+        peers = (Owner(p.name, p.address, p.availability_zone) for p in self.peers.all())
+        return [self.itself, *peers]
+
     def adopt_catalog(self, catalog: Catalog, now_ms: int) -> bool:
         """Apply a configuration if it is newer than the current one; return whether it is."""
         if self.catalog is not None and catalog.version <= self.catalog.version:
--- /dev/null
+++ b/packages/figcrank-coordination/src/figcrank/coordination/owners/__init__.py
@@ -0,0 +1,14 @@
+"""Owners: the hosts that hold connections to backend servers and run the sessions of all callers.
+
+In a fleet of up to a dozen hosts every host is an owner. In a larger fleet the other hosts are
+relays, which forward their callers' sessions to an owner.
+"""
+
+from figcrank.coordination.owners._directory import OwnerDirectory as OwnerDirectory
+from figcrank.coordination.owners._failures import after_lost_owner as after_lost_owner
+from figcrank.coordination.owners._seats import HostRole as HostRole
+from figcrank.coordination.owners._seats import Seat as Seat
+from figcrank.coordination.owners._seats import choose_seat as choose_seat
+from figcrank.coordination.owners._seats import has_free_seat as has_free_seat
+from figcrank.coordination.owners._seats import is_listed as is_listed
+from figcrank.coordination.owners._seats import seats_per_zone as seats_per_zone
--- /dev/null
+++ b/packages/figcrank-coordination/src/figcrank/coordination/owners/_directory.py
@@ -0,0 +1,117 @@
+"""The owners that a relay knows: which of them are usable, and which runs a session.
+
+A session goes to an owner in the relay's availability zone. Sessions of one workspace go to the
+same owner of a zone, as far as possible, because a server connection serves a single workspace.
+"""
+
+import hashlib
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass
+
+from figcrank.protocol.heartbeats import NEVER_MS
+from figcrank.protocol.owners import Owner
+
+# After a failure, doubled with each further one; the owner is asked for its status meanwhile.
+AVOID_MS = 1_000
+MAX_AVOID_MS = 8_000
+Address = tuple[str, int]
+
+
+@dataclass(slots=True)
+class _OwnerState:
+    """What a relay knows about one owner.
+
+    :param owner: the owner.
+    :param avoided_until_ms: time until which new sessions go to other owners, if there are any.
+    :param failures: failures since its last answer.
+    :param answered_ms: time of its last answer.
+    """
+
+    owner: Owner
+    avoided_until_ms: int = 0
+    failures: int = 0
+    answered_ms: int = NEVER_MS
+
+
+class OwnerDirectory:
+    """Owners known to one relay.
+
+    :param availability_zone: availability zone of the relay.
+    """
+
+    def __init__(self, availability_zone: str) -> None:
+        self._zone = availability_zone
+        self._states: dict[Address, _OwnerState] = {}
+
+    def update(self, owners: Iterable[Owner]) -> None:
+        """Replace the list of owners; what is known about those that remain is kept."""
+        listed = {owner.address: owner for owner in owners}
+        for address in self._states.keys() - listed.keys():
+            del self._states[address]
+        for address, owner in listed.items():
+            state = self._states.setdefault(address, _OwnerState(owner))
+            state.owner = owner
+
+    def owners(self) -> list[Owner]:
+        """Return every known owner."""
+        return [state.owner for state in self._states.values()]
+
+    def record_answer(self, address: Address, accepts_sessions: bool, now_ms: int) -> None:
+        """Record an answer of an owner.
+
+        :param accepts_sessions: whether it accepts new sessions.
+        """
+        state = self._states.get(address)
+        if state is None:
+            return
+        state.answered_ms = now_ms
+        state.failures = 0
+        state.avoided_until_ms = 0 if accepts_sessions else now_ms + AVOID_MS
+
+    def record_failure(self, address: Address, now_ms: int) -> None:
+        """Avoid an owner that did not answer, or that refused a session, for some time."""
+        state = self._states.get(address)
+        if state is not None:
+            avoid_ms = min(MAX_AVOID_MS, AVOID_MS << min(state.failures, 8))
+            state.avoided_until_ms = now_ms + avoid_ms
+            state.failures += 1
+
+    def is_usable(self, now_ms: int) -> bool:
+        """Return whether any owner is known that is not avoided."""
+        return any(now_ms >= state.avoided_until_ms for state in self._states.values())
+
+    def choose(
+        self, session_key: str, now_ms: int, tried: Collection[Address] = ()
+    ) -> Owner | None:
+        """Return the owner for a session by rendezvous hashing, ``None`` if every one was tried.
+
+        :param session_key: identifies the workspace and database of the session.
+        :param tried: owners to skip.
+        """
+        left = [state for state in self._states.values() if state.owner.address not in tried]
+
+        def rank(state: _OwnerState) -> tuple[bool, bool, bytes]:
+            name = state.owner.name
+            return (
+                now_ms < state.avoided_until_ms,
+                state.owner.availability_zone != self._zone,
+                _hash(f"{session_key}|{name}"),
+            )
+
+        return min(left, key=rank).owner if left else None
+
+    def next_to_query(self, now_ms: int) -> Owner | None:
+        """Return the owner to ask for its status: avoided ones first, then the longest silent."""
+        states = [s for s in self._states.values() if s.owner.availability_zone == self._zone]
+        states = states or list(self._states.values())
+        if not states:
+            return None
+
+        def rank(state: _OwnerState) -> tuple[bool, int]:
+            return now_ms >= state.avoided_until_ms, state.answered_ms
+
+        return min(states, key=rank).owner
+
+
+def _hash(text: str) -> bytes:
+    return hashlib.blake2b(text.encode(), digest_size=8).digest()
--- a/packages/figcrank-coordination/src/figcrank/coordination/peers/_table.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/peers/_table.py
@@ -29,6 +29,7 @@
         was sent; ``NEVER_MS`` while unknown.
     :param heartbeat: its last heartbeat, with the omitted fields filled in.
     :param needs_all_fields: whether its heartbeats omit fields that this host never received.
+    :param availability_zone: its availability zone, empty while unknown.
     """
 
     name: str
@@ -38,6 +39,7 @@
     sent_after_ms: int = NEVER_MS
     heartbeat: Heartbeat | None = None
     needs_all_fields: bool = False
+    availability_zone: str = ""
 
 
 class PeerTable:
@@ -52,18 +54,18 @@
         self._address = address
         self._peers: dict[tuple[str, int], Peer] = {}
 
-    def register(self, name: str, address: tuple[str, int], now_ms: int) -> None:
-        """Add a seed, or a host that the store or a peer lists.
+    def register(
+        self, name: str, address: tuple[str, int], now_ms: int, availability_zone: str = ""
+    ) -> None:
+        """Add a host that the store or a peer lists.
 
-        A host that is known only by its address gets the name; this host itself is ignored.
+        A known host gets the name or availability zone that it lacks; this host itself is ignored.
         """
         if address == self._address or name == self._host:
             return
-        known = self._peers.get(address)
-        if known is None:
-            self._peers[address] = Peer(name, address, now_ms)
-        elif name and not known.name:
-            known.name = name
+        known = self._peers.setdefault(address, Peer(name, address, now_ms))
+        known.name = known.name or name
+        known.availability_zone = known.availability_zone or availability_zone
 
     def receive(self, heartbeat: Heartbeat, address: tuple[str, int], now_ms: int) -> Peer | None:
         """Process a heartbeat and return its sender.
--- /dev/null
+++ b/packages/figcrank-coordination/tests/owners/test_directory.py
@@ -0,0 +1,94 @@
+from collections import Counter
+
+from figcrank.coordination.owners import OwnerDirectory
+from figcrank.coordination.owners._directory import AVOID_MS, MAX_AVOID_MS
+from figcrank.protocol.owners import Owner
+
+OWNERS = [
+    Owner(f"{zone}-{number}", (f"10.0.{index}.{number}", 7000), zone)
+    for index, zone in enumerate("abc")
+    for number in range(4)
+]
+
+
+def directory(zone="a", owners=OWNERS):
+    result = OwnerDirectory(zone)
+    result.update(owners)
+    return result
+
+
+def test_sessions_of_a_workspace_go_to_one_owner_in_the_zone_of_the_relay():
+    chosen = {directory().choose("key db", now_ms).name for now_ms in range(50)}
+    assert len(chosen) == 1
+    assert directory("b").choose("key db", 0).availability_zone == "b"
+
+
+def test_workspaces_are_spread_evenly_over_the_owners_of_a_zone():
+    counts = Counter(directory().choose(f"key-{n}", 0).name for n in range(4_000))
+    assert len(counts) == 4
+    assert min(counts.values()) > 850
+
+
+def test_session_moves_within_the_zone_while_its_owner_is_avoided():
+    known = directory()
+    first = known.choose("key db", 0)
+    known.record_failure(first.address, 0)
+    second = known.choose("key db", 10)
+    assert second != first
+    assert second.availability_zone == "a"
+    assert known.choose("key db", AVOID_MS) == first
+
+
+def test_other_zones_serve_while_every_owner_of_the_zone_is_avoided():
+    known = directory()
+    for owner in OWNERS[:4]:
+        known.record_failure(owner.address, 0)
+    assert known.choose("key db", 10).availability_zone != "a"
+
+
+def test_avoided_owner_is_chosen_rather_than_none():
+    known = directory(owners=OWNERS[:1])
+    known.record_failure(OWNERS[0].address, 0)
+    assert not known.is_usable(10)
+    assert known.choose("key db", 10) == OWNERS[0]
+    assert known.choose("key db", 10, {OWNERS[0].address}) is None
+
+
+def test_owner_that_fails_again_is_avoided_for_longer_until_it_answers():
+    """Guards against a relay that reports itself ready while no owner answers."""
+    known = directory(owners=OWNERS[:1])
+    address = OWNERS[0].address
+    known.record_failure(address, 0)
+    known.record_failure(address, 1_000)
+    assert not known.is_usable(1_000 + 2 * AVOID_MS - 1)
+    known.record_answer(address, True, 2_000)
+    known.record_failure(address, 3_000)
+    assert known.is_usable(3_000 + AVOID_MS)
+    for _ in range(50):
+        known.record_failure(address, 4_000)
+    assert known.is_usable(4_000 + MAX_AVOID_MS)
+
+
+def test_owner_that_accepts_no_sessions_is_avoided_until_it_does():
+    known = directory(owners=OWNERS[:1])
+    known.record_answer(OWNERS[0].address, False, 0)
+    assert not known.is_usable(10)
+    known.record_answer(OWNERS[0].address, True, 20)
+    assert known.is_usable(20)
+
+
+def test_list_of_owners_is_replaced_and_what_is_known_of_the_others_kept():
+    known = directory(owners=OWNERS[:2])
+    known.record_failure(OWNERS[1].address, 0)
+    known.update(OWNERS[1:3])
+    assert known.owners() == OWNERS[1:3]
+    assert known.choose("key db", 10) == OWNERS[2]
+
+
+def test_avoided_owners_are_queried_before_the_others():
+    known = directory(owners=OWNERS[:3])
+    for number, owner in enumerate(OWNERS[:3]):
+        known.record_answer(owner.address, True, number)
+    assert known.next_to_query(10) == OWNERS[0]
+    known.record_failure(OWNERS[2].address, 10)
+    assert known.next_to_query(11) == OWNERS[2]
--- /dev/null
+++ b/packages/figcrank-protocol/src/figcrank/protocol/owners.py
@@ -0,0 +1,76 @@
+"""Owners of server connections: their entries in the store and the status that relays ask for.
+
+A status query and its answer are each one UDP datagram of JSON.
+"""
+
+import json
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Owner:
+    """A host that holds connections to backend servers.
+
+    :param name: name of the host; a host restarted at another address may keep it.
+    :param address: ``(ip, port)`` for heartbeats.
+    :param availability_zone: availability zone of the host; empty while unknown.
+    """
+
+    name: str
+    address: tuple[str, int]
+    availability_zone: str
+
+
+@dataclass(frozen=True, slots=True)
+class SeatEntry:
+    """Entry of a seat in the store.
+
+    :param seat: name of the entry; the number of seats in an availability zone is fixed.
+    :param owner: the host that holds the seat.
+    :param revision: revision of the store at which the entry was written.
+    """
+
+    seat: str
+    owner: Owner
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerStatus:
+    """A host's answer to a status query.
+
+    :param host: name of the host that answers.
+    :param accepts_sessions: whether it is an owner that accepts relayed sessions now.
+    :param catalog_version: version of its configuration; 0 while it has none.
+    :param owners: every owner that it knows, including itself if it is one.
+    """
+
+    host: str
+    accepts_sessions: bool
+    catalog_version: int
+    owners: tuple[Owner, ...]
+
+
+STATUS_QUERY = b'"status"'
+
+
+def encode_status(status: OwnerStatus) -> bytes:
+    """Return a status as a datagram."""
+    owners = [[o.name, *o.address, o.availability_zone] for o in status.owners]
+    fields = [status.host, int(status.accepts_sessions), status.catalog_version, owners]
+    return json.dumps(fields, separators=(",", ":")).encode()
+
+
+def decode_status(data: bytes) -> OwnerStatus:
+    """Return the status in a datagram.
+
+    :raises ValueError: if the datagram can't be decoded as a status.
+    """
+    try:
+        host, accepts_sessions, catalog_version, owners = json.loads(data)
+        decoded = tuple(
+            Owner(str(name), (str(ip), int(port)), str(zone)) for name, ip, port, zone in owners
+        )
+        return OwnerStatus(str(host), bool(accepts_sessions), int(catalog_version), decoded)
+    except (ValueError, TypeError, RecursionError) as error:
+        raise ValueError(f"datagram of {len(data)} bytes is not a status: {error}") from error
--- a/packages/figcrank-protocol/src/figcrank/protocol/sessions.py
+++ b/packages/figcrank-protocol/src/figcrank/protocol/sessions.py
@@ -109,7 +109,19 @@
     too_large: bool = False
 
 
-CallerMessage = SessionStart | Request | SessionClose | MalformedMessage
+@dataclass(frozen=True, slots=True)
+class ConfigurationSeen:
+    """The newest configuration version that a relay has seen in use.
+
+    A request that follows it must not be handled with an older configuration.
+
+    :param version: version of the configuration.
+    """
+
+    version: int
+
+
+CallerMessage = SessionStart | Request | SessionClose | MalformedMessage | ConfigurationSeen
 
 
 @dataclass(frozen=True, slots=True)
@@ -152,16 +164,24 @@
         """Return a decoder of :data:`CallerMessage` for one connection."""
 
     @abstractmethod
-    def ready(self, state: TransactionState) -> bytes:
-        """Return the message that ends each reply."""
+    def reply(self, body: bytes, state: TransactionState) -> bytes:
+        """Return a complete reply.
+
+        :param body: rows, completion or failure; empty for the reply to a handshake.
+        :param state: transaction state of the session after the reply.
+        """
+
+    @abstractmethod
+    def rejection(self, failure: SessionFailure, detail: str) -> bytes:
+        """Return the reply to a handshake that is rejected; the connection is closed after it."""
 
     @abstractmethod
     def completion(self) -> bytes:
-        """Return the completion of a request that was handled without a backend server."""
+        """Return the body for a request that was handled without a backend server."""
 
     @abstractmethod
     def failure(self, failure: SessionFailure, detail: str) -> bytes:
-        """Return the message that reports a failure."""
+        """Return the body that reports a failure."""
 
 
 class ServerCodec(ABC):
--- /dev/null
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_caller_connection.py
@@ -0,0 +1,139 @@
+"""A caller's connection: reads messages, writes replies and closes between two operations."""
+
+from abc import ABC, abstractmethod
+
+from eventlet.green import socket
+
+from figcrank.protocol.sessions import (
+    CallerCodec,
+    CallerMessage,
+    MalformedMessage,
+    SessionFailure,
+    TransactionState,
+)
+from figcrank.transport.streams._metrics import Metrics
+
+RECEIVE_BYTES = 16_384
+SESSION_START_TIMEOUT_MS = 10_000  # closes connections that never send a handshake
+
+
+class CallerConnection(ABC):
+    """Serves one caller's connection.
+
+    :param sock: connected socket.
+    :param codec: wire format of the connection.
+    :param sessions: live collection of the open sessions, to which this one belongs while it runs.
+    :param metrics: metrics registry.
+    """
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        codec: CallerCodec,
+        sessions: "set[CallerConnection]",
+        metrics: Metrics,
+    ) -> None:
+        self._sock = sock
+        self._codec = codec
+        self._sessions = sessions
+        self._metrics = metrics
+        self._decoder = codec.decoder()
+        self._pending_messages: list[CallerMessage] = []
+        self._receiving = False
+        self._closing = False
+        self._caller_closed = False
+
+    @property
+    @abstractmethod
+    def transaction_state(self) -> TransactionState:
+        """Return the transaction state of the session."""
+
+    @property
+    def in_transaction(self) -> bool:
+        """Return whether a transaction is open."""
+        return self.transaction_state is not TransactionState.IDLE
+
+    @abstractmethod
+    def abort_transaction(self) -> None:
+        """Roll back the open transaction if no request is in progress.
+
+        The caller receives the failure with its next request.
+        """
+
+    @abstractmethod
+    def _serve(self) -> None:
+        """Serve the session until it ends."""
+
+    @abstractmethod
+    def _release(self) -> None:
+        """Roll back the open transaction, and free what the session holds on other hosts."""
+
+    def run(self) -> None:
+        """Serve the connection until it ends."""
+        self._sessions.add(self)
+        try:
+            self._serve()
+        except (OSError, EOFError):
+            # The caller disconnected; its open transaction is rolled back below.
+            self._metrics.count("sessions_broken")
+        finally:
+            self._sessions.discard(self)
+            self._release()
+            self._sock.close()
+
+    def close_when_idle(self) -> None:
+        """Close the session once no operation or transaction is in progress."""
+        self._closing = True
+        if self._receiving and not self.in_transaction and not self._has_unread():
+            self._sock.shutdown(socket.SHUT_RD)
+
+    @property
+    def _may_close(self) -> bool:
+        """Return whether the session was asked to close and nothing is in progress."""
+        return self._closing and not self.in_transaction and not self._pending_messages
+
+    def _has_unread(self) -> bool:
+        try:
+            return bool(self._sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:
+            return False  # nothing received
+
+    def _next_message(self, timeout_ms: int | None) -> CallerMessage | None:
+        self._caller_closed = False
+        self._sock.settimeout(None if timeout_ms is None else timeout_ms / 1_000)
+        while not self._pending_messages:
+            self._receiving = True
+            try:
+                data = self._sock.recv(RECEIVE_BYTES)
+            except TimeoutError:
+                return None
+            finally:
+                self._receiving = False
+            if not data:
+                self._caller_closed = True
+                return None
+            self._pending_messages = self._decoder.feed(data)
+        return self._pending_messages.pop(0)
+
+    def _send(self, data: bytes) -> None:
+        self._sock.settimeout(None)
+        self._sock.sendall(data)
+
+    def _reply(self, body: bytes) -> None:
+        self._send(self._codec.reply(body, self.transaction_state))
+
+    def _reply_failure(self, failure: SessionFailure, detail: str) -> None:
+        self._reply(self._codec.failure(failure, detail))
+
+    def _reject_malformed(self, message: CallerMessage) -> bool:
+        """Report a malformed message; return whether the session can continue."""
+        if not isinstance(message, MalformedMessage):
+            return False
+        failure = SessionFailure.TOO_LARGE if message.too_large else SessionFailure.MALFORMED
+        self._record_refusal(message.request_id, failure, message.reason)
+        self._reply_failure(failure, message.reason)
+        return not message.too_large
+
+    @abstractmethod
+    def _record_refusal(self, request_id: str, failure: SessionFailure, reason: str) -> None:
+        """Count and log a refused request."""
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_connection.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_connection.py
@@ -1,4 +1,4 @@
-"""A connection to a backend server on behalf of one workspace."""
+"""A connection to a backend server, or to the owner that runs a relayed session."""
 
 import contextlib
 import socket as std_socket
@@ -8,8 +8,9 @@
 from eventlet.event import Event
 from eventlet.green import socket
 
+from figcrank.protocol.relays import RelayReply
 from figcrank.protocol.sessions import (
-    ServerCodec,
+    Decoder,
     SessionFailure,
     StatementReply,
     TransactionState,
@@ -21,7 +22,8 @@
 RECEIVE_BYTES = 16_384
 TCP_USER_TIMEOUT_MS = 2_000  # closes a connection whose data stays unacknowledged
 
-ReplyHandler = Callable[["ServerConnection", StatementReply | None], None]
+Reply = StatementReply | RelayReply
+ReplyHandler = Callable[["ServerConnection", Reply | None], None]
 
 
 class OpenError(Exception):
@@ -41,18 +43,17 @@
 class ServerConnection:
     """An open connection that runs one statement at a time.
 
+    To an owner it carries one relayed session, to a backend server the statements of one workspace.
+
     :param sock: connected socket.
-    :param codec: server wire format.
+    :param decoder: decodes the replies.
     :param workspace: workspace that was sent in the handshake.
     :param clock: this host's clock.
     """
 
-    def __init__(
-        self, sock: socket.socket, codec: ServerCodec, workspace: str, clock: Clock
-    ) -> None:
+    def __init__(self, sock: socket.socket, decoder: Decoder, workspace: str, clock: Clock) -> None:
         self._sock = sock
-        self._codec = codec
-        self._decoder = codec.decoder()
+        self._decoder = decoder
         self._clock = clock
         self._reply_handler: ReplyHandler | None = None
         self.workspace = workspace
@@ -73,13 +74,14 @@
     def open(
         cls,
         address: tuple[str, int],
-        codec: ServerCodec,
+        decoder: Decoder,
         start_message: bytes,
         workspace: str,
         clock: Clock,
-    ) -> "tuple[ServerConnection, StatementReply]":
+    ) -> "tuple[ServerConnection, Reply]":
         """Connect and wait for the server's handshake reply.
 
+        :param decoder: decodes the replies.
         :param start_message: handshake message.
         :raises OpenError: if connecting or the handshake fails.
         """
@@ -96,7 +98,7 @@
             sock.close()
             raise OpenError(SessionFailure.UNREACHABLE, str(error)) from error
         sock.settimeout(None)
-        connection = cls(sock, codec, workspace, clock)
+        connection = cls(sock, decoder, workspace, clock)
         eventlet.spawn_n(connection._receive)
         reply = connection.send_and_wait(start_message, HANDSHAKE_TIMEOUT_MS)
         if reply is None or reply.failure is not None:
@@ -137,7 +139,7 @@
             # Closing calls the reply handler.
             self.close()
 
-    def send_and_wait(self, data: bytes, timeout_ms: float) -> StatementReply | None:
+    def send_and_wait(self, data: bytes, timeout_ms: float) -> Reply | None:
         """Send a statement and return the reply; on a timeout, close and return ``None``."""
         done = Event()
         self.send(data, lambda _connection, reply: done.send(reply))
@@ -175,7 +177,7 @@
         if was_idle and self.on_idle_close:
             self.on_idle_close(self)
 
-    def _deliver(self, reply: StatementReply | None) -> None:
+    def _deliver(self, reply: Reply | None) -> None:
         reply_handler, self._reply_handler = self._reply_handler, None
         if reply_handler is not None:
             reply_handler(self, reply)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
@@ -11,20 +11,28 @@
 from eventlet.green import socket
 
 from figcrank.coordination.fleet import FleetView
+from figcrank.coordination.owners import HostRole, OwnerDirectory, seats_per_zone
+from figcrank.protocol.relays import RelayProtocolError
 from figcrank.protocol.sessions import CallerCodec, ServerCodec
 from figcrank.transport._clock import BootClock
+from figcrank.transport.streams._caller_connection import CallerConnection
+from figcrank.transport.streams._connection import TCP_USER_TIMEOUT_MS
 from figcrank.transport.streams._http import serve_http
 from figcrank.transport.streams._interfaces import FailoverService, Store
 from figcrank.transport.streams._isolation import BALANCER_REMOVAL_MS, IsolationMonitor
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._membership import Membership
 from figcrank.transport.streams._metrics import Metrics
+from figcrank.transport.streams._owner_session import OwnerSession
+from figcrank.transport.streams._owner_tracker import CHECK_INTERVAL_MS, OwnerTracker
 from figcrank.transport.streams._peer_link import VIEW_PATH, PeerLink
+from figcrank.transport.streams._relayed_session import RelayedSession, RelayServices
 from figcrank.transport.streams._replacer import PrimaryReplacer
 from figcrank.transport.streams._router import Router
 from figcrank.transport.streams._runner import StatementRunner
-from figcrank.transport.streams._session import CallerSession, SessionServices
+from figcrank.transport.streams._session import CATALOG_WAIT_MS, CallerSession, SessionServices
 from figcrank.transport.streams._settings import SessionHostSettings
+from figcrank.transport.streams._status_responder import StatusResponder
 from figcrank.transport.streams._store_reader import StoreReader
 
 BACKLOG = 512  # callers reconnect at the same time after a restart
@@ -70,6 +78,18 @@
             settings.peer_address,
             settings.limit_headroom,
             self._clock.now_ms(),
+            settings.availability_zone,
+        )
+        ip = settings.peer_address[0]
+        self._tracker = OwnerTracker(
+            OwnerDirectory(settings.availability_zone),
+            settings.relay_port,
+            ip,
+            self._clock,
+            self._log,
+        )
+        self._responder = StatusResponder(
+            (ip, settings.relay_port), self._view, self._tracker, self._accepts_sessions, self._log
         )
         self._router = Router(
             self._view,
@@ -86,13 +106,16 @@
             store, self._link, self._view, self._router, self._clock, self._log, self._metrics
         )
         self._membership = Membership(
-            settings.host,
-            settings.peer_address,
+            self._view.itself,
+            seats_per_zone(len(settings.availability_zones)),
             self._store,
             self._link,
             self._view,
+            self._tracker,
             self._clock,
             self._log,
+            self._run_as_owner,
+            self._on_seat_lost,
         )
         self._replacer = PrimaryReplacer(
             self._view,
@@ -109,6 +132,14 @@
         self._services = SessionServices(
             caller_codec, self._router, runner, self._clock, self._log, self._metrics
         )
+        self._relay_services = RelayServices(
+            caller_codec,
+            self._tracker,
+            self._clock,
+            self._log,
+            self._metrics,
+            self._services.sessions,
+        )
         self._isolation = IsolationMonitor(
             self._view, self._services.sessions, self._clock, self._log
         )
@@ -120,29 +151,48 @@
         self._log.event("started", pid=os.getpid(), address=self._settings.caller_address)
         signal.signal(signal.SIGTERM, self._on_stop)
         signal.signal(signal.SIGHUP, self._on_reload)
-        for seed in self._settings.seeds:
-            self._link.register("", seed)
+        settings = self._settings
         for loop in (
+            self._log.run,
             self._link.run_receiver,
+            self._responder.run,
+            self._tracker.run_receiver,
+            self._run_tracker_checks,
+            self._run_membership,
+            self._run_reloads,
+        ):
+            eventlet.spawn_n(loop)
+        self._listen(settings.readiness_address, self._serve_readiness)
+        self._listen(settings.peer_address, self._serve_peer)
+        self._listen(settings.metrics_address, self._serve_metrics)
+        self._listen((settings.peer_address[0], settings.relay_port), self._serve_relay)
+        self._serve_callers(settings.caller_address)
+
+    def _run_membership(self) -> None:
+        own_ip = self._settings.peer_address[0]
+        self._membership.run([ip for ip, _ in self._settings.seeds if ip != own_ip])
+
+    def _run_tracker_checks(self) -> None:
+        """Watch the owners while this host is not one itself."""
+        while not self._view.is_owner or self._tracker.has_sessions:
+            eventlet.sleep(CHECK_INTERVAL_MS / 1_000)
+            self._tracker.check(self._clock.now_ms())
+
+    def _run_as_owner(self) -> None:
+        """Start the loops that only owners run."""
+        for loop in (
             self._link.run_heartbeats,
             self._run_store_reads,
             self._run_ticks,
-            self._log.run,
             self._replacer.run,
             self._isolation.run,
-            self._run_reloads,
         ):
             eventlet.spawn_n(loop)
-        self._listen(self._settings.readiness_address, self._serve_readiness)
-        self._listen(self._settings.peer_address, self._serve_peer)
-        self._listen(self._settings.metrics_address, self._serve_metrics)
-        self._serve_callers(self._settings.caller_address)
 
     def _run_store_reads(self) -> None:
         """Run the loops that read the store and keep this host registered."""
         eventlet.spawn_n(self._store.run_catalog_reads)
         eventlet.spawn_n(self._store.run_server_reads)
-        eventlet.spawn_n(self._membership.run)
         while not self._store.confirm_primaries():
             pass  # a failed attempt sleeps before it returns
         self._store.run_confirmations()
@@ -171,8 +221,33 @@
     def _serve_caller(self, sock: socket.socket) -> None:
         with contextlib.suppress(OSError):  # the caller may have disconnected already
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._await_role()
+        if self._view.role is HostRole.RELAY:
+            self._run_session(RelayedSession(sock, self._relay_services))
+        else:
+            self._run_session(CallerSession(sock, self._services))
+
+    def _await_role(self) -> None:
+        deadline_ms = self._clock.now_ms() + CATALOG_WAIT_MS
+        while self._view.role is HostRole.UNDECIDED and self._clock.now_ms() < deadline_ms:
+            eventlet.sleep(TICK_INTERVAL_MS / 1_000)
+
+    def _serve_relay(self, sock: socket.socket) -> None:
+        """Run a session that a relay forwards; refuse it by closing the connection."""
+        if not self._accepts_sessions():
+            self._metrics.count("relayed_sessions_refused")
+            sock.close()
+            return
+        with contextlib.suppress(OSError):  # the relay may have disconnected already
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
+        self._run_session(OwnerSession(sock, self._services))
+
+    def _run_session(self, session: CallerConnection) -> None:
         try:
-            CallerSession(sock, self._services).run()
+            session.run()
+        except RelayProtocolError as error:
+            self._log.event("relay_message_unreadable", reason=str(error))
         except Exception:  # noqa: BLE001 - an error in one session must not end the others
             self._log.event("internal_error", trace=traceback.format_exc()[-1500:])
             self._metrics.count("internal_errors")
@@ -187,10 +262,18 @@
         serve_http(sock, {METRICS_PATH: self._metrics_page})
 
     def _readiness(self, _query: dict[str, str]) -> tuple[int, bytes]:
-        ready = not self._stopping and self._view.catalog is not None
-        ready = ready and bool(self._view.registry.servers) and not self._isolation.isolated
+        if self._view.role is HostRole.RELAY:
+            ready = not self._stopping and self._tracker.is_usable()
+        else:
+            ready = self._accepts_sessions()
         return (200, b"ready") if ready else (503, b"not ready")
 
+    def _accepts_sessions(self) -> bool:
+        """Return whether this host is an owner that can serve sessions now."""
+        view = self._view
+        has_view = view.catalog is not None and bool(view.registry.servers)
+        return view.is_owner and has_view and not self._stopping and not self._isolation.isolated
+
     def _metrics_page(self, _query: dict[str, str]) -> tuple[int, bytes]:
         return 200, self._metrics.render().encode()
 
@@ -203,6 +286,8 @@
             "registry_age_ms": now_ms - view.registry_ms,
             "lease_age_ms": now_ms - view.lease_renewed_ms(now_ms),
             "hosts": view.host_count(),
+            "is_owner": float(view.is_owner),
+            "owners_known": len(self._tracker.owners()),
         }
         for pool in self._router.pools():
             server = f'{{server="{pool.entry.server_id}"}}'
@@ -235,6 +320,10 @@
             eventlet.sleep(SETTINGS_POLL_INTERVAL_MS / 1_000)
             self._reload()
 
+    def _on_seat_lost(self) -> None:
+        """Stop; the process is started again and then becomes a relay."""
+        self._on_stop(signal.SIGTERM, None)
+
     def _on_stop(self, _signal: int, _frame: object) -> None:
         if not self._stopping:
             self._stopping = True
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_interfaces.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_interfaces.py
@@ -5,6 +5,7 @@
 from enum import Enum, auto
 
 from figcrank.protocol.heartbeats import StoredPrimaries
+from figcrank.protocol.owners import Owner, SeatEntry
 from figcrank.state._catalog import Catalog, Registry
 
 
@@ -45,20 +46,6 @@
     content: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class HostEntry:
-    """Entry of a host in the store.
-
-    :param name: name of the host; a host restarted at another address may keep it.
-    :param address: ``(ip, port)`` for heartbeats.
-    :param revision: revision of the store at which the entry was written.
-    """
-
-    name: str
-    address: tuple[str, int]
-    revision: int
-
-
 class Store(ABC):
     """Store of a deployment; every call raises :class:`StoreError` if it fails."""
 
@@ -85,16 +72,21 @@
         """Return the registered backend servers, except invalid entries."""
 
     @abstractmethod
-    def list_hosts(self) -> list[HostEntry]:
-        """Return the registered hosts."""
+    def list_seats(self) -> list[SeatEntry]:
+        """Return the entries of the owners' seats."""
 
     @abstractmethod
-    def register_host(self, host: str, address: tuple[str, int]) -> None:
-        """Write the entry of a host with its heartbeat address."""
+    def take_seat(self, seat: str, owner: Owner, replaced: SeatEntry | None) -> None:
+        """Write the entry of a seat.
+
+        It fails with a conflict if another host holds the seat.
+
+        :param replaced: the entry to replace; ``None`` if the seat is free.
+        """
 
     @abstractmethod
-    def remove_host(self, entry: HostEntry) -> None:
-        """Remove the entry of a host unless it was rewritten since it was listed."""
+    def remove_seat(self, entry: SeatEntry) -> None:
+        """Remove the entry of a seat unless it was rewritten since it was listed."""
 
     @abstractmethod
     def write_quiet(self, host: str, quiesced: dict[str, tuple[int, list[str]]]) -> None:
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_isolation.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_isolation.py
@@ -6,8 +6,8 @@
 
 from figcrank.coordination.fleet import FleetView
 from figcrank.state._clock import Clock
+from figcrank.transport.streams._caller_connection import CallerConnection
 from figcrank.transport.streams._log import EventLog
-from figcrank.transport.streams._session import CallerSession
 
 CHECK_INTERVAL_MS = 300  # the heartbeat interval; the state doesn't change more often
 BALANCER_REMOVAL_MS = 2_200  # the load balancer removes a host after two failed checks, 1 s apart
@@ -28,7 +28,7 @@
     def __init__(
         self,
         view: FleetView,
-        sessions: Collection[CallerSession],
+        sessions: Collection[CallerConnection],
         clock: Clock,
         log: EventLog,
     ) -> None:
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_membership.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_membership.py
@@ -1,13 +1,19 @@
-"""Registers this host in the store and removes hosts that are permanently gone."""
+"""Decides whether this host is an owner or a relay, and removes owners that are gone for good."""
+
+import random
+from collections.abc import Callable
 
 import eventlet
 
 from figcrank.coordination.fleet import FleetView
+from figcrank.coordination.owners import HostRole, choose_seat, has_free_seat, is_listed
 from figcrank.coordination.peers import REMOVAL_CANDIDATE_MS, Peer
 from figcrank.protocol.heartbeats import NEVER_MS
+from figcrank.protocol.owners import Owner, SeatEntry
 from figcrank.state._clock import Clock
-from figcrank.transport.streams._interfaces import HostEntry, StoreError, StoreErrorKind
+from figcrank.transport.streams._interfaces import StoreError, StoreErrorKind
 from figcrank.transport.streams._log import EventLog
+from figcrank.transport.streams._owner_tracker import OwnerTracker
 from figcrank.transport.streams._peer_link import PeerLink
 from figcrank.transport.streams._store_reader import StoreReader
 
@@ -16,76 +22,171 @@
 LISTING_INTERVAL_MS = REMOVAL_CANDIDATE_MS
 # After this silence, a host that was not informed of a removal reads the listing itself.
 FALLBACK_LISTING_MS = 2 * REMOVAL_CANDIDATE_MS
+SEED_ANSWER_TIMEOUT_MS = 200  # one round trip and a busy host
+# Hosts that found a seat taken by another one try again at different times.
+CONFLICT_RETRY_MS = 300
+# Relays that know of a free seat try to take it at different times; the first one informs the rest.
+FREE_SEAT_SPREAD_MS = 6_000
+OWNERS_LOST_MS = 5_000  # without a usable owner, a relay reads the listing itself
 
 
 class Membership:
-    """Maintains the listing of hosts in the store.
+    """Takes a seat for this host if one is free, and keeps the listing of owners in the store.
 
-    A silent host counts as a member until its entry is removed. The first store reader removes
-    the entry if it receives heartbeats from a third of the hosts, and then informs the others.
+    A silent owner counts as a member until its entry is removed. The first store reader removes
+    the entry if it receives heartbeats from a third of the owners, and then informs the others.
 
-    :param host: name of this host.
-    :param address: heartbeat address of this host.
+    :param itself: this host.
+    :param seats: number of seats in each availability zone.
     :param store: makes store calls.
-    :param link: adds and removes hosts and informs the peers.
+    :param link: adds and removes owners and informs the peers.
     :param view: this host's view of the fleet.
+    :param tracker: the owners that this host knows as a relay.
     :param clock: this host's clock.
     :param log: event log.
+    :param on_owner: called when this host becomes an owner.
+    :param on_seat_lost: called when another host holds the seat of this owner.
     """
 
     def __init__(
         self,
-        host: str,
-        address: tuple[str, int],
+        itself: Owner,
+        seats: int,
         store: StoreReader,
         link: PeerLink,
         view: FleetView,
+        tracker: OwnerTracker,
         clock: Clock,
         log: EventLog,
+        on_owner: Callable[[], None],
+        on_seat_lost: Callable[[], None],
     ) -> None:
-        self._host = host
-        self._address = address
+        self._itself = itself
+        self._seats = seats
         self._store = store
         self._link = link
         self._view = view
+        self._tracker = tracker
         self._clock = clock
         self._log = log
+        self._on_owner = on_owner
+        self._on_seat_lost = on_seat_lost
         self._listed_ms = NEVER_MS
         self._registered_ms = NEVER_MS
+        self._seat_attempt_ms: int | None = None
+        self._usable_ms = clock.now_ms()
 
-    def run(self) -> None:
-        """Register this host, then check the listing periodically until the process ends."""
-        while not self._view.leaving and not self._join():
-            eventlet.sleep(CHECK_INTERVAL_MS / 1_000)
+    def run(self, seed_ips: list[str]) -> None:
+        """Decide this host's role, then check the listing until the process ends.
+
+        :param seed_ips: hosts to ask for the owners first.
+        """
+        self.decide_role(seed_ips)
         while True:
             eventlet.sleep(CHECK_INTERVAL_MS / 1_000)
-            try:
-                self.check_hosts(self._clock.now_ms())
-            except StoreError as error:
-                self._log.event("hosts_not_listed", reason=str(error))
+            self._check(self._clock.now_ms())
+
+    def decide_role(self, seed_ips: list[str]) -> None:
+        """Become an owner or a relay; wait for the store if the seeds' answers don't suffice."""
+        self._ask_seeds(seed_ips)
+        while not self._view.leaving and self._view.role is HostRole.UNDECIDED:
+            if not self._join():
+                eventlet.sleep(random.uniform(CONFLICT_RETRY_MS, CHECK_INTERVAL_MS) / 1_000)
 
-    def _join(self) -> bool:
+    def _check(self, now_ms: int) -> None:
         try:
-            for entry in self._store.call("list_hosts"):
-                self._link.register(entry.name, entry.address)
-            self._register()
-        except StoreError:
-            return False  # logged and counted by the call
-        self._link.broadcast_heartbeat()
+            if self._view.is_owner:
+                self.check_hosts(now_ms)
+            elif not self._view.leaving:
+                self.check_seats(now_ms)
+        except StoreError as error:
+            self._log.event("hosts_not_listed", reason=str(error))
+
+    def _ask_seeds(self, seed_ips: list[str]) -> None:
+        """Decide the role by what the seeds know, without a store call, if that is possible."""
+        for ip in seed_ips:
+            self._tracker.query(ip)
+        if seed_ips:
+            self._tracker.wait(SEED_ANSWER_TIMEOUT_MS)
+        owners = self._tracker.owners()
+        if is_listed(self._itself, owners):
+            self._become_owner(owners, "seed")
+        elif owners and not has_free_seat(self._itself.availability_zone, owners, self._seats):
+            self._become_relay(owners, "seed")
+
+    def _join(self, entries: list[SeatEntry] | None = None) -> bool:
+        """Take a free seat, or become a relay if there is none; return whether that succeeded.
+
+        :param entries: the entries of all seats, if they were just listed.
+        """
+        try:
+            if entries is None:
+                entries = self._store.call("list_seats")
+            owners = [entry.owner for entry in entries]
+            if not is_listed(self._itself, owners):
+                seat = choose_seat(self._itself, entries, self._seats)
+                if seat is None:
+                    self._become_relay(owners, "store")
+                    return True
+                self._store.call("take_seat", seat.name, self._itself, seat.replaced)
+        except StoreError as error:
+            # Other failures than a conflict are logged by the call.
+            return error.kind is StoreErrorKind.CONFLICT and self._retry_after_conflict()
+        self._become_owner(owners, "store")
         return True
 
-    def _register(self) -> None:
-        self._store.call("register_host", self._host, self._address)
+    def _retry_after_conflict(self) -> bool:
+        eventlet.sleep(random.uniform(0, CONFLICT_RETRY_MS) / 1_000)
+        return self._join()
+
+    def _become_owner(self, owners: list[Owner], source: str) -> None:
         self._registered_ms = self._clock.now_ms()
         self._link.is_removed = False
+        for owner in owners:
+            self._link.register(owner)
+        if not self._view.is_owner:
+            self._view.role = HostRole.OWNER
+            self._log.event("role_decided", role="owner", owners=len(owners), source=source)
+            self._on_owner()
+        self._link.broadcast_heartbeat()
+
+    def _become_relay(self, owners: list[Owner], source: str) -> None:
+        if self._view.is_owner:
+            self._log.event("seat_lost", owners=len(owners))
+            self._on_seat_lost()
+            return
+        self._tracker.update(owners)
+        if self._view.role is HostRole.UNDECIDED:
+            self._view.role = HostRole.RELAY
+            self._log.event("role_decided", role="relay", owners=len(owners), source=source)
+
+    def check_seats(self, now_ms: int) -> None:
+        """Take a seat that has become free; read the listing if no owner is usable.
+
+        :raises StoreError: if the store can't be read or written.
+        """
+        if self._tracker.is_usable():
+            self._usable_ms = now_ms
+        elif now_ms - self._usable_ms >= OWNERS_LOST_MS:
+            self._usable_ms = now_ms
+            self._join()
+            return
+        zone = self._itself.availability_zone
+        if not has_free_seat(zone, self._tracker.owners(), self._seats):
+            self._seat_attempt_ms = None
+        elif self._seat_attempt_ms is None:
+            self._seat_attempt_ms = now_ms + int(random.uniform(0, FREE_SEAT_SPREAD_MS))
+        elif now_ms >= self._seat_attempt_ms:
+            self._seat_attempt_ms = None
+            self._join()
 
     def check_hosts(self, now_ms: int) -> None:
-        """Register again if peers removed this host; remove hosts that are gone.
+        """Take a seat again if peers removed this owner; remove owners that are gone.
 
         :raises StoreError: if the store can't be read or written.
         """
         if self._link.is_removed and now_ms - self._registered_ms >= LISTING_INTERVAL_MS:
-            self._register()
+            self._join()
         silent = self._view.peers.removal_candidates(now_ms)
         if not silent or not self._view.peers.may_remove(now_ms):
             return
@@ -97,22 +198,23 @@
             self._remove_unlisted(silent, removes_entries)
 
     def _remove_unlisted(self, silent: list[Peer], removes_entries: bool) -> None:
-        """Remove silent hosts that the store doesn't list.
+        """Remove silent owners that the store doesn't list.
 
-        :param removes_entries: whether to remove the store's entries of silent hosts first.
+        :param removes_entries: whether to remove the store's entries of silent owners first.
         """
-        listed = {entry.address: entry for entry in self._store.call("list_hosts")}
-        if self._address not in listed:
-            self._register()
+        entries = self._store.call("list_seats")
+        listed = {entry.owner.address: entry for entry in entries}
+        if self._itself.address not in listed:
+            self._join(entries)
         for peer in silent:
             entry = listed.get(peer.address)
             if entry is None or (removes_entries and self._remove_entry(entry)):
                 self._link.remove(peer.address, "store")
 
-    def _remove_entry(self, entry: HostEntry) -> bool:
+    def _remove_entry(self, entry: SeatEntry) -> bool:
         """Remove an entry; return ``False`` if it was rewritten since it was listed."""
         try:
-            self._store.call("remove_host", entry)
+            self._store.call("remove_seat", entry)
         except StoreError as error:
             if error.kind is not StoreErrorKind.CONFLICT:
                 raise
--- /dev/null
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_owner_tracker.py
@@ -0,0 +1,170 @@
+"""Keeps a relay's list of owners current and detects owners that no longer answer."""
+
+import eventlet
+from eventlet.event import Event
+from eventlet.green import socket
+
+from figcrank.coordination.owners import OwnerDirectory
+from figcrank.protocol.owners import STATUS_QUERY, Owner, OwnerStatus, decode_status
+from figcrank.state._clock import Clock
+from figcrank.transport.streams._connection import ServerConnection
+from figcrank.transport.streams._log import EventLog
+
+Address = tuple[str, int]
+QUERY_INTERVAL_MS = 1_500  # a leaving owner also refuses sessions itself
+CHECK_INTERVAL_MS = 250  # between two calls of OwnerTracker.check
+# A request unanswered for this long makes the relay ask its owner for a status.
+SLOW_REPLY_MS = 500
+# Three queries; a single datagram may be lost, and a busy owner answers within a few turns.
+SILENT_OWNER_MS = 900
+MAX_DATAGRAM_BYTES = 65_000
+
+
+class OwnerTracker:
+    """Knows the owners of the fleet on behalf of a relay.
+
+    :param directory: chooses owners for sessions.
+    :param relay_port: port on which every host accepts relayed sessions and status queries.
+    :param ip: address of this host.
+    :param clock: this host's clock.
+    :param log: event log.
+    """
+
+    def __init__(
+        self, directory: OwnerDirectory, relay_port: int, ip: str, clock: Clock, log: EventLog
+    ) -> None:
+        self._directory = directory
+        self._relay_port = relay_port
+        self._clock = clock
+        self._log = log
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.bind((ip, 0))
+        self._connections: dict[Address, set[ServerConnection]] = {}
+        self._answered_ms: dict[Address, int] = {}
+        self._suspected_ms: dict[Address, int] = {}
+        self._queried_ms = 0
+        self._changed = Event()
+        self.seen_version = 0
+
+    def wait(self, wait_ms: float) -> None:
+        """Wait at most ``wait_ms`` for an answer of any owner."""
+        changed = self._changed
+        with eventlet.Timeout(wait_ms / 1_000, False):
+            changed.wait()
+
+    def choose(self, session_key: str, tried: set[Address]) -> Owner | None:
+        """Return the owner for a session, ``None`` if every known one was tried."""
+        return self._directory.choose(session_key, self._clock.now_ms(), tried)
+
+    def is_usable(self) -> bool:
+        """Return whether any owner is believed to accept sessions."""
+        return self._directory.is_usable(self._clock.now_ms())
+
+    def owners(self) -> list[Owner]:
+        """Return every known owner."""
+        return self._directory.owners()
+
+    @property
+    def has_sessions(self) -> bool:
+        """Return whether any session runs at an owner."""
+        return bool(self._connections)
+
+    def update(self, owners: list[Owner]) -> None:
+        """Replace the list of owners."""
+        self._directory.update(owners)
+
+    def session_address(self, owner: Owner) -> Address:
+        """Return the address at which an owner accepts relayed sessions."""
+        return owner.address[0], self._relay_port
+
+    def attach(self, owner: Owner, connection: ServerConnection) -> None:
+        """Watch the connection of a session."""
+        self._connections.setdefault(owner.address, set()).add(connection)
+
+    def detach(self, owner: Owner, connection: ServerConnection) -> None:
+        """Stop watching the connection of a session that has ended."""
+        connections = self._connections.get(owner.address, set())
+        connections.discard(connection)
+        if not connections:
+            self._connections.pop(owner.address, None)
+
+    def record_reply(self, owner: Owner, catalog_version: int) -> None:
+        """Record an owner's reply to a session."""
+        self.seen_version = max(self.seen_version, catalog_version)
+        self._answered_ms[owner.address] = self._clock.now_ms()
+
+    def record_failure(self, owner: Owner, reason: str) -> None:
+        """Record that an owner did not open a session."""
+        self._log.event("owner_refused_session", owner=owner.name, reason=reason)
+        self._directory.record_failure(owner.address, self._clock.now_ms())
+
+    def query(self, ip: str) -> None:
+        """Ask a host for its status; the answer is processed when it arrives."""
+        try:
+            self._socket.sendto(STATUS_QUERY, (ip, self._relay_port))
+        except OSError as error:
+            self._log.event("owner_query_failed", peer=ip, reason=str(error))
+
+    def run_receiver(self) -> None:
+        """Receive the answers to status queries until the process ends."""
+        while True:
+            try:
+                data, address = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+                self._receive(decode_status(data), address[0])
+            except OSError as error:
+                self._log.event("owner_query_failed", reason=str(error))
+                eventlet.sleep(CHECK_INTERVAL_MS / 1_000)
+            except ValueError as error:
+                self._log.event("owner_status_unreadable", reason=str(error))
+
+    def _receive(self, status: OwnerStatus, ip: str) -> None:
+        now_ms = self._clock.now_ms()
+        if status.owners:
+            self._directory.update(status.owners)
+        for owner in self._directory.owners():
+            if owner.address[0] == ip:
+                self._answered_ms[owner.address] = now_ms
+                self._suspected_ms.pop(owner.address, None)
+                self._directory.record_answer(owner.address, status.accepts_sessions, now_ms)
+        changed, self._changed = self._changed, Event()
+        changed.send(None)
+
+    def check(self, now_ms: int) -> None:
+        """Query owners; end the sessions of those that no longer answer."""
+        if now_ms - self._queried_ms >= QUERY_INTERVAL_MS or not self.is_usable():
+            self._queried_ms = now_ms
+            owner = self._directory.next_to_query(now_ms)
+            if owner is not None:
+                self.query(owner.address[0])
+        for address in list(self._connections):
+            self._check_sessions(address, now_ms)
+
+    def _check_sessions(self, address: Address, now_ms: int) -> None:
+        if not self._is_slow(address, now_ms):
+            self._suspected_ms.pop(address, None)
+            return
+        suspected_ms = self._suspected_ms.setdefault(address, now_ms)
+        if now_ms - suspected_ms < SILENT_OWNER_MS:
+            self.query(address[0])
+            return
+        connections = self._connections.pop(address)
+        self._suspected_ms.pop(address)
+        self._log.event("owner_silent", owner=address, sessions=len(connections))
+        self._directory.record_failure(address, now_ms)
+        for connection in connections:
+            _close(connection)
+
+    def _is_slow(self, address: Address, now_ms: int) -> bool:
+        """Return whether a request waits for an owner that has not answered anything meanwhile."""
+        waiting = [c.sent_ms for c in self._connections[address] if c.outstanding]
+        if not waiting or now_ms - min(waiting) < SLOW_REPLY_MS:
+            return False
+        return now_ms - self._answered_ms.get(address, 0) >= SLOW_REPLY_MS
+
+
+def _close(connection: ServerConnection) -> None:
+    """Close a connection, and end its session if no request is in progress."""
+    was_idle = not connection.outstanding
+    connection.close()
+    if was_idle and connection.on_idle_close:
+        connection.on_idle_close(connection)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_peer_link.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_peer_link.py
@@ -14,6 +14,7 @@
     decode_heartbeat,
     encode_heartbeat,
 )
+from figcrank.protocol.owners import Owner
 from figcrank.state._catalog import Registry, ServerEntry
 from figcrank.state._clock import Clock
 from figcrank.transport.streams._interfaces import Store
@@ -59,9 +60,11 @@
         self.is_removed = False  # whether peers removed this host; it must register again
         self.catalog_content = b""
 
-    def register(self, name: str, address: Address) -> None:
-        """Add a host from a listing to the view."""
-        self._view.peers.register(name, address, self._clock.now_ms())
+    def register(self, owner: Owner) -> None:
+        """Add an owner from a listing to the view."""
+        self._view.peers.register(
+            owner.name, owner.address, self._clock.now_ms(), owner.availability_zone
+        )
 
     def remove(self, address: Address, source: str) -> None:
         """Remove a host that is no longer listed in the store.
@@ -91,6 +94,8 @@
                 self._log.event("heartbeat_unreadable", sender=address, reason=str(error))
 
     def _receive(self, data: bytes, address: Address) -> None:
+        if not self._view.is_owner:
+            return
         heartbeat = decode_heartbeat(data)
         known = self._view.peers.by_address(address)
         is_new = (
@@ -179,9 +184,9 @@
             self._fetching = False
 
     def _apply_peer_view(self, view: dict, as_of_ms: int) -> None:
-        for name, address in view["hosts"]:
+        for name, address, *zone in view["hosts"]:  # earlier releases send no zone
             if not self._view.was_removed(tuple(address)):
-                self.register(name, tuple(address))
+                self.register(Owner(name, tuple(address), *(zone or [""])))
         if view["catalog"]:
             self.adopt_catalog(view["catalog"].encode(), "peer")
         servers = {item["server_id"]: ServerEntry(**item) for item in view["servers"]}
@@ -251,7 +256,7 @@
             "revision": view.registry.revision,
             "registry_age_ms": now_ms - view.registry_ms if view.registry_ms >= 0 else -1,
             "servers": [_as_fields(entry) for entry in view.registry.servers.values()],
-            "hosts": [[peer.name, peer.address] for peer in view.peers.all()],
+            "hosts": [[o.name, o.address, o.availability_zone] for o in view.owners()],
         }
         return 200, json.dumps(body, separators=(",", ":")).encode()
 
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_pool.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_pool.py
@@ -151,7 +151,7 @@
         try:
             connection, reply = ServerConnection.open(
                 split_address(self.entry.address),
-                self._codec,
+                self._codec.decoder(),
                 start_message,
                 workspace,
                 self._clock,
--- /dev/null
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_relayed_session.py
@@ -0,0 +1,208 @@
+"""Caller sessions that an owner runs on behalf of this host."""
+
+from dataclasses import dataclass
+
+from eventlet.green import socket
+
+from figcrank.coordination.owners import after_lost_owner
+from figcrank.protocol.owners import Owner
+from figcrank.protocol.relays import (
+    RelayReply,
+    encode_request,
+    encode_start,
+    relay_reply_decoder,
+)
+from figcrank.protocol.sessions import (
+    CallerCodec,
+    Request,
+    SessionClose,
+    SessionFailure,
+    SessionStart,
+    TransactionState,
+    Verb,
+)
+from figcrank.state._clock import Clock
+from figcrank.transport.streams._caller_connection import (
+    SESSION_START_TIMEOUT_MS,
+    CallerConnection,
+)
+from figcrank.transport.streams._connection import OpenError, ServerConnection
+from figcrank.transport.streams._log import EventLog
+from figcrank.transport.streams._metrics import Metrics
+from figcrank.transport.streams._owner_tracker import OwnerTracker
+
+START_TIMEOUT_MS = 1_800  # callers close a session that does not start within 2 s
+NO_OWNER_RETRY_MS = 100
+# Beyond the statement timeout, which the owner itself enforces; covers a busy link.
+REPLY_MARGIN_MS = 250
+DEFAULT_REPLY_TIMEOUT_MS = 10_000  # while the route's statement timeout is unknown
+
+
+@dataclass(slots=True)
+class RelayServices:
+    """Services shared by all relayed sessions of a host.
+
+    :param codec: caller wire format.
+    :param owners: chooses owners and watches them.
+    :param clock: this host's clock.
+    :param log: event log.
+    :param metrics: metrics registry.
+    :param sessions: the open sessions of the host.
+    """
+
+    codec: CallerCodec
+    owners: OwnerTracker
+    clock: Clock
+    log: EventLog
+    metrics: Metrics
+    sessions: set[CallerConnection]
+
+
+class RelayedSession(CallerConnection):
+    """Forwards a caller's session to an owner.
+
+    The session ends with its owner: the caller reconnects, and another owner is chosen.
+
+    :param sock: connected socket of the caller.
+    :param services: services shared by all relayed sessions.
+    """
+
+    def __init__(self, sock: socket.socket, services: RelayServices) -> None:
+        super().__init__(sock, services.codec, services.sessions, services.metrics)
+        self._services = services
+        self._owner: Owner | None = None
+        self._connection: ServerConnection | None = None
+        self._state = TransactionState.IDLE
+        self._wrote = False
+        self._prepared_writes: dict[str, bool] = {}
+        self._timeout_ms = 0
+
+    @property
+    def transaction_state(self) -> TransactionState:
+        """Return the transaction state of the session."""
+        return self._state
+
+    def abort_transaction(self) -> None:
+        """Roll back the open transaction by ending the session at its owner."""
+        if self._receiving and self.in_transaction and self._connection is not None:
+            self._connection.close()
+
+    def _release(self) -> None:
+        if self._connection is not None:
+            self._services.owners.detach(self._owner, self._connection)
+            self._connection.close()
+
+    def _serve(self) -> None:
+        start = self._next_message(SESSION_START_TIMEOUT_MS)
+        if not isinstance(start, SessionStart) or not self._open(start):
+            return
+        while True:
+            message = self._next_message(None)
+            if message is None or isinstance(message, SessionClose):
+                return
+            if isinstance(message, Request):
+                if not self._forward(message):
+                    return
+            elif not self._reject_malformed(message):
+                return
+            if self._may_close:
+                return
+
+    def _open(self, start: SessionStart) -> bool:
+        """Open the session at an owner; return whether it was accepted."""
+        clock = self._services.clock
+        deadline_ms = clock.now_ms() + START_TIMEOUT_MS
+        tried: set[tuple[str, int]] = set()
+        while clock.now_ms() < deadline_ms:
+            owner = self._services.owners.choose(f"{start.key} {start.database}", tried)
+            if owner is None:
+                tried.clear()
+                self._services.owners.wait(NO_OWNER_RETRY_MS)
+                continue
+            reply = self._open_at(owner, start)
+            if reply is not None:
+                return self._accept(reply)
+            tried.add(owner.address)
+        self._record_refusal("", SessionFailure.BUSY, "no owner accepted the session")
+        self._send(self._codec.rejection(SessionFailure.BUSY, "no owner accepted the session"))
+        return False
+
+    def _open_at(self, owner: Owner, start: SessionStart) -> RelayReply | None:
+        owners = self._services.owners
+        message = encode_start(start, owners.seen_version)
+        try:
+            connection, reply = ServerConnection.open(
+                owners.session_address(owner),
+                relay_reply_decoder(),
+                message,
+                "",
+                self._services.clock,
+            )
+        except OpenError as error:
+            owners.record_failure(owner, str(error))
+            return None
+        self._owner, self._connection = owner, connection
+        connection.on_idle_close = self._handle_owner_close
+        owners.attach(owner, connection)
+        self._observe(reply)
+        return reply
+
+    def _accept(self, reply: RelayReply) -> bool:
+        if reply.ended:
+            self._send(reply.body)
+            return False
+        self._reply(reply.body)
+        return True
+
+    def _handle_owner_close(self, _connection: ServerConnection) -> None:
+        self.close_when_idle()
+
+    def _observe(self, reply: RelayReply) -> None:
+        self._state = reply.state
+        self._timeout_ms = reply.timeout_ms
+        if reply.state is TransactionState.IDLE:
+            self._wrote = False
+        self._services.owners.record_reply(self._owner, reply.catalog_version)
+
+    def _forward(self, request: Request) -> bool:
+        """Forward a request and its reply; return whether the session can continue."""
+        connection = self._connection
+        may_write = self._may_write(request)
+        sent = not connection.is_lost()
+        reply = None
+        if sent:
+            message = encode_request(request, self._services.owners.seen_version)
+            timeout_ms = self._timeout_ms or DEFAULT_REPLY_TIMEOUT_MS
+            reply = connection.send_and_wait(message, timeout_ms + REPLY_MARGIN_MS)
+        if reply is None:
+            failure = after_lost_owner(request, self._state, may_write, self._wrote, sent)
+            self._report_lost_owner(request, failure)
+            return False
+        self._wrote = self._wrote or may_write
+        self._observe(reply)
+        self._reply(reply.body)
+        return True
+
+    def _may_write(self, request: Request) -> bool:
+        if request.verb is Verb.PREPARE:
+            self._prepared_writes[request.name] = request.prepares_write
+        if request.verb is Verb.EXECUTE:
+            return self._prepared_writes.get(request.name, True)
+        return request.verb is Verb.WRITE
+
+    def _report_lost_owner(self, request: Request, failure: SessionFailure) -> None:
+        """Report the failure; the session ends after it, since its state is lost."""
+        self._state = TransactionState.IDLE
+        reason = f"the connection to owner {self._owner.name} was lost"
+        self._record_refusal(request.request_id, failure, reason)
+        self._reply_failure(failure, reason)
+
+    def _record_refusal(self, request_id: str, failure: SessionFailure, reason: str) -> None:
+        self._services.metrics.count("refused", failure=failure.name.lower())
+        self._services.log.event(
+            "refused",
+            id=request_id,
+            failure=failure.name.lower(),
+            reason=reason,
+            owner=self._owner.name if self._owner else None,
+        )
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
@@ -301,7 +301,11 @@
         start_message = self.codec.start(entry.group, self.view.host, entry.server_id)
         try:
             connection, _ = ServerConnection.open(
-                split_address(entry.address), self.codec, start_message, self.view.host, self._clock
+                split_address(entry.address),
+                self.codec.decoder(),
+                start_message,
+                self.view.host,
+                self._clock,
             )
         except OpenError as error:
             self._record_failed_probe(pool, error)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_server_commands.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_server_commands.py
@@ -42,7 +42,11 @@
         start_message = self._codec.start(entry.group, self._host, entry.server_id)
         try:
             connection, _ = ServerConnection.open(
-                split_address(entry.address), self._codec, start_message, self._host, self._clock
+                split_address(entry.address),
+                self._codec.decoder(),
+                start_message,
+                self._host,
+                self._clock,
             )
         except OpenError as error:
             pool = self._router.pool(entry.server_id)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
@@ -9,7 +9,7 @@
 from figcrank.protocol.sessions import (
     CallerCodec,
     CallerMessage,
-    MalformedMessage,
+    ConfigurationSeen,
     Request,
     SessionClose,
     SessionFailure,
@@ -20,6 +20,10 @@
 from figcrank.state._catalog import Catalog, DatabaseRoute
 from figcrank.state._clock import Clock
 from figcrank.state._positions import Position
+from figcrank.transport.streams._caller_connection import (
+    SESSION_START_TIMEOUT_MS,
+    CallerConnection,
+)
 from figcrank.transport.streams._connection import ServerConnection
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._metrics import Metrics
@@ -27,9 +31,10 @@
 from figcrank.transport.streams._router import Router
 from figcrank.transport.streams._runner import Answer, Statement, StatementRunner
 
-RECEIVE_BYTES = 16_384
-SESSION_START_TIMEOUT_MS = 10_000  # closes connections that never send a handshake
 CATALOG_WAIT_MS = 2_000  # callers don't wait longer for the handshake reply
+CATALOG_POLL_MS = 20
+# A newer configuration reaches every owner within a few round trips, unless the owner is cut off.
+NEWER_CATALOG_WAIT_MS = 300
 MAX_SESSION_ITEMS = 64  # of variables and, separately, of prepared statements
 LOCAL_VERBS = (Verb.SET, Verb.PREPARE, Verb.DEALLOCATE)
 
@@ -91,45 +96,35 @@
     clock: Clock
     log: EventLog
     metrics: Metrics
-    sessions: set["CallerSession"] = field(default_factory=set)
+    sessions: set[CallerConnection] = field(default_factory=set)
 
 
-class CallerSession:
-    """Serves one caller's connection.
+class CallerSession(CallerConnection):
+    """Runs a caller's session on this host.
 
-    :param sock: connected socket.
+    :param sock: connected socket, from the caller or from a relay.
     :param services: services shared by all sessions.
+    :param codec: wire format of the connection; that of the callers by default.
     """
 
-    def __init__(self, sock: socket.socket, services: SessionServices) -> None:
-        self._sock = sock
+    def __init__(
+        self, sock: socket.socket, services: SessionServices, codec: CallerCodec | None = None
+    ) -> None:
+        super().__init__(sock, codec or services.codec, services.sessions, services.metrics)
         self._services = services
-        self._decoder = services.codec.decoder()
-        self._pending_messages: list[CallerMessage] = []
         self._database = ""
         self._key = ""
+        self._seen_version = 0  # of the configuration, by the relay of this session
         self.variables: dict[str, str] = {}
         self.prepared: dict[str, PreparedStatement] = {}
         self._transaction: Transaction | None = None
         self.last_commit: dict[str, Position] = {}  # by group
-        self._receiving = False
-        self._closing = False
-
-    def run(self) -> None:
-        """Serve the connection until it ends."""
-        self._services.sessions.add(self)
-        try:
-            self._serve()
-        except (OSError, EOFError):
-            # The caller disconnected; its open transaction is rolled back below.
-            self._services.metrics.count("sessions_broken")
-        finally:
-            self._services.sessions.discard(self)
-            self._abort_on_disconnect()
-            self._sock.close()
 
     def _serve(self) -> None:
         session_start = self._next_message(SESSION_START_TIMEOUT_MS)
+        if isinstance(session_start, ConfigurationSeen):
+            self._seen_version = session_start.version
+            session_start = self._next_message(SESSION_START_TIMEOUT_MS)
         if not isinstance(session_start, SessionStart) or not self._accept_session_start(
             session_start
         ):
@@ -138,11 +133,14 @@
             message = self._next_request()
             if message is None or isinstance(message, SessionClose):
                 return
+            if isinstance(message, ConfigurationSeen):
+                self._seen_version = max(self._seen_version, message.version)
+                continue
             if isinstance(message, Request):
                 self._handle(message)
             elif not self._reject_malformed(message):
                 return
-            if self._closing and self._transaction is None and not self._pending_messages:
+            if self._may_close:
                 return
 
     def _next_request(self) -> CallerMessage | None:
@@ -158,62 +156,20 @@
             return self._next_message(None)
         return message
 
-    def _next_message(self, timeout_ms: int | None) -> CallerMessage | None:
-        self._caller_closed = False
-        self._sock.settimeout(None if timeout_ms is None else timeout_ms / 1_000)
-        while not self._pending_messages:
-            self._receiving = True
-            try:
-                data = self._sock.recv(RECEIVE_BYTES)
-            except TimeoutError:
-                return None
-            finally:
-                self._receiving = False
-            if not data:
-                self._caller_closed = True
-                return None
-            self._pending_messages = self._decoder.feed(data)
-        return self._pending_messages.pop(0)
-
-    def close_when_idle(self) -> None:
-        """Close the session once no operation or transaction is in progress."""
-        self._closing = True
-        if self._receiving and self._transaction is None and not self._has_unread():
-            self._sock.shutdown(socket.SHUT_RD)
-
-    def _has_unread(self) -> bool:
-        try:
-            return bool(self._sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
-        except OSError:
-            return False  # nothing received
-
     @property
-    def in_transaction(self) -> bool:
-        """Return whether a transaction is open."""
-        return self._transaction is not None
-
-    def _send(self, data: bytes) -> None:
-        self._sock.settimeout(None)
-        self._sock.sendall(data)
-
-    def _transaction_state(self) -> TransactionState:
+    def transaction_state(self) -> TransactionState:
+        """Return the transaction state of the session."""
         if self._transaction is None:
             return TransactionState.IDLE
         return TransactionState.FAILED if self._transaction.failed else TransactionState.OPEN
 
-    def _reply(self, body: bytes) -> None:
-        self._send(body + self._services.codec.ready(self._transaction_state()))
-
-    def _reply_failure(self, failure: SessionFailure, detail: str) -> None:
-        self._reply(self._services.codec.failure(failure, detail))
-
     def _accept_session_start(self, session_start: SessionStart) -> bool:
         self._database = session_start.database
         self._key = session_start.key
         failure = self._access_failure(self._await_catalog())
         if failure is not None:
             self._record_refusal("", failure, "during the handshake")
-            self._send(self._services.codec.failure(failure, session_start.database))
+            self._send(self._codec.rejection(failure, session_start.database))
             return False
         self._reply(b"")
         return True
@@ -221,9 +177,14 @@
     def _await_catalog(self) -> Catalog | None:
         view = self._services.router.view
         deadline_ms = self._services.clock.now_ms() + CATALOG_WAIT_MS
-        while view.catalog is None and self._services.clock.now_ms() < deadline_ms:
-            eventlet.sleep(0.05)
-        return view.catalog
+        while self._catalog_is_outdated() and self._services.clock.now_ms() < deadline_ms:
+            eventlet.sleep(CATALOG_POLL_MS / 1_000)
+        return None if self._catalog_is_outdated() else view.catalog
+
+    def _catalog_is_outdated(self) -> bool:
+        """Return whether this host's configuration is missing or older than the relay has seen."""
+        catalog = self._services.router.view.catalog
+        return catalog is None or catalog.version < self._seen_version
 
     def _access_failure(self, catalog: Catalog | None) -> SessionFailure | None:
         if catalog is None:
@@ -235,17 +196,10 @@
             return SessionFailure.UNAUTHENTICATED
         return None
 
-    def _reject_malformed(self, message: CallerMessage) -> bool:
-        """Report a malformed message; return whether the session can continue."""
-        if not isinstance(message, MalformedMessage):
-            return False
-        failure = SessionFailure.TOO_LARGE if message.too_large else SessionFailure.MALFORMED
-        self._record_refusal(message.request_id, failure, message.reason)
-        self._reply_failure(failure, message.reason)
-        return not message.too_large
-
     def _handle(self, request: Request) -> None:
         transaction = self._transaction
+        if self._catalog_is_outdated() and not self._await_newer_catalog(request):
+            return
         if transaction is not None and transaction.failed:
             self._handle_in_failed_transaction(request)
         elif request.verb in LOCAL_VERBS:
@@ -257,10 +211,30 @@
         else:
             self._handle_operation(request)
 
+    def _await_newer_catalog(self, request: Request) -> bool:
+        """Wait for the configuration that the relay has seen; refuse the request without it."""
+        deadline_ms = self._services.clock.now_ms() + NEWER_CATALOG_WAIT_MS
+        while self._catalog_is_outdated() and self._services.clock.now_ms() < deadline_ms:
+            eventlet.sleep(CATALOG_POLL_MS / 1_000)
+        if not self._catalog_is_outdated():
+            return True
+        catalog = self._services.router.view.catalog
+        reason = (
+            f"this host has configuration {catalog.version if catalog else 0},"
+            f" and {self._seen_version} is in use"
+        )
+        failure = SessionFailure.ABORTED if self.in_transaction else SessionFailure.BUSY
+        self._abort_open_transaction()
+        if request.verb in (Verb.COMMIT, Verb.ROLLBACK):
+            self._transaction = None
+        self._record_refusal(request.request_id, failure, reason)
+        self._reply_failure(failure, reason)
+        return False
+
     def _handle_in_failed_transaction(self, request: Request) -> None:
         if request.verb is Verb.ROLLBACK:
             self._transaction = None
-            self._reply(self._services.codec.completion())
+            self._reply(self._codec.completion())
         elif request.verb is Verb.COMMIT:
             self._transaction = None
             self._reply_failure(
@@ -287,7 +261,7 @@
             )
         else:
             self.prepared.pop(request.name, None)
-        self._reply(self._services.codec.completion())
+        self._reply(self._codec.completion())
 
     def _handle_operation(self, request: Request) -> None:
         """Open a transaction or run a single statement outside one.
@@ -307,7 +281,7 @@
         if request.verb in (Verb.BEGIN, Verb.BEGIN_READ):
             read_only = request.verb is Verb.BEGIN_READ
             self._transaction = Transaction(request, read_only, route, workspace)
-            self._reply(self._services.codec.completion())
+            self._reply(self._codec.completion())
             return
         statement = self._statement(request)
         if statement is None:
@@ -387,7 +361,7 @@
 
     def _roll_back(self, request: Request, transaction: Transaction) -> None:
         self._transaction = None
-        self._reply(self._services.codec.completion())
+        self._reply(self._codec.completion())
         if transaction.connection is not None:
             self._services.runner.roll_back(request.request_id, transaction)
 
@@ -444,7 +418,7 @@
         if self._receiving:
             self._abort_open_transaction()
 
-    def _abort_on_disconnect(self) -> None:
+    def _release(self) -> None:
         if self._transaction is not None:
             self._services.runner.abort(self._transaction)
             self._transaction = None
--- a/packages/figcrank-transport/tests/test_peer_link.py
+++ b/packages/figcrank-transport/tests/test_peer_link.py
@@ -62,3 +62,12 @@
     link._apply_peer_view(page, 9_000)
     assert link._view.registry.servers["i-crews-1"] == ServerEntry(**dict(SERVER))
     assert link._view.peers.by_address(("10.0.0.2", 7000)).name == "b"
+
+
+def test_view_tells_the_availability_zone_of_each_owner(link):
+    link._view.peers.register("b", ("10.0.0.2", 7000), 0, "zone-b")
+    page = json.loads(link.view_page({})[1])
+    assert page["hosts"][1] == ["b", ["10.0.0.2", 7000], "zone-b"]
+    page["hosts"][1] = ["c", ["10.0.0.3", 7000], "zone-c"]
+    link._apply_peer_view(page, 9_000)
+    assert link._view.peers.by_address(("10.0.0.3", 7000)).availability_zone == "zone-c"
--- a/packages/figcrank-transport/tests/test_server_connection.py
+++ b/packages/figcrank-transport/tests/test_server_connection.py
@@ -7,14 +7,9 @@
 from figcrank.transport.streams._connection import ServerConnection
 
 
-class OneByteCodec:
+class _OneByteDecoder(Decoder):
     """Wire format in which each byte is a reply."""
 
-    def decoder(self):
-        return _OneByteDecoder()
-
-
-class _OneByteDecoder(Decoder):
     def feed(self, data):
         return [StatementReply(b"", (), None, "", TransactionState.IDLE, None) for _ in data]
 
@@ -26,7 +21,7 @@
     accepted = eventlet.spawn(listener.accept)
     eventlet.spawn(lambda: accepted.wait()[0].sendall(b"."))
     address = listener.getsockname()
-    connection, _ = ServerConnection.open(address, OneByteCodec(), b"hi", "w", MonotonicClock())
+    connection, _ = ServerConnection.open(address, _OneByteDecoder(), b"hi", "w", MonotonicClock())
     yield connection, accepted.wait()[0]
     connection.close()
     listener.close()
