Serve bounded reads and refuse writes at once while a primary is dark and the store away

Cause: with the store away a dark primary can't be replaced. Statements for it waited until their deadline, and so did bounded reads, since no position younger than their bound was known any more, though replicas were free.

Change: every commit passes an owner, which observes its position. While each owner reports that the primary does not answer, the greatest position among their reports covers every commit as of the oldest report; it extends the position history. A silent owner, or one that answers otherwise, ends this. A position observed at a time now covers earlier observations too, so that the newest entry is never below one that this host has seen. Statements that only the primary can run are refused, with when to come back, while it has not answered for 500 ms and no host has read the store for 2.5 s.

Not covered: an owner that none of the others has heard of yet, and that alone reaches the primary.

--- a/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
@@ -26,6 +26,10 @@
 ANNOUNCE_REMOVED_MS = 600_000
 # Three heartbeats or two store reads without a response; the lease is then unlikely to be renewed.
 LEASE_RENEWAL_TIMEOUT_MS = 1_000
+# Two lists of servers, which are read once per second, were not read.
+STORE_AWAY_MS = 2_500
+# A primary that is replaced is so for having been silent this long, or refusing connections.
+FAILING_PRIMARY_MS = 500
 # Three heartbeats; a peer that is silent for longer is assumed to spend its whole share.
 SILENT_PEER_MS = 900
 
@@ -154,6 +158,44 @@
             history = self.position_histories[group] = PositionHistory()
         return history
 
+    def observe_failing_primary(self, group: str, now_ms: int) -> None:
+        """Extend the position history of a primary that answers no owner.
+
+        Every commit passes an owner, which observes its position. While each owner reports that the
+        primary does not answer, no commit is newer than the positions that they have observed, so
+        replicas can go on serving bounded reads. An owner that is silent may still reach the
+        primary.
+        """
+        record = self.primary_table.get(group)
+        if record is None or record.moving or not _reports(self.primary_failures, group, record):
+            return
+        newest = self.position_history(group).newest()
+        positions = [newest[1]] if newest else []
+        reported_ms = now_ms
+        for peer in self.peers.all():
+            if not self.peers.is_live(peer, now_ms) or peer.sent_after_ms == NEVER_MS:
+                return
+            if not _reports(peer.heartbeat.primary_failures, group, record):
+                return
+            reported_ms = min(reported_ms, peer.sent_after_ms)
+            if group in peer.heartbeat.observed:
+                positions.append(peer.heartbeat.observed[group][0])
+        if positions and all(position.term == record.term for position in positions):
+            self.position_history(group).observe(reported_ms, max(positions))
+
+    def primary_is_irreplaceable(self, group: str, now_ms: int) -> bool:
+        """Return whether a group's primary does not answer and can't be replaced for now.
+
+        A replacement needs the store; no host has read the list of servers for some time.
+        """
+        record = self.primary_table.get(group)
+        if record is None or record.moving:
+            return False
+        report = self.primary_failures.get(group)
+        if report is None or report.failing_ms < FAILING_PRIMARY_MS:
+            return False
+        return self.registry_ms == NEVER_MS or now_ms - self.registry_ms > STORE_AWAY_MS
+
     def merge_primary(self, group: str, record: PrimaryRecord, now_ms: int) -> bool:
         """Merge a primary record and return whether it changed this host's record."""
         changed = self.primary_table.merge(group, record, now_ms)
@@ -377,5 +419,11 @@
         return 1 + len(self.peers.all())
 
 
+def _reports(failures: dict[str, PrimaryFailure], group: str, record: PrimaryRecord) -> bool:
+    """Return whether a host reports that the primary of a group does not answer it."""
+    report = failures.get(group)
+    return report is not None and report.server_id == record.server_id
+
+
 def _age_ms(at_ms: int, now_ms: int) -> int:
     return NEVER_MS if at_ms == NEVER_MS else now_ms - at_ms
--- a/packages/figcrank-coordination/src/figcrank/coordination/placement/_position_history.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/placement/_position_history.py
@@ -32,9 +32,13 @@
         if position.term > self._term:
             self._observed.clear()
             self._term = position.term
-        newest_ms = self._observed[-1][0] if self._observed else sent_ms - MIN_SPACING_MS
-        if sent_ms - newest_ms < MIN_SPACING_MS:
-            return
+        if self._observed:
+            # The newest entry covers every commit that this host knows of.
+            newest_ms, newest = self._observed[-1]
+            position = max(newest, position)
+            if sent_ms - newest_ms < MIN_SPACING_MS:
+                self._observed[-1] = newest_ms, position
+                return
         self._observed.append((sent_ms, position))
         while self._observed[0][0] < sent_ms - HISTORY_MS:
             self._observed.popleft()
--- a/packages/figcrank-coordination/tests/placement/test_position_history.py
+++ b/packages/figcrank-coordination/tests/placement/test_position_history.py
@@ -3,6 +3,7 @@
 from hypothesis import strategies as st
 
 from figcrank.coordination.placement import PositionHistory
+from figcrank.coordination.placement._position_history import MIN_SPACING_MS
 from figcrank.state import Position
 
 
@@ -69,3 +70,20 @@
     for step in range(steps):
         history.observe(step * 100, Position(1, step))
     assert len(history._observed) <= 42
+
+
+def test_newest_entry_covers_a_commit_observed_shortly_after_it():
+    history = PositionHistory()
+    history.observe(1_000, Position(1, 5))
+    history.observe(1_000 + MIN_SPACING_MS - 1, Position(1, 6))
+    assert history.newest() == (1_000, Position(1, 6))
+    history.observe(990, Position(1, 4))
+    assert history.newest() == (1_000, Position(1, 6))
+
+
+def test_newest_entry_covers_a_commit_that_was_observed_with_an_earlier_time():
+    """The reply to a statement sent earlier may have the newer position."""
+    history = PositionHistory()
+    history.observe(1_000, Position(1, 6))
+    history.observe(1_000 + MIN_SPACING_MS, Position(1, 5))
+    assert history.newest() == (1_000 + MIN_SPACING_MS, Position(1, 6))
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
@@ -21,6 +21,7 @@
 RECENT_ANSWER_MS = 200  # an answer newer than this outweighs a peer's failure report
 FAILOVER_DRAIN_MS = 200  # running statements at an unreachable primary are closed after this
 PLANNED_DRAIN_MS = 500  # transactions still open in a planned switch are closed after this
+RETRY_AFTER_MS = 1_000  # the store and the primary are both tried once per second
 DEFAULT_MAX_CONNECTIONS = 8  # for a group that is not configured yet
 
 
@@ -107,6 +108,9 @@
                 lost_ms = self.view.lease_lost_ms(now_ms)
                 detail = f"this host has reached neither a majority nor the store for {lost_ms} ms"
                 raise OpenError(SessionFailure.BUSY, detail)
+            if self.view.primary_is_irreplaceable(group, now_ms):
+                detail = "the primary does not answer and can't be replaced without the store"
+                raise OpenError(SessionFailure.BUSY, f"{detail}; retry after {RETRY_AFTER_MS} ms")
             left_ms = deadline_ms - now_ms
             if left_ms <= 0:
                 raise OpenError(SessionFailure.BUSY, f"the primary is {use.name.lower()}")
@@ -251,6 +255,8 @@
             self._probe_if_suspect(pool, now_ms)
         self._close_drained_primaries(now_ms)
         self._publish_observations(now_ms)
+        for group in self.view.primary_failures:
+            self.view.observe_failing_primary(group, now_ms)
 
     def _check_registration(self, pool: ServerPool, now_ms: int) -> None:
         entry = self.view.registry.servers.get(pool.entry.server_id)
