--- a/packages/figcrank-coordination/tests/fleet/test_failing_primary.py
+++ b/packages/figcrank-coordination/tests/fleet/test_failing_primary.py
@@ -10,9 +10,10 @@
 BOUND_MS = 1_500
 DARK_MS = 10_000
 NEWEST = Position(3, 60)
+OLDER = Position(3, 50)
 
 
-def heartbeat(number, now_ms, failing=True, position=Position(3, 50), server="s1", **fields):
+def heartbeat(number, now_ms, failing=True, position=OLDER, server="s1", **fields):
     failures = {"g": PrimaryFailure(server, 700, False)} if failing else {}
     return Heartbeat(
         f"h{number}",
