Test relayed sessions against in-process owners, and close two gaps found in review

- A PREPARE that the owner rejects no longer makes the relay take an earlier statement of that name, which writes, for a read; its lost EXECUTE would have been answered as not run.
- A reply whose size is no number ends the connection as unreadable instead of its receive loop.
- figcrankctl logs shows changes of role and silent owners among the changes of state.

--- a/packages/figcrank-cli/src/figcrank/cli/_ctl_logs.py
+++ b/packages/figcrank-cli/src/figcrank/cli/_ctl_logs.py
@@ -18,6 +18,9 @@
 CONTEXT_MS = 5_000  # covers a whole failover, the longest cause of a failed request
 MS_PER_S = 1_000
 STATE_EVENTS = (
+    "role_decided",
+    "seat_lost",
+    "owner_silent",
     "primary_changed",
     "replacement_begun",
     "promotion_ordered",
--- a/packages/figcrank-protocol/src/figcrank/protocol/relays.py
+++ b/packages/figcrank-protocol/src/figcrank/protocol/relays.py
@@ -129,7 +129,7 @@
             return None
         try:
             size, state, ended, version, timeout_ms = json.loads(head)
-            state = TransactionState[state]
+            size, state = int(size), TransactionState[state]
             numbers = int(version), int(timeout_ms)
         except (ValueError, TypeError, KeyError, RecursionError) as error:
             raise RelayProtocolError(f"not a reply of an owner: {head[:60]!r}") from error
--- a/packages/figcrank-protocol/tests/test_relays.py
+++ b/packages/figcrank-protocol/tests/test_relays.py
@@ -77,7 +77,8 @@
 
 
 @pytest.mark.parametrize(
-    "line", [b"x", b"[1]", b'[1,"NO_STATE",false,1,1]', b'["a","IDLE",0,"b",1]']
+    "line",
+    [b"x", b"[1]", b'[1,"NO_STATE",false,1,1]', b'["a","IDLE",0,1,1]', b'[1,"IDLE",0,"b",1]'],
 )
 def test_unreadable_reply_of_an_owner_is_an_error(line):
     with pytest.raises(RelayProtocolError):
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_membership.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_membership.py
@@ -22,7 +22,7 @@
 LISTING_INTERVAL_MS = REMOVAL_CANDIDATE_MS
 # After this silence, a host that was not informed of a removal reads the listing itself.
 FALLBACK_LISTING_MS = 2 * REMOVAL_CANDIDATE_MS
-SEED_ANSWER_TIMEOUT_MS = 200  # one round trip and a busy host
+SEED_ANSWER_TIMEOUT_MS = 60  # 20 round trips; if all hosts restart at once, no seed answers
 # Hosts that found a seat taken by another one try again at different times.
 CONFLICT_RETRY_MS = 300
 # Relays that know of a free seat try to take it at different times; the first one informs the rest.
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_owner_tracker.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_owner_tracker.py
@@ -130,12 +130,16 @@
         changed.send(None)
 
     def check(self, now_ms: int) -> None:
-        """Query owners; end the sessions of those that no longer answer."""
+        """Keep the list of owners current and end the sessions of silent ones."""
         if now_ms - self._queried_ms >= QUERY_INTERVAL_MS or not self.is_usable():
             self._queried_ms = now_ms
             owner = self._directory.next_to_query(now_ms)
             if owner is not None:
                 self.query(owner.address[0])
+        self.check_sessions(now_ms)
+
+    def check_sessions(self, now_ms: int) -> None:
+        """Query owners that leave requests unanswered; end the sessions of silent ones."""
         for address in list(self._connections):
             self._check_sessions(address, now_ms)
 
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_relayed_session.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_relayed_session.py
@@ -144,6 +144,7 @@
         self._owner, self._connection = owner, connection
         connection.on_idle_close = self._handle_owner_close
         owners.attach(owner, connection)
+        self._services.metrics.count("sessions_relayed", owner=owner.name)
         self._observe(reply)
         return reply
 
@@ -185,7 +186,9 @@
 
     def _may_write(self, request: Request) -> bool:
         if request.verb is Verb.PREPARE:
-            self._prepared_writes[request.name] = request.prepares_write
+            # An earlier statement of this name stays prepared if the owner rejects this one.
+            earlier = self._prepared_writes.get(request.name, False)
+            self._prepared_writes[request.name] = earlier or request.prepares_write
         if request.verb is Verb.EXECUTE:
             return self._prepared_writes.get(request.name, True)
         return request.verb is Verb.WRITE
--- /dev/null
+++ b/packages/figcrank-transport/tests/test_relayed_session.py
@@ -0,0 +1,258 @@
+"""What a relay does with a session whose owner is lost, before in-process owners."""
+
+import eventlet
+import pytest
+from eventlet.green import socket
+
+from figcrank.coordination.owners import OwnerDirectory
+from figcrank.protocol.owners import Owner
+from figcrank.protocol.relays import RelayCallerCodec
+from figcrank.protocol.sessions import (
+    CallerCodec,
+    ConfigurationSeen,
+    Decoder,
+    Request,
+    SessionFailure,
+    SessionStart,
+    TransactionState,
+    Verb,
+)
+from figcrank.transport import MonotonicClock
+from figcrank.transport.streams._log import EventLog
+from figcrank.transport.streams._metrics import Metrics
+from figcrank.transport.streams._owner_tracker import SILENT_OWNER_MS, SLOW_REPLY_MS, OwnerTracker
+from figcrank.transport.streams._relayed_session import RelayedSession, RelayServices
+
+IDLE, OPEN = TransactionState.IDLE, TransactionState.OPEN
+
+
+class WordDecoder(Decoder):
+    """Each line is a verb; the first one is the handshake."""
+
+    def __init__(self):
+        self._started = False
+
+    def feed(self, data):
+        messages = []
+        for word in data.decode().split():
+            if self._started:
+                verb, _, name = word.partition(":")
+                prepares_write = name.startswith("w")
+                messages.append(Request("id", Verb[verb], "", name, "", prepares_write))
+            else:
+                messages.append(SessionStart("db", word))
+            self._started = True
+        return messages
+
+
+class WordCodec(CallerCodec):
+    """Replies are words followed by the state."""
+
+    def decoder(self):
+        return WordDecoder()
+
+    def reply(self, body, state):
+        return body + f" {state.name}\n".encode()
+
+    def rejection(self, failure, detail):
+        return failure.name.encode() + b"\n"
+
+    def completion(self):
+        return b"done"
+
+    def failure(self, failure, detail):
+        return failure.name.encode()
+
+
+class FakeOwner:
+    """Accepts relayed sessions; answers requests until ``silent`` is set."""
+
+    def __init__(self, ip, port=0):
+        self.listener = eventlet.listen((ip, port))
+        self.address = self.listener.getsockname()
+        self.owner = Owner(f"owner-{ip}", (ip, 7000), "zone-a")
+        self.received = []
+        self.version = 5
+        self.silent = False
+        self.socks = []
+        self.state = IDLE
+        self._greenlets = [eventlet.spawn(self._accept)]
+
+    def _accept(self):
+        while True:
+            sock, _ = self.listener.accept()
+            self.socks.append(sock)
+            self._greenlets.append(eventlet.spawn(self._serve, sock))
+
+    def _serve(self, sock):
+        codec = RelayCallerCodec(WordCodec(), lambda: (self.version, 60_000))
+        decoder = codec.decoder()
+        while data := sock.recv(4_096):
+            for message in decoder.feed(data):
+                self.received.append(message)
+                if isinstance(message, ConfigurationSeen) or self.silent:
+                    continue
+                verb = getattr(message, "verb", None)
+                if verb in (Verb.BEGIN, Verb.COMMIT):
+                    self.state = OPEN if verb is Verb.BEGIN else IDLE
+                sock.sendall(codec.reply(b"ok", self.state))
+
+    def lose(self):
+        for greenlet in self._greenlets:
+            greenlet.kill()
+        for sock in (self.listener, *self.socks):
+            sock.close()
+        self.socks.clear()
+
+
+class Relay:
+    """A relay that knows two owners, and one caller of it."""
+
+    def __init__(self):
+        first = FakeOwner("127.0.0.1")
+        self.owners = [first, FakeOwner("127.0.0.2", first.address[1])]
+        self.clock = MonotonicClock()
+        directory = OwnerDirectory("zone-a")
+        directory.update([owner.owner for owner in self.owners])
+        log = EventLog("relay", self.clock, len)
+        self.tracker = OwnerTracker(directory, first.address[1], "127.0.0.1", self.clock, log)
+        self.sessions = set()
+        self.callers = []
+        self.listener = eventlet.listen(("127.0.0.1", 0))
+        self.services = RelayServices(
+            WordCodec(), self.tracker, self.clock, log, Metrics(), self.sessions
+        )
+
+    def call(self, key="key"):
+        """Open a caller's connection to the relay."""
+        ours = socket.create_connection(self.listener.getsockname())
+        theirs, _ = self.listener.accept()
+        eventlet.spawn_n(RelayedSession(theirs, self.services).run)
+        self.callers.append(ours)
+        ours.settimeout(10)
+        ours.sendall(key.encode() + b"\n")
+        return ours
+
+    def serving(self):
+        """Return the owner that received the last session."""
+        return next(owner for owner in self.owners if owner.received)
+
+
+@pytest.fixture
+def relay():
+    relay = Relay()
+    yield relay
+    for caller in relay.callers:
+        caller.close()
+    with eventlet.Timeout(10):
+        while relay.sessions:
+            eventlet.sleep(0)
+    for owner in relay.owners:
+        owner.lose()
+    eventlet.sleep(0)
+    relay.listener.close()
+    relay.tracker._socket.close()
+
+
+def ask(caller, *words):
+    """Send requests one after the other and return the last reply."""
+    for word in words:
+        caller.sendall(word.encode() + b"\n")
+        reply = caller.recv(200)
+    return reply.decode().split()
+
+
+def test_session_is_opened_at_another_owner_if_the_first_one_is_gone(relay):
+    assert relay.call().recv(200) == b"ok IDLE\n"
+    first = relay.serving()
+    first.lose()
+    relay.owners.remove(first)
+    assert relay.call().recv(200) == b"ok IDLE\n"
+    assert relay.serving() is not first
+
+
+@pytest.mark.parametrize(
+    ("before", "last", "failure"),
+    [
+        ((), "WRITE", SessionFailure.IN_DOUBT),
+        ((), "READ", SessionFailure.ABORTED),
+        (("BEGIN", "WRITE"), "COMMIT", SessionFailure.IN_DOUBT),
+        (("BEGIN", "READ"), "COMMIT", SessionFailure.ABORTED),
+        (("BEGIN",), "WRITE", SessionFailure.ABORTED),
+        (("PREPARE:w1",), "EXECUTE:w1", SessionFailure.IN_DOUBT),
+        (("PREPARE:r1",), "EXECUTE:r1", SessionFailure.ABORTED),
+    ],
+)
+def test_request_without_a_reply_gets_its_answer_once_the_owner_is_lost(
+    relay, before, last, failure
+):
+    caller = relay.call()
+    caller.recv(200)
+    if before:
+        ask(caller, *before)
+    owner = relay.serving()
+    owner.silent = True
+    caller.sendall(last.encode() + b"\n")
+    eventlet.sleep(0.05)
+    owner.lose()
+    assert caller.recv(200).decode().split() == [failure.name, "IDLE"]
+    assert caller.recv(200) == b""
+
+
+def test_idle_session_is_closed_with_its_owner(relay):
+    caller = relay.call()
+    caller.recv(200)
+    relay.serving().lose()
+    assert caller.recv(200) == b""
+
+
+def test_request_after_the_loss_of_a_transaction_is_told_that_it_was_rolled_back(relay):
+    caller = relay.call()
+    caller.recv(200)
+    assert ask(caller, "BEGIN", "WRITE") == ["ok", "OPEN"]
+    relay.serving().lose()
+    eventlet.sleep(0.05)
+    assert ask(caller, "COMMIT") == ["ABORTED", "IDLE"]
+
+
+def test_requests_carry_the_newest_configuration_seen_at_any_owner(relay):
+    callers = {}
+    for number in range(40):
+        caller = relay.call(f"key-{number}")
+        caller.recv(200)
+        owner = next(o for o in relay.owners if SessionStart("db", f"key-{number}") in o.received)
+        callers[owner.owner.name] = caller, owner
+    (first, newer), (second, older) = callers.values()
+    newer.version = 9
+    ask(first, "READ")
+    ask(second, "READ")
+    assert older.received[-2] == ConfigurationSeen(9)
+
+
+def test_silent_owner_is_lost_after_unanswered_queries(relay):
+    """Replays a frozen owner: its connections stay open and nothing answers."""
+    caller = relay.call()
+    caller.recv(200)
+    owner = relay.serving()
+    owner.silent = True
+    caller.sendall(b"READ\n")
+    eventlet.sleep(0.05)
+    now_ms = relay.clock.now_ms()
+    relay.tracker.check_sessions(now_ms + SLOW_REPLY_MS - 100)
+    relay.tracker.check_sessions(now_ms + SLOW_REPLY_MS)
+    relay.tracker.check_sessions(now_ms + SLOW_REPLY_MS + SILENT_OWNER_MS - 1)
+    eventlet.sleep(0)
+    assert relay.tracker.choose("key db", set()) is not None
+    relay.tracker.check_sessions(now_ms + SLOW_REPLY_MS + SILENT_OWNER_MS)
+    assert caller.recv(200) == b"ABORTED IDLE\n"
+
+
+def test_relay_that_stops_closes_sessions_between_operations_only(relay):
+    idle, busy = relay.call(), relay.call()
+    idle.recv(200), busy.recv(200)
+    ask(busy, "BEGIN")
+    for session in list(relay.sessions):
+        session.close_when_idle()
+    assert idle.recv(200) == b""
+    assert ask(busy, "COMMIT") == ["ok", "IDLE"]
+    assert busy.recv(200) == b""
