Ask owners for the list in turn, so that a gone owner does not keep relays from hearing of it

Cause, found in review: a relay asked the owner that had been silent the longest. While one owner of its zone was gone, it asked only that one, never heard of its removal, and left the free seat empty.

Change: the least recently asked owner is asked, usable ones of the zone first, and the avoided ones of the zone besides. After the first list, only an owner's list is taken, since a relay's may be outdated.

--- a/packages/figcrank-coordination/src/figcrank/coordination/owners/_directory.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/owners/_directory.py
@@ -24,13 +24,13 @@
     :param owner: the owner.
     :param avoided_until_ms: time until which new sessions go to other owners, if there are any.
     :param failures: failures since its last answer.
-    :param answered_ms: time of its last answer.
+    :param queried_ms: time at which it was last asked for its status.
     """
 
     owner: Owner
     avoided_until_ms: int = 0
     failures: int = 0
-    answered_ms: int = NEVER_MS
+    queried_ms: int = NEVER_MS
 
 
 class OwnerDirectory:
@@ -64,7 +64,6 @@
         state = self._states.get(address)
         if state is None:
             return
-        state.answered_ms = now_ms
         state.failures = 0
         state.avoided_until_ms = 0 if accepts_sessions else now_ms + AVOID_MS
 
@@ -100,17 +99,27 @@
 
         return min(left, key=rank).owner if left else None
 
-    def next_to_query(self, now_ms: int) -> Owner | None:
-        """Return the owner to ask for its status: avoided ones first, then the longest silent."""
-        states = [s for s in self._states.values() if s.owner.availability_zone == self._zone]
-        states = states or list(self._states.values())
-        if not states:
-            return None
+    def owners_to_query(self, now_ms: int) -> list[Owner]:
+        """Return the owners to ask for their status now, and record that they are asked.
 
-        def rank(state: _OwnerState) -> tuple[bool, int]:
-            return now_ms >= state.avoided_until_ms, state.answered_ms
+        These are the one that was asked least recently, preferably a usable one of the zone, since
+        its answer has the list of owners, and the avoided ones of the zone.
+        """
 
-        return min(states, key=rank).owner
+        def rank(state: _OwnerState) -> tuple[bool, bool, int]:
+            other_zone = state.owner.availability_zone != self._zone
+            return now_ms < state.avoided_until_ms, other_zone, state.queried_ms
+
+        states = sorted(self._states.values(), key=rank)
+        avoided = [
+            state
+            for state in states[1:]
+            if now_ms < state.avoided_until_ms and state.owner.availability_zone == self._zone
+        ]
+        asked = [*states[:1], *avoided]
+        for state in asked:
+            state.queried_ms = now_ms
+        return [state.owner for state in asked]
 
 
 def _hash(text: str) -> bytes:
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_owner_tracker.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_owner_tracker.py
@@ -119,7 +119,8 @@
 
     def _receive(self, status: OwnerStatus, ip: str) -> None:
         now_ms = self._clock.now_ms()
-        if status.owners:
+        is_owner = any(owner.address[0] == ip for owner in status.owners)
+        if is_owner or not self._directory.owners():  # a relay's list may be outdated
             self._directory.update(status.owners)
         for owner in self._directory.owners():
             if owner.address[0] == ip:
@@ -133,8 +134,7 @@
         """Keep the list of owners current and end the sessions of silent ones."""
         if now_ms - self._queried_ms >= QUERY_INTERVAL_MS or not self.is_usable():
             self._queried_ms = now_ms
-            owner = self._directory.next_to_query(now_ms)
-            if owner is not None:
+            for owner in self._directory.owners_to_query(now_ms):
                 self.query(owner.address[0])
         self.check_sessions(now_ms)
 
