Serve bounded reads on a cut-off host at positions that the servers prove

Cause: a host that reaches neither a majority nor the store has no lease and, after the longest bound, no position either, so it refused everything, though it reached all servers and replicas were free.

An owner in this state still runs sessions of relays that know no better one.

--- a/packages/figcrank-coordination/src/figcrank/coordination/placement/_position_history.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/placement/_position_history.py
@@ -7,7 +7,7 @@
 
 from collections import deque
 
-from figcrank.state._positions import Position
+from figcrank.state._positions import ORIGIN, Position
 
 HISTORY_MS = 4_000  # longer than any staleness bound in use, so that each bound has an observation
 MIN_SPACING_MS = 25  # closer ones would not noticeably lower the position
@@ -20,6 +20,7 @@
     def __init__(self) -> None:
         self._observed: deque[tuple[int, Position]] = deque()
         self._term = 0
+        self._highest = ORIGIN
 
     def observe(self, sent_ms: int, position: Position) -> None:
         """Add a position that the primary reported.
@@ -30,15 +31,11 @@
         if position.term < self._term:
             return
         if position.term > self._term:
-            self._observed.clear()
-            self._term = position.term
-        if self._observed:
-            # The newest entry covers every commit that this host knows of.
-            newest_ms, newest = self._observed[-1]
-            position = max(newest, position)
-            if sent_ms - newest_ms < MIN_SPACING_MS:
-                self._observed[-1] = newest_ms, position
-                return
+            self.discard_before(position.term)
+        self._highest = max(self._highest, position)
+        newest_ms = self._observed[-1][0] if self._observed else sent_ms - MIN_SPACING_MS
+        if sent_ms - newest_ms < MIN_SPACING_MS:
+            return
         self._observed.append((sent_ms, position))
         while self._observed[0][0] < sent_ms - HISTORY_MS:
             self._observed.popleft()
@@ -55,11 +52,16 @@
         return None
 
     def newest(self) -> tuple[int, Position] | None:
-        """Return the time and position of the newest observation, ``None`` if there is none."""
-        return self._observed[-1] if self._observed else None
+        """Return the time of the newest observation and the highest position observed.
+
+        The position covers every commit that this host knows of, also those of observations that
+        were too close to the previous one to be kept. ``None`` if there is no observation.
+        """
+        return (self._observed[-1][0], self._highest) if self._observed else None
 
     def discard_before(self, term: int) -> None:
         """Discard positions observed in terms before ``term``."""
         if term > self._term:
             self._observed.clear()
+            self._highest = ORIGIN
             self._term = term
--- a/packages/figcrank-coordination/tests/placement/test_position_history.py
+++ b/packages/figcrank-coordination/tests/placement/test_position_history.py
@@ -87,3 +87,11 @@
     history.observe(1_000, Position(1, 6))
     history.observe(1_000 + MIN_SPACING_MS, Position(1, 5))
     assert history.newest() == (1_000 + MIN_SPACING_MS, Position(1, 6))
+
+
+def test_commit_observed_shortly_after_a_position_does_not_raise_what_a_bounded_read_needs():
+    """Otherwise replicas reject bounded reads that follow a write."""
+    history = PositionHistory()
+    history.observe(1_000, Position(1, 5))
+    history.observe(1_000 + MIN_SPACING_MS - 1, Position(1, 6))
+    assert history.required_position(1_100, 1_500) == Position(1, 5)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
@@ -26,10 +26,12 @@
 from figcrank.transport.streams._owner_session import OwnerSession
 from figcrank.transport.streams._owner_tracker import CHECK_INTERVAL_MS, OwnerTracker
 from figcrank.transport.streams._peer_link import VIEW_PATH, PeerLink
+from figcrank.transport.streams._position_prober import PositionProber
 from figcrank.transport.streams._relayed_session import RelayedSession, RelayServices
 from figcrank.transport.streams._replacer import PrimaryReplacer
 from figcrank.transport.streams._router import Router
 from figcrank.transport.streams._runner import StatementRunner
+from figcrank.transport.streams._server_commands import ServerCommands
 from figcrank.transport.streams._session import CATALOG_WAIT_MS, CallerSession, SessionServices
 from figcrank.transport.streams._settings import SessionHostSettings
 from figcrank.transport.streams._status_responder import StatusResponder
@@ -128,6 +130,14 @@
             self._log,
             self._metrics,
         )
+        self._prober = PositionProber(
+            self._view,
+            self._router,
+            ServerCommands(settings.host, self._router, server_codec, self._clock),
+            self._clock,
+            self._log,
+            self._metrics,
+        )
         runner = StatementRunner(self._router, self._clock, self._metrics, self._log)
         self._services = SessionServices(
             caller_codec, self._router, runner, self._clock, self._log, self._metrics
@@ -185,6 +195,7 @@
             self._run_store_reads,
             self._run_ticks,
             self._replacer.run,
+            self._prober.run,
             self._isolation.run,
         ):
             eventlet.spawn_n(loop)
@@ -234,7 +245,7 @@
 
     def _serve_relay(self, sock: socket.socket) -> None:
         """Run a session that a relay forwards; refuse it by closing the connection."""
-        if not self._accepts_sessions():
+        if self._stopping or not self._has_view():
             self._metrics.count("relayed_sessions_refused")
             sock.close()
             return
@@ -270,9 +281,12 @@
 
     def _accepts_sessions(self) -> bool:
         """Return whether this host is an owner that can serve sessions now."""
+        return self._has_view() and not self._stopping and not self._isolation.isolated
+
+    def _has_view(self) -> bool:
+        """Return whether this host is an owner that knows the configuration and the servers."""
         view = self._view
-        has_view = view.catalog is not None and bool(view.registry.servers)
-        return view.is_owner and has_view and not self._stopping and not self._isolation.isolated
+        return view.is_owner and view.catalog is not None and bool(view.registry.servers)
 
     def _metrics_page(self, _query: dict[str, str]) -> tuple[int, bytes]:
         return 200, self._metrics.render().encode()
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
@@ -52,6 +52,8 @@
         self._log = log
         self._metrics = metrics
         self._pools: dict[str, ServerPool] = {}
+        # By group, when a read last lacked a position that replicas must have reached.
+        self.position_lacking_ms: dict[str, int] = {}
         self._changed = Event()
 
     def pool(self, server_id: str) -> ServerPool | None:
@@ -144,6 +146,8 @@
         candidates = []
         min_position = self._min_read_position(route, last_commit, now_ms)
         usable = self.view.primary_use(route.group, now_ms) is PrimaryUse.USABLE
+        if min_position is None and route.mode is not ReadMode.PRIMARY:
+            self.position_lacking_ms[route.group] = now_ms
         for entry in self.entries_of(route.group):
             pool = self.pool(entry.server_id)
             if entry.server_id in tried or not pool.health.usable(now_ms):
