Test that an owner never serves a relay with an older configuration than seen

Handshake, single request, open transaction and commit, with a configuration that arrives in time or not. With the version check taken out, the file did not end within 60 s; which of the six fail then was not looked at one by one.

--- /dev/null
+++ b/packages/figcrank-transport/tests/test_owner_session.py
@@ -0,0 +1,131 @@
+"""An owner never serves a relay with an older configuration than the relay has seen in use."""
+
+import eventlet
+import pytest
+from eventlet.green import socket
+
+from figcrank.coordination.fleet import FleetView
+from figcrank.protocol.relays import encode_request, encode_start, relay_reply_decoder
+from figcrank.protocol.sessions import CallerCodec, Request, SessionStart, TransactionState, Verb
+from figcrank.state._catalog import Catalog, DatabaseRoute, ReadMode
+from figcrank.transport import MonotonicClock
+from figcrank.transport.streams import _session
+from figcrank.transport.streams._log import EventLog
+from figcrank.transport.streams._metrics import Metrics
+from figcrank.transport.streams._owner_session import OwnerSession
+from figcrank.transport.streams._session import SessionServices
+
+ROUTE = DatabaseRoute("route", "db", "g", ReadMode.PRIMARY, 700, 300)
+
+
+def catalog(version):
+    return Catalog(version, {"db": ROUTE}, {}, {"key": "w"}, {}, 3_000)
+
+
+class WordCodec(CallerCodec):
+    def decoder(self):
+        raise NotImplementedError  # a relay's messages have a decoder of their own
+
+    def reply(self, body, state):
+        raise NotImplementedError
+
+    def rejection(self, failure, detail):
+        raise NotImplementedError
+
+    def completion(self):
+        return b"done"
+
+    def failure(self, failure, detail):
+        return failure.name.encode()
+
+
+class FakeRouter:
+    def __init__(self, view):
+        self.view = view
+
+
+class FakeRunner:
+    def abort(self, transaction):
+        pass
+
+
+class Scenario:
+    """An owner with configuration 4, and a relay's connection to it."""
+
+    def __init__(self):
+        self.clock = MonotonicClock()
+        self.view = FleetView("owner", 1, ("127.0.0.1", 7000))
+        self.view.adopt_catalog(catalog(4), 0)
+        log = EventLog("owner", self.clock, len)
+        router = FakeRouter(self.view)
+        services = SessionServices(
+            WordCodec(), router, FakeRunner(), self.clock, log, Metrics(), set()
+        )
+        listener = eventlet.listen(("127.0.0.1", 0))
+        self.sock = socket.create_connection(listener.getsockname())
+        self.sock.settimeout(10)
+        accepted, _ = listener.accept()
+        listener.close()
+        self.session = eventlet.spawn(OwnerSession(accepted, services).run)
+        self.decoder = relay_reply_decoder()
+
+    def ask(self, data):
+        self.sock.sendall(data)
+        while True:
+            replies = self.decoder.feed(self.sock.recv(4_096))
+            if replies:
+                return replies[0]
+
+    def start(self, seen):
+        return self.ask(encode_start(SessionStart("db", "key"), seen))
+
+    def run(self, verb, seen):
+        reply = self.ask(encode_request(Request("id", verb, "text", "name", "1"), seen))
+        return reply.body, reply.state
+
+
+@pytest.fixture
+def scenario(monkeypatch):
+    monkeypatch.setattr(_session, "CATALOG_WAIT_MS", 40)
+    monkeypatch.setattr(_session, "NEWER_CATALOG_WAIT_MS", 40)
+    scenario = Scenario()
+    yield scenario
+    scenario.sock.close()
+    scenario.session.wait()
+
+
+def test_reply_reports_the_configuration_version_and_the_route_timeout(scenario):
+    reply = scenario.start(seen=4)
+    assert (reply.catalog_version, reply.timeout_ms, reply.ended) == (4, 700, False)
+
+
+def test_handshake_is_refused_with_an_older_configuration(scenario):
+    reply = scenario.start(seen=5)
+    assert (reply.body, reply.ended) == (b"BUSY", True)
+
+
+def test_request_is_refused_until_the_newer_configuration_has_arrived(scenario):
+    scenario.start(seen=4)
+    assert scenario.run(Verb.SET, seen=5) == (b"BUSY", TransactionState.IDLE)
+    scenario.view.adopt_catalog(catalog(5), 0)
+    assert scenario.run(Verb.SET, seen=5) == (b"done", TransactionState.IDLE)
+
+
+def test_request_waits_for_a_configuration_that_arrives_shortly(scenario, monkeypatch):
+    monkeypatch.setattr(_session, "NEWER_CATALOG_WAIT_MS", 5_000)
+    scenario.start(seen=4)
+    eventlet.spawn_after(0.03, scenario.view.adopt_catalog, catalog(5), 0)
+    assert scenario.run(Verb.SET, seen=5) == (b"done", TransactionState.IDLE)
+
+
+def test_open_transaction_is_rolled_back_with_an_older_configuration(scenario):
+    scenario.start(seen=4)
+    assert scenario.run(Verb.BEGIN, seen=4) == (b"done", TransactionState.OPEN)
+    assert scenario.run(Verb.READ, seen=5) == (b"ABORTED", TransactionState.FAILED)
+    assert scenario.run(Verb.ROLLBACK, seen=4)[1] is TransactionState.IDLE
+
+
+def test_commit_with_an_older_configuration_ends_the_transaction(scenario):
+    scenario.start(seen=4)
+    scenario.run(Verb.BEGIN, seen=4)
+    assert scenario.run(Verb.COMMIT, seen=5) == (b"ABORTED", TransactionState.IDLE)
