--- a/conftest.py
+++ b/conftest.py
@@ -1,7 +1,7 @@
 """Marks the tests listed in KNOWN-RED.txt as expected failures.
 
-An entry ``test: ID`` is strict: if the test passes, that is reported as a failure until the entry is
-removed. An entry ``intermittent: ID`` is for a failure that shows only in some runs.
+An entry ``test: ID`` is strict: if the test passes, that is reported as a failure until the entry
+is removed. An entry ``intermittent: ID`` is for a failure that shows only in some runs.
 """
 
 from pathlib import Path
