Rename the target number of owners, and keep one constant for a silent primary

MAX_OWNERS was no maximum: it is rounded up per zone, to 15 in five zones. FleetView's own threshold for a silent primary had the value and the meaning of SILENT_THRESHOLD_MS, which it uses now. No behaviour changes. Stand-in codecs of a test fail with a reason if they are called.

--- a/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
@@ -9,7 +9,12 @@
 from figcrank.coordination.owners import HostRole
 from figcrank.coordination.peers import ChangeTracker, Peer, PeerTable
 from figcrank.coordination.placement import PositionHistory
-from figcrank.coordination.primaries import LEASE_MS, MAJORITY_LEASE_MS, PrimaryTable
+from figcrank.coordination.primaries import (
+    LEASE_MS,
+    MAJORITY_LEASE_MS,
+    SILENT_THRESHOLD_MS,
+    PrimaryTable,
+)
 from figcrank.coordination.quotas import SharedLimit
 from figcrank.protocol.heartbeats import (
     NEVER_MS,
@@ -28,8 +33,6 @@
 LEASE_RENEWAL_TIMEOUT_MS = 1_000
 # Two lists of servers, which are read once per second, were not read.
 STORE_AWAY_MS = 2_500
-# A primary that is replaced is so for having been silent this long, or refusing connections.
-FAILING_PRIMARY_MS = 500
 # Three heartbeats; a peer that is silent for longer is assumed to spend its whole share.
 SILENT_PEER_MS = 900
 
@@ -192,7 +195,7 @@
         if record is None or record.moving:
             return False
         report = self.primary_failures.get(group)
-        if report is None or report.failing_ms < FAILING_PRIMARY_MS:
+        if report is None or report.failing_ms < SILENT_THRESHOLD_MS:
             return False
         return self.registry_ms == NEVER_MS or now_ms - self.registry_ms > STORE_AWAY_MS
 
--- a/packages/figcrank-coordination/src/figcrank/coordination/owners/__init__.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/owners/__init__.py
@@ -1,7 +1,7 @@
 """Owners: the hosts that hold connections to backend servers and run the sessions of all callers.
 
-In a fleet of up to a dozen hosts every host is an owner. In a larger fleet the other hosts are
-relays, which forward their callers' sessions to an owner.
+A host that finds a free seat in its availability zone is an owner. The other hosts of a large fleet
+are relays, which forward their callers' sessions to an owner.
 """
 
 from figcrank.coordination.owners._directory import OwnerDirectory as OwnerDirectory
--- a/packages/figcrank-coordination/src/figcrank/coordination/owners/_seats.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/owners/_seats.py
@@ -11,9 +11,10 @@
 
 from figcrank.protocol.owners import Owner, SeatEntry
 
-# Owners of a fleet. With more of them the connections that each may hold to a server serve few
-# workspaces, and heartbeats between all owners grow with the square of their number.
-MAX_OWNERS = 12
+# Owners of a fleet, rounded up to the same number in each availability zone. With more of them, the
+# connections that each may hold to a server serve few workspaces, and heartbeats between all owners
+# grow with the square of their number.
+TARGET_OWNERS = 12
 
 
 class HostRole(Enum):
@@ -38,7 +39,7 @@
 
 def seats_per_zone(zones: int) -> int:
     """Return the number of seats in each availability zone, given the number of zones."""
-    return -(-MAX_OWNERS // max(1, zones))
+    return -(-TARGET_OWNERS // max(1, zones))
 
 
 def is_listed(host: Owner, owners: Collection[Owner]) -> bool:
--- a/packages/figcrank-coordination/src/figcrank/coordination/primaries/__init__.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/primaries/__init__.py
@@ -4,6 +4,7 @@
 from figcrank.coordination.primaries._claim import completed_record as completed_record
 from figcrank.coordination.primaries._claim import moving_record as moving_record
 from figcrank.coordination.primaries._proof import proven_position as proven_position
+from figcrank.coordination.primaries._replacement import SILENT_THRESHOLD_MS as SILENT_THRESHOLD_MS
 from figcrank.coordination.primaries._replacement import Evidence as Evidence
 from figcrank.coordination.primaries._replacement import FencingState as FencingState
 from figcrank.coordination.primaries._replacement import ReplacementReason as ReplacementReason
--- a/packages/figcrank-coordination/tests/fleet/test_failing_primary.py
+++ b/packages/figcrank-coordination/tests/fleet/test_failing_primary.py
@@ -3,7 +3,8 @@
 import pytest
 
 from figcrank.coordination.fleet import FleetView
-from figcrank.coordination.fleet._view import FAILING_PRIMARY_MS, STORE_AWAY_MS
+from figcrank.coordination.fleet._view import STORE_AWAY_MS
+from figcrank.coordination.primaries import SILENT_THRESHOLD_MS
 from figcrank.protocol.heartbeats import Heartbeat, PrimaryFailure, PrimaryRecord
 from figcrank.state import Position
 
@@ -35,7 +36,7 @@
         for number in (2, 3):
             self.view.peers.register(f"h{number}", (f"10.0.0.{number}", 7000), 0)
         self.view.position_history("g").observe(DARK_MS, Position(3, 55))
-        self.view.primary_failures = {"g": PrimaryFailure("s1", FAILING_PRIMARY_MS, False)}
+        self.view.primary_failures = {"g": PrimaryFailure("s1", SILENT_THRESHOLD_MS, False)}
         self.view.registry_ms = DARK_MS
 
     def receive(self, number, beat, now_ms):
@@ -95,7 +96,7 @@
     view = Fleet().view
     assert not view.primary_is_irreplaceable("g", DARK_MS + STORE_AWAY_MS)
     assert view.primary_is_irreplaceable("g", DARK_MS + STORE_AWAY_MS + 1)
-    view.primary_failures = {"g": PrimaryFailure("s1", FAILING_PRIMARY_MS - 1, False)}
+    view.primary_failures = {"g": PrimaryFailure("s1", SILENT_THRESHOLD_MS - 1, False)}
     assert not view.primary_is_irreplaceable("g", DARK_MS + STORE_AWAY_MS + 1)
 
 
--- a/packages/figcrank-coordination/tests/owners/test_seats.py
+++ b/packages/figcrank-coordination/tests/owners/test_seats.py
@@ -1,7 +1,7 @@
 import pytest
 
 from figcrank.coordination.owners import choose_seat, has_free_seat, is_listed, seats_per_zone
-from figcrank.coordination.owners._seats import MAX_OWNERS
+from figcrank.coordination.owners._seats import TARGET_OWNERS
 from figcrank.protocol.owners import Owner, SeatEntry
 
 
@@ -22,7 +22,7 @@
 @pytest.mark.parametrize(("zones", "seats"), [(0, 12), (1, 12), (3, 4), (4, 3), (5, 3), (19, 1)])
 def test_seats_are_spread_evenly_over_the_zones(zones, seats):
     assert seats_per_zone(zones) == seats
-    assert seats * max(1, zones) >= MAX_OWNERS
+    assert seats * max(1, zones) >= TARGET_OWNERS
 
 
 def test_every_host_of_a_small_fleet_gets_a_seat():
--- a/packages/figcrank-transport/tests/test_owner_session.py
+++ b/packages/figcrank-transport/tests/test_owner_session.py
@@ -24,13 +24,13 @@
 
 class WordCodec(CallerCodec):
     def decoder(self):
-        raise NotImplementedError  # a relay's messages have a decoder of their own
+        raise AssertionError("a relay's messages have a decoder of their own")
 
     def reply(self, body, state):
-        raise NotImplementedError
+        raise AssertionError("replies to a relay are framed by the relay codec")
 
     def rejection(self, failure, detail):
-        raise NotImplementedError
+        raise AssertionError("replies to a relay are framed by the relay codec")
 
     def completion(self):
         return b"done"
