Do not quote a relay's unreadable message in the log

Found in review: the first 60 bytes of an unreadable handshake, which may hold a caller's key, went into the reason of relay_message_unreadable. The test fails on the code before.

--- a/packages/figcrank-protocol/src/figcrank/protocol/relays.py
+++ b/packages/figcrank-protocol/src/figcrank/protocol/relays.py
@@ -103,7 +103,9 @@
         texts = str(request_id), Verb[verb], str(text), str(name), str(argument)
         return seen, Request(*texts, bool(prepares_write))
     except (ValueError, TypeError, KeyError, RecursionError) as error:
-        raise RelayProtocolError(f"not a relayed message: {line[:60]!r}") from error
+        # The line may hold a caller's key, so it is not quoted.
+        detail = f"{len(line)} bytes are not a relayed message: {type(error).__name__}"
+        raise RelayProtocolError(detail) from None
 
 
 class _ReplyDecoder(Decoder):
@@ -132,7 +134,8 @@
             size, state = int(size), TransactionState[state]
             numbers = int(version), int(timeout_ms)
         except (ValueError, TypeError, KeyError, RecursionError) as error:
-            raise RelayProtocolError(f"not a reply of an owner: {head[:60]!r}") from error
+            detail = f"{len(head)} bytes are not a reply of an owner: {type(error).__name__}"
+            raise RelayProtocolError(detail) from error
         if len(rest) < size:
             return None
         self._pending = rest[size:]
--- a/packages/figcrank-protocol/tests/test_relays.py
+++ b/packages/figcrank-protocol/tests/test_relays.py
@@ -95,3 +95,10 @@
 def test_unreadable_status_is_an_error(data):
     with pytest.raises(ValueError, match="is not a status"):
         decode_status(data)
+
+
+def test_key_of_an_unreadable_handshake_is_not_quoted_in_the_error():
+    """The error is logged."""
+    with pytest.raises(RelayProtocolError) as caught:
+        owner_codec().decoder().feed(b'[1,"start","db","secret-key",2]\n')
+    assert "secret" not in str(caught.value)
