Log when the holder of the record of primaries changes and when a promotion is sent

The reported fault, a promotion with a lower fencing token than one already seen, has four possible causes by reading, and the logs could not tell them apart: promotion_ordered was written after the response, without the age of the renewal, and no line showed when a host became the holder or that a claim got no response.

The logic is unchanged. Evidence: tests of the packages cli and transport pass.

--- a/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
@@ -228,16 +228,28 @@
             wanted = claim_replacement(self._stored, group, record, self._view.host, renews)
             if wanted is None:
                 self._yield_to_holder(group)
-            took_over = self._stored.holder != self._view.host
+            previous_holder = self._stored.holder
+            took_over = previous_holder != self._view.host
             renewed_ms = self._clock.now_ms()
             try:
                 self._stored = self._store.call("write_primaries", wanted)
             except StoreError as error:
+                self._log.event("primaries_not_written", group=group, reason=str(error))
                 self._stored = StoredPrimaries()
                 if error.kind is StoreErrorKind.NOT_DONE:
                     raise
                 continue
             self._renewed_ms = renewed_ms
+            self._log.event(
+                "primaries_written",
+                group=group,
+                version=record.version,
+                moving=record.moving,
+                token=self._stored.token,
+                revision=self._stored.revision,
+                previous_holder=previous_holder,
+                took_ms=self._clock.now_ms() - renewed_ms,
+            )
             if took_over:
                 # The previous holder may still order a promotion within this time. This host's own
                 # window has then passed, so it renews the record before it orders one.
@@ -416,6 +428,14 @@
         for _ in range(MAX_PROMOTION_ATTEMPTS):
             self._renew_record(group, record)
             token = self._stored.token
+            sent_ms = self._clock.now_ms()
+            self._log.event(
+                "promotion_sent",
+                group=group,
+                server=server_id,
+                token=token,
+                renewal_age_ms=sent_ms - self._renewed_ms,
+            )
             outcome = self._service.promote(group, server_id, self._view.host, token)
             self._log.event(
                 "promotion_ordered",
@@ -424,6 +444,7 @@
                 position=report.position,
                 token=token,
                 outcome=outcome.name.lower(),
+                took_ms=self._clock.now_ms() - sent_ms,
             )
             if outcome is PromoteOutcome.REJECTED:
                 return None
