Reproduce a promotion with a lower fencing token, in five ways

Callers are at risk of two primaries: a promotion of the previous holder of the record of primaries can arrive after one of the new holder. The tests run the real replacers of two hosts in virtual time and fail on the present code: (1) a second group of a new holder does not wait for the previous holder's window, (2) a rejected write for another group resets the token to 0, (3) a call that connects for 800 ms is sent after the window of 600 ms, (4) a claim whose response was lost, or that is executed after its host gave up, makes the host find itself as the holder, without a wait.

The case that earlier tests covered, one group after one undisturbed change of the holder, passes.

--- /dev/null
+++ b/packages/figcrank-transport/tests/test_replacer.py
@@ -0,0 +1,391 @@
+"""Several hosts replace primaries; no promotion may arrive with a lower token than an earlier one.
+
+Hosts run their real :class:`PrimaryReplacer` in virtual time, with a store, servers and a failover
+service in memory.
+"""
+
+import threading
+from dataclasses import dataclass, field, replace
+
+import eventlet
+import pytest
+from eventlet import hubs
+from eventlet.hubs.hub import BaseHub
+
+from figcrank.coordination.fleet import FleetView
+from figcrank.coordination.primaries import ReplacementReason
+from figcrank.protocol.heartbeats import PrimaryRecord, StoredPrimaries
+from figcrank.protocol.sessions import ServerReport
+from figcrank.state import Position
+from figcrank.state._catalog import Registry, ServerEntry
+from figcrank.state._clock import Clock
+from figcrank.transport.streams._interfaces import PromoteOutcome, StoreError, StoreErrorKind
+from figcrank.transport.streams._log import EventLog
+from figcrank.transport.streams._metrics import Metrics
+from figcrank.transport.streams._replacer import PROMOTION_WINDOW_MS, PrimaryReplacer
+from figcrank.transport.streams._router import Router
+from figcrank.transport.streams._store_reader import StoreReader
+
+STORE_DELAY_MS = 4
+LATE_EXECUTION_MS = 400
+PROMOTION_MS = 300
+GROUPS = ("g1", "g2", "g3")
+
+
+class VirtualTimeHub(BaseHub):
+    """Event loop that advances its own clock to the next timer instead of waiting."""
+
+    def __init__(self):
+        self.now_s = 0.0
+        super().__init__(clock=lambda: self.now_s)
+
+    @staticmethod
+    def is_available():
+        return True
+
+    def wait(self, seconds=None):
+        self.now_s += seconds or 0
+
+
+class HubClock(Clock):
+    """Clock of the current thread's event loop."""
+
+    def now_ms(self):
+        return round(hubs.get_hub().clock() * 1_000)
+
+
+def in_virtual_time(scenario):
+    """Run a function on a :class:`VirtualTimeHub` and return its result."""
+    outcome = {}
+
+    def run():
+        hubs.use_hub(VirtualTimeHub)
+        try:
+            outcome["result"] = scenario()
+        except BaseException as error:
+            outcome["error"] = error
+
+    thread = threading.Thread(target=run)
+    thread.start()
+    thread.join()
+    if "error" in outcome:
+        raise outcome["error"]
+    return outcome["result"]
+
+
+def sleep_ms(wait_ms):
+    eventlet.sleep(wait_ms / 1_000)
+
+
+class SharedStore:
+    """The record of primaries, with a revision check on each write.
+
+    :param record: its first content.
+    """
+
+    def __init__(self, record):
+        self.record = record
+
+    def write(self, value):
+        if value.revision != self.record.revision:
+            raise StoreError(StoreErrorKind.CONFLICT, "revision differs")
+        if replace(value, revision=0) != replace(self.record, revision=0):
+            self.record = replace(value, revision=value.revision + 1)
+        return self.record
+
+
+class StoreOfHost:
+    """One host's calls to the store.
+
+    :param shared: the store.
+
+    ``write_faults`` holds, per write, ``None`` or the function that handles it instead.
+    """
+
+    def __init__(self, shared):
+        self._shared = shared
+        self.write_faults = []
+
+    def read_primaries(self):
+        sleep_ms(STORE_DELAY_MS)
+        return self._shared.record
+
+    def write_primaries(self, value):
+        sleep_ms(STORE_DELAY_MS)
+        fault = self.write_faults.pop(0) if self.write_faults else None
+        return fault(value) if fault else self._shared.write(value)
+
+    def list_quiet(self):
+        sleep_ms(STORE_DELAY_MS)
+        return []
+
+    def lose_response(self, value):
+        """Execute the write and cut the connection before the response."""
+        self._shared.write(value)
+        raise StoreError(StoreErrorKind.UNKNOWN, "connection reset")
+
+    def execute_late(self, value):
+        """Cut the connection; execute the write later if its revision still matches."""
+        eventlet.spawn_after(LATE_EXECUTION_MS / 1_000, self._write_if_unchanged, value)
+        raise StoreError(StoreErrorKind.UNKNOWN, "connection reset")
+
+    def _write_if_unchanged(self, value):
+        if value.revision == self._shared.record.revision:
+            self._shared.write(value)
+
+    @staticmethod
+    def reject(_value):
+        """Reject the write without executing it."""
+        raise StoreError(StoreErrorKind.NOT_DONE, "status 503")
+
+
+@dataclass
+class Server:
+    """A backend server."""
+
+    server_id: str
+    group: str
+    is_primary: bool = False
+    term: int = 1
+
+    @property
+    def entry(self):
+        return ServerEntry(
+            self.server_id, self.group, "10.0.0.1:80", "zone-a", 4, False, self.is_primary
+        )
+
+    @property
+    def report(self):
+        return ServerReport(self.is_primary, self.term, Position(1, 5))
+
+
+class Servers:
+    """The servers of all groups; the first one of each group has crashed."""
+
+    def __init__(self):
+        self.by_id = {
+            f"{group}-{number}": Server(f"{group}-{number}", group, number == 0)
+            for group in GROUPS
+            for number in range(3)
+        }
+
+    def status(self, entry):
+        server = self.by_id[entry.server_id]
+        return None if server.server_id.endswith("-0") else server.report
+
+    def demote(self, _entry, _term):
+        return None
+
+    def promote(self, server_id):
+        server = self.by_id[server_id]
+        server.is_primary, server.term = True, server.term + 1
+
+
+@dataclass
+class FailoverCalls:
+    """The failover service; ``busy_holders`` are told to come back, as beyond its call rate."""
+
+    servers: Servers
+    busy_holders: set = field(default_factory=set)
+    connect_ms: dict = field(default_factory=dict)
+    arrived: list = field(default_factory=list)
+
+    def promote(self, group, server_id, holder, token, may_send=lambda: True):
+        sleep_ms(self.connect_ms.get(holder, 0))
+        if not may_send():
+            return PromoteOutcome.NOT_DONE
+        self.arrived.append((HubClock().now_ms(), holder, token, group))
+        if holder in self.busy_holders:
+            return PromoteOutcome.NOT_DONE
+        eventlet.spawn_after(PROMOTION_MS / 1_000, self.servers.promote, server_id)
+        return PromoteOutcome.ACCEPTED
+
+
+class FakeLink:
+    """Link without peers."""
+
+    def log_primary(self, group, source):
+        pass
+
+    def broadcast_heartbeat(self):
+        pass
+
+
+class QuietRouter(Router):
+    """Router that sends no probes to servers."""
+
+    def probe_server(self, pool):
+        pass
+
+
+class Host:
+    """A host with its real replacer, cut off from the other hosts.
+
+    :param records: the primaries that the host knows.
+    """
+
+    def __init__(self, name, fleet, records):
+        self.name = name
+        self.clock = HubClock()
+        self.view = FleetView(name, 1, (name, 7000))
+        entries = {s.server_id: s.entry for s in fleet.servers.by_id.values()}
+        self.view.registry = Registry(1, entries)
+        for group, record in records.items():
+            self.view.merge_primary(group, record, 0)
+        self.lines = []
+        log = EventLog(name, self.clock, len)
+        log.event = lambda event, **fields: self.lines.append((event, fields))
+        metrics = Metrics()
+        router = QuietRouter(self.view, None, self.clock, "zone-a", log, metrics)
+        for group in records:
+            router.pool(f"{group}-0").health.record_failure(0, refused=True)
+        self.store = StoreOfHost(fleet.store)
+        reader = StoreReader(self.store, None, self.view, router, self.clock, log, metrics)
+        self.replacer = PrimaryReplacer(
+            self.view,
+            router,
+            FakeLink(),
+            reader,
+            fleet.failover,
+            None,
+            self.clock,
+            log,
+            metrics,
+        )
+        self.replacer._commands = fleet.servers
+
+    def replace(self, group):
+        """Begin the replacement of a group's primary."""
+        record = self.view.primary_table.get(group)
+        eventlet.spawn(self.replacer._replace, group, record, ReplacementReason.UNREACHABLE)
+
+
+class Fleet:
+    """Hosts ``a`` and ``b``; ``a`` holds the record of primaries."""
+
+    def __init__(self):
+        records = {group: PrimaryRecord(1, 1, f"{group}-0") for group in GROUPS}
+        self.store = SharedStore(StoredPrimaries(1, "z", 4, records))
+        self.servers = Servers()
+        self.failover = FailoverCalls(self.servers)
+        self.a = Host("a", self, records)
+        self.b = Host("b", self, records)
+
+    def check_tokens(self):
+        """Check that no token is lower than an earlier one and that none has two holders."""
+        calls = self.failover.arrived
+        tokens = [token for _, _, token, _ in calls]
+        assert tokens == sorted(tokens), calls
+        holders = {(token, holder) for _, holder, token, _ in calls}
+        assert len(holders) == len(set(tokens)), calls
+
+    def token_of(self, holder):
+        return {token for _, name, token, _ in self.failover.arrived if name == holder}
+
+
+@pytest.fixture
+def run():
+    """Return a function that runs a scenario in virtual time on a new fleet."""
+
+    def run_scenario(scenario):
+        fleet = Fleet()
+        in_virtual_time(lambda: scenario(fleet))
+        return fleet
+
+    return run_scenario
+
+
+def let_a_order_promotions(fleet):
+    """Let host ``a`` become the holder and order promotions that the service turns away."""
+    fleet.failover.busy_holders.add("a")
+    fleet.a.replace("g1")
+    while not fleet.failover.arrived:
+        sleep_ms(1)
+
+
+def test_new_holder_replaces_a_primary_after_the_previous_ones_window(run):
+    def scenario(fleet):
+        let_a_order_promotions(fleet)
+        fleet.b.replace("g2")
+        sleep_ms(6_000)
+
+    fleet = run(scenario)
+    fleet.check_tokens()
+    assert fleet.servers.by_id["g2-2"].is_primary
+
+
+def test_second_group_of_a_new_holder_waits_for_the_previous_holders_window(run):
+    """Its promotion had a higher token than a call of the previous holder that came after it."""
+
+    def scenario(fleet):
+        let_a_order_promotions(fleet)
+        fleet.b.replace("g2")
+        sleep_ms(50)
+        fleet.b.replace("g3")
+        sleep_ms(6_000)
+
+    fleet = run(scenario)
+    fleet.check_tokens()
+    assert fleet.servers.by_id["g2-2"].is_primary
+    assert fleet.servers.by_id["g3-2"].is_primary
+
+
+def test_failed_write_for_another_group_does_not_change_the_token(run):
+    """The token was read from a record that the failed write had reset, and was 0."""
+
+    def scenario(fleet):
+        let_a_order_promotions(fleet)
+        fleet.a.store.write_faults = [StoreOfHost.reject]
+        fleet.a.replace("g2")
+        sleep_ms(6_000)
+
+    fleet = run(scenario)
+    fleet.check_tokens()
+    assert len(fleet.failover.arrived) > 2
+
+
+def test_claim_whose_response_was_lost_waits_for_the_previous_holders_window(run):
+    """The host found itself as the holder and ordered a promotion without waiting."""
+
+    def scenario(fleet):
+        let_a_order_promotions(fleet)
+        fleet.b.store.write_faults = [fleet.b.store.lose_response]
+        fleet.b.replace("g2")
+        sleep_ms(6_000)
+
+    fleet = run(scenario)
+    fleet.check_tokens()
+    assert fleet.servers.by_id["g2-2"].is_primary
+
+
+def test_claim_that_is_executed_late_waits_for_the_previous_holders_window(run):
+    """The host had given up the claim, found itself as the holder later, and did not wait."""
+
+    def scenario(fleet):
+        let_a_order_promotions(fleet)
+        fleet.b.store.write_faults = [fleet.b.store.execute_late, StoreOfHost.reject]
+        fleet.b.replace("g2")
+        sleep_ms(LATE_EXECUTION_MS + 10)
+        assert fleet.store.record.holder == "b"
+        fleet.b.replace("g2")
+        sleep_ms(6_000)
+
+    fleet = run(scenario)
+    fleet.check_tokens()
+    assert fleet.servers.by_id["g2-2"].is_primary
+
+
+def test_promotion_is_not_sent_once_connecting_has_used_up_the_window(run):
+    """The window was checked before the call connected."""
+
+    def scenario(fleet):
+        fleet.failover.connect_ms["a"] = PROMOTION_WINDOW_MS + 200
+        fleet.a.replace("g1")
+        sleep_ms(2 * PROMOTION_WINDOW_MS)
+        fleet.b.replace("g2")
+        sleep_ms(6_000)
+
+    fleet = run(scenario)
+    fleet.check_tokens()
+    assert fleet.token_of("b")
+    assert not fleet.token_of("a")
