--- a/packages/figcrank-transport/tests/test_replacer.py
+++ b/packages/figcrank-transport/tests/test_replacer.py
@@ -4,7 +4,7 @@
 service in memory.
 """
 
-import threading
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field, replace
 
 import eventlet
@@ -55,22 +55,14 @@
 
 
 def in_virtual_time(scenario):
-    """Run a function on a :class:`VirtualTimeHub` and return its result."""
-    outcome = {}
+    """Run a function on a :class:`VirtualTimeHub`, which belongs to a thread of its own."""
 
     def run():
         hubs.use_hub(VirtualTimeHub)
-        try:
-            outcome["result"] = scenario()
-        except BaseException as error:
-            outcome["error"] = error
-
-    thread = threading.Thread(target=run)
-    thread.start()
-    thread.join()
-    if "error" in outcome:
-        raise outcome["error"]
-    return outcome["result"]
+        return scenario()
+
+    with ThreadPoolExecutor(1) as executor:
+        return executor.submit(run).result()
 
 
 def sleep_ms(wait_ms):
