Notice a new era of the store and discard what it makes unknown

A host whose store comes back from an older copy went on as if nothing had happened: an entry that the copy lacks counted as a server that is gone, though servers write theirs again within 2 s, and what the host had written to the store stayed written in its own books.

StoreReader compares the era after each call, failed ones included. When it rises, the grace of a store outage starts again, and the reports of hosts that no longer use a replaced primary are written again. Confirmations of the primaries are kept for the rest of their lease, as in an outage. The first era that a host sees is no change. One line store_era_changed and the counter store_eras tell of it.

Tests fail without each part: no grace, reports not written again, no notice in a failed call, a first era taken for a change.

--- a/packages/figcrank-cli/src/figcrank/cli/_ctl_logs.py
+++ b/packages/figcrank-cli/src/figcrank/cli/_ctl_logs.py
@@ -31,6 +31,7 @@
     "server_changed",
     "server_gone",
     "configuration_adopted",
+    "store_era_changed",
     "store_lost",
     "store_reached",
     "started",
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_interfaces.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_interfaces.py
@@ -47,7 +47,20 @@
 
 
 class Store(ABC):
-    """Store of a deployment; every call raises :class:`StoreError` if it fails."""
+    """Store of a deployment; every call raises :class:`StoreError` if it fails.
+
+    Revisions order by the store's era first, see :mod:`figcrank.state._revisions`. A response of an
+    era before :attr:`era` fails the call, and so does a conditional write for another era.
+    """
+
+    @property
+    @abstractmethod
+    def era(self) -> int:
+        """Return the newest era that the store has answered in; 0 until its first response.
+
+        The era rises whenever the store comes back from an older copy of itself. A store that
+        never does stays in era 0.
+        """
 
     @abstractmethod
     def read_catalog(self) -> CatalogDocument:
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_store_reader.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_store_reader.py
@@ -63,6 +63,13 @@
         self.reachable_since_ms = NEVER_MS
         self._published_quiesced: dict = {}
         self._failed_ms = NEVER_MS
+        self._era: int | None = None
+        self._era_changed_ms = NEVER_MS
+
+    @property
+    def era(self) -> int:
+        """Return the era of the store that this host has noticed; 0 until the first response."""
+        return self._era or 0
 
     def call(self, name: str, *arguments: object) -> object:
         """Call a method of the store and count the call by its result.
@@ -78,11 +85,36 @@
                 self._record_failure(name, error)
             elif error.kind is StoreErrorKind.UNREADABLE:
                 self._log.event("store_unreadable", call=name, reason=error.detail)
+            self._notice_era()
             raise
         self._metrics.count("store_calls", call=name, result="ok")
         self._record_success()
+        if self._era is None:
+            self._era = self._store.era
+        self._notice_era()
         return result
 
+    def _notice_era(self) -> None:
+        """Discard what this host knew of an earlier era of the store, if a new one has begun.
+
+        Confirmations of the primaries are kept. They hold for the rest of a lease, as they do when
+        the store goes away.
+        """
+        if self._era is None or self._store.era <= self._era:
+            return
+        before, self._era = self._era, self._store.era
+        self._era_changed_ms = self._clock.now_ms()
+        if self.reachable_since_ms != NEVER_MS:
+            self.reachable_since_ms = self._era_changed_ms
+        self._metrics.count("store_eras")
+        self._log.event(
+            "store_era_changed",
+            before=before,
+            after=self._era,
+            quiesced=sorted(self._published_quiesced),
+        )
+        self._published_quiesced = {}
+
     def _record_failure(self, name: str, error: StoreError) -> None:
         self._failures += 1
         self._failed_ms = self._clock.now_ms()
--- a/packages/figcrank-transport/tests/test_membership.py
+++ b/packages/figcrank-transport/tests/test_membership.py
@@ -32,6 +32,8 @@
 class FakeStore:
     """Store with a listing of seats, one per availability zone, that records its calls."""
 
+    era = 0
+
     def __init__(self, *numbers):
         self.entries = {n: SeatEntry(f"zone-{n}.0", owner(n), n) for n in numbers}
         self.calls = []
--- a/packages/figcrank-transport/tests/test_store_reader.py
+++ b/packages/figcrank-transport/tests/test_store_reader.py
@@ -1,15 +1,21 @@
+import json
+
+import pytest
+
 from figcrank.coordination.fleet import FleetView
+from figcrank.protocol.heartbeats import PrimaryRecord
 from figcrank.state import ManualClock
 from figcrank.transport.streams._interfaces import StoreError, StoreErrorKind
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._metrics import Metrics
-from figcrank.transport.streams._store_reader import StoreReader
+from figcrank.transport.streams._store_reader import RECOVERY_GRACE_MS, StoreReader
 
 
 class RefusingStore:
     """Store that rejects calls while ``refuses`` is set."""
 
     refuses = True
+    era = 0
 
     def list_servers(self):
         if self.refuses:
@@ -65,3 +71,121 @@
     assert not reader.registry_is_fresh(clock.now_ms() + 1_000)
     view.registry_ms = clock.now_ms() + 3_000
     assert reader.registry_is_fresh(clock.now_ms() + 3_000)
+
+
+class ErasStore:
+    """Store whose next answers are of the era ``answers_in``; it fails while ``error`` is set."""
+
+    def __init__(self):
+        self.era = 0
+        self.answers_in = 0
+        self.error = None
+        self.written = []
+
+    def _answer(self):
+        self.era = max(self.era, self.answers_in)
+        if self.error is not None:
+            raise StoreError(self.error, "refused")
+
+    def list_servers(self):
+        self._answer()
+
+    def write_quiet(self, host, quiesced):
+        self._answer()
+        self.written.append(quiesced)
+
+
+class EraScenario:
+    """A store reader whose store may come back in another era, with its log and metrics."""
+
+    def __init__(self, first_era=1):
+        self.clock = ManualClock(10_000)
+        self.view = FleetView("a", 1, ("10.0.0.1", 7000))
+        self.store = ErasStore()
+        self.store.answers_in = first_era
+        self.metrics = Metrics()
+        self.log = EventLog("a", self.clock, self._write)
+        self.lines = []
+        self.reader = StoreReader(
+            self.store, None, self.view, None, self.clock, self.log, self.metrics
+        )
+
+    def _write(self, data):
+        self.lines.extend(json.loads(line) for line in data.decode().splitlines())
+        return len(data)
+
+    def events(self, name):
+        self.log.flush()
+        return [line for line in self.lines if line["event"] == name]
+
+    def wait(self, for_ms):
+        self.clock.advance_to(self.clock.now_ms() + for_ms)
+
+
+@pytest.mark.parametrize("first_era", [0, 1, 7])
+def test_first_era_of_a_store_is_not_a_change(first_era):
+    scenario = EraScenario(first_era)
+    assert scenario.reader.era == 0
+    scenario.reader.call("list_servers")
+    scenario.reader.call("list_servers")
+    assert scenario.reader.era == first_era
+    assert scenario.events("store_era_changed") == []
+    assert "store_eras" not in scenario.metrics.render()
+
+
+@pytest.mark.parametrize("first_era", [0, 1])
+def test_new_era_is_counted_and_logged_once(first_era):
+    scenario = EraScenario(first_era)
+    scenario.reader.call("list_servers")
+    scenario.store.answers_in = first_era + 1
+    scenario.reader.call("list_servers")
+    scenario.reader.call("list_servers")
+    (event,) = scenario.events("store_era_changed")
+    assert (event["before"], event["after"]) == (first_era, first_era + 1)
+    assert "figcrank_store_eras_total{} 1" in scenario.metrics.render()
+    assert scenario.reader.era == first_era + 1
+
+
+@pytest.mark.parametrize("kind", list(StoreErrorKind))
+def test_failed_call_shows_a_new_era(kind):
+    scenario = EraScenario()
+    scenario.reader.call("list_servers")
+    scenario.store.answers_in, scenario.store.error = 2, kind
+    with pytest.raises(StoreError):
+        scenario.reader.call("list_servers")
+    assert len(scenario.events("store_era_changed")) == 1
+
+
+def test_registry_is_not_fresh_soon_after_a_new_era():
+    """Guards against servers that count as gone before they have written their entries again."""
+    scenario = EraScenario()
+    scenario.reader.call("list_servers")
+    scenario.wait(60_000)
+    scenario.store.answers_in = 2
+    scenario.reader.call("list_servers")
+    now_ms = scenario.view.registry_ms = scenario.clock.now_ms()
+    assert not scenario.reader.registry_is_fresh(now_ms + RECOVERY_GRACE_MS)
+    assert scenario.reader.registry_is_fresh(now_ms + RECOVERY_GRACE_MS + 1)
+
+
+def test_quiesced_hosts_are_written_again_in_a_new_era():
+    scenario = EraScenario()
+    scenario.view.merge_primary("g", PrimaryRecord(3, 4, "s1", moving=True), 0)
+    scenario.view.quiesced_groups = {"g"}
+    for _ in range(2):
+        scenario.reader._publish_quiesced()
+    assert len(scenario.store.written) == 1
+    scenario.store.answers_in = 2
+    scenario.reader.call("list_servers")
+    scenario.reader._publish_quiesced()
+    assert scenario.store.written == 2 * [{"g": (3, ["a"])}]
+    assert scenario.events("store_era_changed")[0]["quiesced"] == ["g"]
+
+
+def test_new_era_keeps_confirmations_for_the_rest_of_the_lease():
+    scenario = EraScenario()
+    scenario.reader.call("list_servers")
+    scenario.view.confirmed_ms = 9_900
+    scenario.store.answers_in = 2
+    scenario.reader.call("list_servers")
+    assert scenario.view.confirmed_ms == 9_900
