Let no record confirm primaries soon after a new era of the store

A host that reaches the store and no majority renews its lease by reading the record of primaries. If the store has lost the record of a replacement, that reading names the old primary as current, and the host would use it while another server may already have been promoted.

Hosts that reach a majority of the others keep their lease. Ruled out: to end the lease when the era changes, as confirmations from before hold for its rest, which a promotion waits for in any case.

The test fails without the guard.

--- a/packages/figcrank-transport/src/figcrank/transport/streams/_store_reader.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_store_reader.py
@@ -261,6 +261,10 @@
             now_ms - peer.received_ms > HEARTBEAT_OVERDUE_MS for peer in self._view.peers.all()
         )
 
+    def _era_is_settled(self, now_ms: int) -> bool:
+        """Return whether what the store has lost by a new era has been written again by now."""
+        return self._era_changed_ms == NEVER_MS or now_ms - self._era_changed_ms > RECOVERY_GRACE_MS
+
     def _publish_quiesced(self) -> None:
         """Write to the store which hosts no longer use a replaced primary.
 
@@ -275,7 +279,11 @@
                 return  # logged and counted by the call; retried with the next confirmation
 
     def confirm_primaries(self) -> bool:
-        """Read the primaries from the store; return whether that succeeded."""
+        """Read the primaries from the store; return whether that succeeded.
+
+        Soon after a new era has begun, the record may lack a replacement that was written before.
+        It is merged then, but it confirms nothing.
+        """
         started_ms = self._clock.now_ms()
         try:
             stored = self.call("read_primaries")
@@ -286,7 +294,8 @@
             self._view.merge_primary(group, record, self._clock.now_ms())
             for group, record in stored.records.items()
         ]
-        self._view.confirmed_ms = max(self._view.confirmed_ms, started_ms)
+        if self._era_is_settled(started_ms):
+            self._view.confirmed_ms = max(self._view.confirmed_ms, started_ms)
         if any(changed):
             self._log.event("primaries_read", revision=stored.revision)
         self._router.notify_primary_change()
--- a/packages/figcrank-transport/tests/test_store_reader.py
+++ b/packages/figcrank-transport/tests/test_store_reader.py
@@ -3,7 +3,7 @@
 import pytest
 
 from figcrank.coordination.fleet import FleetView
-from figcrank.protocol.heartbeats import PrimaryRecord
+from figcrank.protocol.heartbeats import PrimaryRecord, StoredPrimaries
 from figcrank.state import ManualClock
 from figcrank.transport.streams._interfaces import StoreError, StoreErrorKind
 from figcrank.transport.streams._log import EventLog
@@ -73,6 +73,11 @@
     assert reader.registry_is_fresh(clock.now_ms() + 3_000)
 
 
+class FakeRouter:
+    def notify_primary_change(self):
+        pass
+
+
 class ErasStore:
     """Store whose next answers are of the era ``answers_in``; it fails while ``error`` is set."""
 
@@ -90,6 +95,10 @@
     def list_servers(self):
         self._answer()
 
+    def read_primaries(self):
+        self._answer()
+        return StoredPrimaries(8, "b", 3, {"g": PrimaryRecord(2, 4, "s1")})
+
     def write_quiet(self, host, quiesced):
         self._answer()
         self.written.append(quiesced)
@@ -107,7 +116,7 @@
         self.log = EventLog("a", self.clock, self._write)
         self.lines = []
         self.reader = StoreReader(
-            self.store, None, self.view, None, self.clock, self.log, self.metrics
+            self.store, None, self.view, FakeRouter(), self.clock, self.log, self.metrics
         )
 
     def _write(self, data):
@@ -189,3 +198,20 @@
     scenario.store.answers_in = 2
     scenario.reader.call("list_servers")
     assert scenario.view.confirmed_ms == 9_900
+
+
+def test_record_read_soon_after_a_new_era_confirms_no_primary():
+    """Guards against a host that uses a primary whose replacement the store's copy lacks."""
+    scenario = EraScenario()
+    assert scenario.reader.confirm_primaries()
+    assert scenario.view.confirmed_ms == 10_000
+    scenario.wait(1_000)
+    scenario.store.answers_in = 2
+    for _ in range(2):
+        assert scenario.reader.confirm_primaries()
+        assert scenario.view.confirmed_ms == 10_000
+        scenario.wait(RECOVERY_GRACE_MS)
+    scenario.wait(1)
+    scenario.reader.confirm_primaries()
+    assert scenario.view.confirmed_ms == scenario.clock.now_ms()
+    assert scenario.view.primary_table.get("g").server_id == "s1"
