Adopt lists of servers by era, and give entries time to return after a new one

A list was ignored while its revision was below the current one. After the store had come back from an older copy, new, draining and gone servers stayed unknown until its numbers had caught up, which takes as long as the copy is old. With revisions that order by era first, the comparisons of FleetView, of heartbeats and of view pages hold as they are; what was missing:

- The first list of a new era keeps its own revision even if no server changed.
Hosts that make no store calls learn of the era from it, and log and forget what StoreReader does.
- For that time the reader lists the servers every 400 ms instead of every second.
At once a second, an entry written 2 s after the store's return came into use up to a second later; a server that registers has to be in use within 2 s of it.
That is four more reads for the fleet an era.
- A list that the view ignored no longer renews the age of the newer one that it holds.

Hosts of earlier releases take the composed revision for a number: they adopt what such a host sends and then ignore their own lists. That is not dealt with here.

Each of the guards switched off fails one to nine tests; none needs a socket's answer or a clock.

--- a/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
@@ -24,6 +24,7 @@
     PrimaryRecord,
 )
 from figcrank.protocol.owners import Owner
+from figcrank.state import era_of
 from figcrank.state._catalog import Catalog, Registry, ServerEntry
 from figcrank.state._positions import Position
 
@@ -97,6 +98,8 @@
         self.catalog: Catalog | None = None
         self.registry = Registry()
         self.registry_ms = NEVER_MS
+        # When a list of a new era of the store was adopted; entries may be missing for a moment.
+        self.registry_era_ms = NEVER_MS
         self.store_ok = True
         self.leaving = False
         self.confirmed_ms = NEVER_MS
@@ -139,7 +142,8 @@
     ) -> bool:
         """Apply a list of servers and return whether it differs from the current one.
 
-        :param registry: the list; it is ignored if its revision is older than the current one.
+        :param registry: the list; it is ignored if its revision is older than the current one. A
+            list of a newer era of the store is newer, whatever its number.
         :param as_of_ms: time at which the store had this list.
         :param from_peer: whether a peer sent the list, rather than the store.
         """
@@ -147,8 +151,12 @@
             return False
         self.registry_ms = max(self.registry_ms, as_of_ms)
         changed = registry.servers != self.registry.servers
-        if changed or from_peer:
-            # An unchanged list keeps its older revision, so that peers do not fetch it.
+        era, known_era = era_of(registry.revision), era_of(self.registry.revision)
+        if era > known_era and self.registry.revision:
+            self.registry_era_ms = now_ms
+        if changed or from_peer or era > known_era:
+            # An unchanged list keeps its older revision, so that peers do not fetch it. The first
+            # list of a new era keeps its own, so that peers learn of the era.
             self.registry = registry
         if changed:
             self.primary_table.adopt_registry(registry, now_ms)
--- a/packages/figcrank-coordination/tests/fleet/test_fleet_view.py
+++ b/packages/figcrank-coordination/tests/fleet/test_fleet_view.py
@@ -2,8 +2,8 @@
 
 from figcrank.coordination.fleet import LEASE_RENEWAL_TIMEOUT_MS, FleetView, PrimaryUse
 from figcrank.coordination.primaries import LEASE_MS, MAJORITY_LEASE_MS
-from figcrank.protocol.heartbeats import Heartbeat, PrimaryRecord
-from figcrank.state import Position
+from figcrank.protocol.heartbeats import NEVER_MS, Heartbeat, PrimaryRecord
+from figcrank.state import Position, revision_of
 from figcrank.state._catalog import Catalog, Registry, ServerEntry, WorkspaceLimit
 
 
@@ -136,6 +136,36 @@
     assert view.registry_ms == 1_000
 
 
+@pytest.mark.parametrize("from_peer", [False, True])
+def test_list_of_a_newer_era_is_adopted_although_its_number_is_lower(from_peer):
+    """Guards against servers that stay unknown after the store came back from an older copy."""
+    view = make_view()
+    view.adopt_registry(listing(revision_of(1, 900), "s1"), 0, 0, from_peer=False)
+    assert view.adopt_registry(listing(revision_of(2, 40), "s1", "s2"), 10, 20, from_peer)
+    assert set(view.registry.servers) == {"s1", "s2"}
+    assert not view.adopt_registry(listing(revision_of(1, 901), "s1"), 30, 30, from_peer)
+    assert view.registry.revision == revision_of(2, 40)
+    assert view.registry_ms == 10
+
+
+def test_unchanged_list_of_a_new_era_gets_its_revision_so_that_peers_learn_of_the_era():
+    view = make_view()
+    view.adopt_registry(listing(revision_of(1, 900), "s1"), 0, 0, from_peer=False)
+    assert not view.adopt_registry(listing(revision_of(2, 40), "s1"), 1_000, 1_000, False)
+    assert view.registry.revision == revision_of(2, 40)
+    assert not view.adopt_registry(listing(revision_of(2, 45), "s1"), 2_000, 2_000, False)
+    assert view.registry.revision == revision_of(2, 40)
+
+
+def test_time_of_a_new_era_is_kept_but_not_that_of_the_first_list():
+    view = make_view()
+    view.adopt_registry(listing(revision_of(3, 900), "s1"), 0, 0, from_peer=False)
+    assert view.registry_era_ms == NEVER_MS
+    view.adopt_registry(listing(revision_of(4, 40), "s1"), 10, 50, from_peer=True)
+    view.adopt_registry(listing(revision_of(4, 41)), 60, 90, from_peer=False)
+    assert view.registry_era_ms == 50
+
+
 def test_quiesced_hosts_are_counted_for_the_current_record_only():
     view = make_view()
     view.merge_primary("g", PrimaryRecord(4, 3, "s1", moving=True), 0)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
@@ -271,7 +271,8 @@
             return
         if pool.missing_since_ms is None:
             pool.missing_since_ms = now_ms
-        if now_ms - pool.missing_since_ms >= UNREGISTERED_GRACE_MS and not self.is_primary(pool):
+        missing_since_ms = max(pool.missing_since_ms, self.view.registry_era_ms)
+        if now_ms - missing_since_ms >= UNREGISTERED_GRACE_MS and not self.is_primary(pool):
             self._log.event("server_gone", server=pool.entry.server_id, group=pool.entry.group)
             pool.close_all()
             del self._pools[pool.entry.server_id]
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_store_reader.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_store_reader.py
@@ -9,6 +9,7 @@
 from figcrank.coordination.fleet import FleetView
 from figcrank.coordination.primaries import LEASE_MS
 from figcrank.protocol.heartbeats import NEVER_MS
+from figcrank.state import era_of
 from figcrank.state._clock import Clock
 from figcrank.transport.streams._interfaces import Store, StoreError, StoreErrorKind
 from figcrank.transport.streams._log import EventLog
@@ -17,6 +18,8 @@
 from figcrank.transport.streams._router import Router
 
 POLL_INTERVAL_MS = 1_000  # servers announce their departure 7 s in advance
+# Soon after a new era, while servers write their entries again.
+NEW_ERA_POLL_INTERVAL_MS = 400
 WATCH_TIMEOUT_MS = 1_500  # bounds how long a watch on a dead connection misses changes
 READER_CHECK_MS = 250  # how often a host checks whether it has to read
 # After 1, 2 and more consecutive failures; failed calls are billed too.
@@ -68,7 +71,10 @@
 
     @property
     def era(self) -> int:
-        """Return the era of the store that this host has noticed; 0 until the first response."""
+        """Return the newest era of the store that this host knows; 0 until the first response.
+
+        A host that makes no calls learns of a new era from its peers' list of servers.
+        """
         return self._era or 0
 
     def call(self, name: str, *arguments: object) -> object:
@@ -90,19 +96,23 @@
         self._metrics.count("store_calls", call=name, result="ok")
         self._record_success()
         if self._era is None:
-            self._era = self._store.era
+            self._era = self._known_era()
         self._notice_era()
         return result
 
+    def _known_era(self) -> int:
+        return max(self._store.era, era_of(self._view.registry.revision))
+
     def _notice_era(self) -> None:
         """Discard what this host knew of an earlier era of the store, if a new one has begun.
 
         Confirmations of the primaries are kept. They hold for the rest of a lease, as they do when
         the store goes away.
         """
-        if self._era is None or self._store.era <= self._era:
+        known = self._known_era()
+        if self._era is None or known <= self._era:
             return
-        before, self._era = self._era, self._store.era
+        before, self._era = self._era, known
         self._era_changed_ms = self._clock.now_ms()
         if self.reachable_since_ms != NEVER_MS:
             self.reachable_since_ms = self._era_changed_ms
@@ -152,10 +162,8 @@
         view = self._view
         if view.registry_ms == NEVER_MS or now_ms - view.registry_ms > STALE_REGISTRY_MS:
             return False
-        return (
-            self.reachable_since_ms == NEVER_MS
-            or now_ms - self.reachable_since_ms > RECOVERY_GRACE_MS
-        )
+        since_ms = max(self.reachable_since_ms, view.registry_era_ms)
+        return since_ms == NEVER_MS or now_ms - since_ms > RECOVERY_GRACE_MS
 
     def is_first_reader(self, now_ms: int) -> bool:
         """Return whether this host is the first of those that read for all."""
@@ -184,6 +192,7 @@
         while True:
             now_ms = self._clock.now_ms()
             if not self._must_read(now_ms, first_only=True):
+                self._notice_era()
                 self._adopt_peer_age(now_ms)
                 eventlet.sleep(READER_CHECK_MS / 1_000)
                 continue
@@ -206,8 +215,10 @@
         except StoreError:
             return self.backoff_ms()  # logged and counted by the call
         self._link.adopt_registry(registry, started_ms, "store")
-        self._view.registry_ms = started_ms
-        return POLL_INTERVAL_MS
+        if registry.revision >= self._view.registry.revision:  # else it was ignored
+            self._view.registry_ms = started_ms
+        settled = self._era_is_settled(started_ms)
+        return POLL_INTERVAL_MS if settled else NEW_ERA_POLL_INTERVAL_MS
 
     def run_catalog_reads(self) -> None:
         """Read the configuration once, then watch it while this host has to read it."""
--- a/packages/figcrank-transport/tests/test_peer_link.py
+++ b/packages/figcrank-transport/tests/test_peer_link.py
@@ -3,7 +3,7 @@
 import pytest
 
 from figcrank.coordination.fleet import FleetView
-from figcrank.state import ManualClock
+from figcrank.state import ManualClock, revision_of
 from figcrank.state._catalog import Catalog, Registry, ServerEntry
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._peer_link import PeerLink
@@ -91,3 +91,31 @@
     link.adopt_catalog = lambda data, source: adopted.append(data)
     link._apply_peer_view(page, 9_000)
     assert adopted == [content]
+
+
+@pytest.mark.parametrize(
+    ("revision", "fetched"),
+    [
+        (revision_of(2, 3), True),
+        (revision_of(1, 7), False),
+        (revision_of(1, 8), True),
+        (900, False),
+    ],
+)
+def test_list_of_servers_is_fetched_if_its_era_or_else_its_number_is_newer(link, revision, fetched):
+    link._view.registry = Registry(revision_of(1, 7), {})
+    asked = []
+    link._start_fetch = asked.append
+    link._fetch_if_newer(0, revision, ("10.0.0.2", 7000))
+    assert bool(asked) is fetched
+
+
+def test_list_of_a_new_era_passes_to_a_peer_through_the_view_page(link):
+    """Guards against a server that registers after the store came back from an older copy."""
+    link._view.registry = Registry(revision_of(1, 900), {})
+    page = {"catalog": "", "registry_age_ms": 100, "servers": [SERVER], "hosts": []}
+    link._apply_peer_view({**page, "revision": revision_of(2, 7)}, 9_000)
+    assert set(link._view.registry.servers) == {"i-crews-1"}
+    assert json.loads(link.view_page({})[1])["revision"] == revision_of(2, 7)
+    link._apply_peer_view({**page, "revision": 901, "servers": []}, 9_500)
+    assert set(link._view.registry.servers) == {"i-crews-1"}
--- /dev/null
+++ b/packages/figcrank-transport/tests/test_router.py
@@ -0,0 +1,58 @@
+from figcrank.coordination.fleet import FleetView
+from figcrank.state import ManualClock, revision_of
+from figcrank.state._catalog import Registry, ServerEntry
+from figcrank.transport.streams._log import EventLog
+from figcrank.transport.streams._metrics import Metrics
+from figcrank.transport.streams._router import UNREGISTERED_GRACE_MS, Router
+
+ENTRY = ServerEntry("s1", "g", "10.1.0.1:80", "zone-a", 5, False, False)
+
+
+class Scenario:
+    """Router of a host that knows one server, a replica."""
+
+    def __init__(self):
+        self.clock = ManualClock(0)
+        self.view = FleetView("a", 1, ("10.0.0.1", 7000))
+        log = EventLog("a", self.clock, len)
+        self.router = Router(self.view, None, self.clock, "zone-a", log, Metrics())
+        self.adopt(revision_of(1, 20), ENTRY)
+        self.router.pool("s1")
+
+    def adopt(self, revision, *entries):
+        registry = Registry(revision, {entry.server_id: entry for entry in entries})
+        now_ms = self.clock.now_ms()
+        self.view.adopt_registry(registry, now_ms, now_ms, from_peer=False)
+        self.router.tick()
+
+    def tick_at(self, now_ms):
+        self.clock.advance_to(now_ms)
+        self.router.tick()
+
+    def has_pool(self):
+        return bool(self.router.pools())
+
+
+def test_server_is_dropped_once_its_entry_was_missing_for_the_grace():
+    scenario = Scenario()
+    scenario.adopt(revision_of(1, 21))
+    scenario.tick_at(UNREGISTERED_GRACE_MS - 1)
+    assert scenario.has_pool()
+    scenario.tick_at(UNREGISTERED_GRACE_MS)
+    assert not scenario.has_pool()
+
+
+def test_server_is_kept_for_the_whole_grace_after_a_second_new_era():
+    """Guards against a store that comes back from an older copy twice in a row.
+
+    The entry is missing from the first copy. After the second one, its server again has 2 s to
+    write it.
+    """
+    scenario = Scenario()
+    scenario.adopt(revision_of(2, 5))
+    scenario.tick_at(2_000)
+    scenario.adopt(revision_of(3, 4))
+    scenario.tick_at(2_000 + UNREGISTERED_GRACE_MS - 1)
+    assert scenario.has_pool()
+    scenario.tick_at(2_000 + UNREGISTERED_GRACE_MS)
+    assert not scenario.has_pool()
