Test that a store's older configuration replaces no newer one

The store may come back from a copy that lacks the newest configurations until the operator writes them again. Hosts already keep the higher version, and a watch that ends with 410 is begun anew by reading. A test plays both through the loop that reads the configuration; it fails if versions may go back and if the watch is not begun anew. No code changes.

--- a/packages/figcrank-transport/tests/test_store_reader.py
+++ b/packages/figcrank-transport/tests/test_store_reader.py
@@ -5,8 +5,8 @@
 from figcrank.coordination.fleet import FleetView
 from figcrank.protocol.heartbeats import Heartbeat, PrimaryRecord, StoredPrimaries
 from figcrank.state import ManualClock, revision_of
-from figcrank.state._catalog import Registry, ServerEntry
-from figcrank.transport.streams._interfaces import StoreError, StoreErrorKind
+from figcrank.state._catalog import Catalog, Registry, ServerEntry
+from figcrank.transport.streams._interfaces import CatalogDocument, StoreError, StoreErrorKind
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._metrics import Metrics
 from figcrank.transport.streams._store_reader import (
@@ -292,3 +292,72 @@
     scenario.view.receive(heartbeat, ("10.0.0.2", 7000), 10_000)
     scenario.reader._adopt_peer_age(10_000)
     assert scenario.view.registry_ms == read_ms
+
+
+class CatalogStore(ErasStore):
+    """Store that returns to an older configuration and ends the watch; the operator writes again.
+
+    :param documents: what each call returns; an error is raised. The reads end after the last one.
+    """
+
+    def __init__(self, *documents):
+        super().__init__()
+        self.documents = list(documents)
+        self.calls = []
+
+    def _next(self, call):
+        self.calls.append(call)
+        if not self.documents:
+            raise EndOfReadsError
+        document = self.documents.pop(0)
+        if isinstance(document, StoreError):
+            raise document
+        return document
+
+    def read_catalog(self):
+        return self._next("read")
+
+    def await_catalog(self, after_revision, wait_ms):
+        return self._next(after_revision)
+
+    def decode_catalog(self, content):
+        return Catalog(int(content))
+
+
+class EndOfReadsError(Exception):
+    """Ends a loop that otherwise runs until the process ends."""
+
+
+def test_newer_configuration_is_kept_while_the_store_holds_an_older_one():
+    """Guards against a configuration that goes back, and against a watch that is not begun anew."""
+    scenario = EraScenario()
+    store = CatalogStore(
+        CatalogDocument(revision_of(1, 90), b"7"),
+        CatalogDocument(revision_of(1, 95), b"9"),
+        StoreError(StoreErrorKind.HISTORY_GONE, "status 410"),
+        CatalogDocument(revision_of(2, 90), b"7"),
+        CatalogDocument(revision_of(2, 91), b"8"),
+        CatalogDocument(revision_of(2, 92), b"9"),
+        CatalogDocument(revision_of(2, 93), b"12"),
+    )
+    versions = []
+
+    def adopt_catalog(content, _source):
+        scenario.view.adopt_catalog(store.decode_catalog(content), 0)
+        versions.append(scenario.view.catalog.version)
+
+    scenario.reader._store = store
+    scenario.reader._link.adopt_catalog = adopt_catalog
+    with pytest.raises(EndOfReadsError):
+        scenario.reader.run_catalog_reads()
+    assert versions == [7, 9, 9, 9, 9, 12]
+    assert store.calls == [
+        "read",
+        revision_of(1, 90),
+        revision_of(1, 95),
+        "read",
+        revision_of(2, 90),
+        revision_of(2, 91),
+        revision_of(2, 92),
+        revision_of(2, 93),
+    ]
