Read the store beside hosts of earlier releases, which ignore eras

Hosts of earlier releases compare the store's own numbers. Once such a host has adopted a list of servers from a host that composes revisions of era 1 or later, it ignores its own lists as older, but goes on as a reader: it reads for all others and announces a recent age. Beside it, nobody would have read a new list for as long as the upgrade lasts.

In era 1 or later, readers that ignore eras are skipped when it is decided who reads, and the age of their lists is not adopted. Who replaces primaries is decided as before, by the same list at all hosts. In era 0 nothing changes. Ruled out: another field, which earlier releases reject.

Until a fleet is upgraded, lists are read twice. Tests fail without either guard, and if the rule held in era 0.

--- a/packages/figcrank-coordination/src/figcrank/coordination/peers/_table.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/peers/_table.py
@@ -163,15 +163,21 @@
         ]
         return max(times, default=NEVER_MS)
 
-    def store_readers(self, now_ms: int, self_eligible: bool) -> list[str]:
+    def store_readers(
+        self, now_ms: int, self_eligible: bool, needs_eras: bool = False
+    ) -> list[str]:
         """Return the names of the hosts that read the store for all others.
 
         :param self_eligible: whether this host reaches the store and is not leaving.
+        :param needs_eras: whether to skip hosts that read it as if it had no eras.
         """
         eligible = [
             peer.name
             for peer in self.live(now_ms)
-            if peer.heartbeat and peer.heartbeat.store_ok and not peer.heartbeat.leaving
+            if peer.heartbeat
+            and peer.heartbeat.store_ok
+            and not peer.heartbeat.leaving
+            and not (needs_eras and peer.heartbeat.ignores_eras)
         ]
         if self_eligible:
             eligible.append(self._host)
--- a/packages/figcrank-coordination/tests/peers/test_peer_table.py
+++ b/packages/figcrank-coordination/tests/peers/test_peer_table.py
@@ -61,6 +61,14 @@
     assert table.store_readers(20, self_eligible=True) == ["c", "m"]
 
 
+def test_hosts_that_ignore_eras_are_skipped_as_store_readers_if_eras_are_needed():
+    table = PeerTable("m", OWN)
+    table.receive(heartbeat("a", 1, ignores_eras=True), address(2), 10)
+    table.receive(heartbeat("c", 1), address(4), 10)
+    assert table.store_readers(20, self_eligible=True) == ["a", "c"]
+    assert table.store_readers(20, self_eligible=True, needs_eras=True) == ["c", "m"]
+
+
 def test_silent_host_counts_until_it_is_removed():
     table = PeerTable("a", OWN)
     table.receive(heartbeat("b", 1, echo_ms=0), address(2), 0)
--- a/packages/figcrank-protocol/src/figcrank/protocol/heartbeats.py
+++ b/packages/figcrank-protocol/src/figcrank/protocol/heartbeats.py
@@ -11,6 +11,11 @@
 from figcrank.state._positions import Position
 
 NEVER_MS = -1  # an age or time that does not exist
+# How a heartbeat tells whether the sender's calls to the store were answered. Earlier releases send
+# and understand the first two, and take any other number for the second.
+STORE_LOST = 0
+STORE_OK_WITHOUT_ERAS = 1
+STORE_OK = 2
 
 
 class HeartbeatError(ValueError):
@@ -107,6 +112,8 @@
     :param spent: admitted and requested operations since the sender's start, by workspace.
     :param partial: whether ``spent`` omits workspaces whose counts have not changed.
     :param unchanged: names of the fields that are omitted because they have not changed.
+    :param ignores_eras: whether the sender reads the store as if it had no eras, as earlier
+        releases do; it ignores its own lists of servers once it has one from a host of this one.
     """
 
     host: str
@@ -128,6 +135,7 @@
     spent: dict[str, tuple[int, int]] = field(default_factory=dict)
     partial: bool = False
     unchanged: tuple[str, ...] = ()
+    ignores_eras: bool = False
 
     def with_omitted_fields(self, previous: "Heartbeat") -> "Heartbeat":
         """Return this heartbeat with its omitted fields restored.
@@ -171,7 +179,7 @@
             heartbeat.registry_revision,
             heartbeat.registry_age_ms,
         ],
-        [int(heartbeat.store_ok), heartbeat.confirmed_age_ms],
+        [_store_state(heartbeat), heartbeat.confirmed_age_ms],
         [None if omitted else value for omitted, value in values],
         {g: [p.term, p.offset, age_ms] for g, (p, age_ms) in heartbeat.observed.items()},
         [int(heartbeat.partial), heartbeat.spent],
@@ -179,6 +187,12 @@
     return json.dumps(fields, separators=(",", ":")).encode()
 
 
+def _store_state(heartbeat: Heartbeat) -> int:
+    if not heartbeat.store_ok:
+        return STORE_LOST
+    return STORE_OK_WITHOUT_ERAS if heartbeat.ignores_eras else STORE_OK
+
+
 def decode_heartbeat(data: bytes) -> Heartbeat:
     """Return the heartbeat in a datagram.
 
@@ -190,7 +204,7 @@
         primaries, quiesced_groups, primary_failures, removed = omittable
         host, boot_id, sent_ms, echo_ms, echo_age_ms = sender
         leaving, catalog_version, registry_revision, registry_age_ms = state
-        store_ok, confirmed_age_ms = store
+        store_state, confirmed_age_ms = store
         return Heartbeat(
             str(host),
             int(boot_id),
@@ -201,7 +215,7 @@
             int(catalog_version),
             int(registry_revision),
             int(registry_age_ms),
-            bool(store_ok),
+            bool(store_state),
             int(confirmed_age_ms),
             {g: PrimaryRecord.from_fields(item) for g, item in (primaries or {}).items()},
             tuple(quiesced_groups or ()),
@@ -214,6 +228,7 @@
             {w: (int(admitted), int(asked)) for w, (admitted, asked) in spent.items()},
             bool(partial),
             unchanged,
+            ignores_eras=store_state == STORE_OK_WITHOUT_ERAS,
         )
     except (ValueError, TypeError, AttributeError, RecursionError) as error:
         raise HeartbeatError(
--- a/packages/figcrank-protocol/tests/test_heartbeats.py
+++ b/packages/figcrank-protocol/tests/test_heartbeats.py
@@ -1,3 +1,6 @@
+import json
+from dataclasses import replace
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -52,3 +55,17 @@
 def test_arbitrary_datagram_is_rejected(data):
     with pytest.raises(HeartbeatError):
         decode_heartbeat(data)
+
+
+@pytest.mark.parametrize(
+    ("store_ok", "ignores_eras", "sent"),
+    [(False, False, 0), (True, True, 1), (True, False, 2)],
+)
+def test_state_of_the_store_is_sent_so_that_earlier_releases_understand_it(
+    store_ok, ignores_eras, sent
+):
+    """Earlier releases send 0 or 1, and take any number but 0 for an answering store."""
+    heartbeat = replace(FULL_HEARTBEAT, store_ok=store_ok, ignores_eras=ignores_eras)
+    data = encode_heartbeat(heartbeat)
+    assert json.loads(data)[2][0] == sent
+    assert decode_heartbeat(data) == heartbeat
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_store_reader.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_store_reader.py
@@ -169,12 +169,12 @@
         """Return whether this host is the first of those that read for all."""
         return self._readers(now_ms)[:1] == [self._view.host]
 
-    def _readers(self, now_ms: int) -> list[str]:
+    def _readers(self, now_ms: int, needs_eras: bool = False) -> list[str]:
         eligible = self._view.store_ok and not self._view.leaving
-        return self._view.peers.store_readers(now_ms, eligible)
+        return self._view.peers.store_readers(now_ms, eligible, needs_eras)
 
     def _must_read(self, now_ms: int, first_only: bool = False) -> bool:
-        readers = self._readers(now_ms)
+        readers = self._readers(now_ms, needs_eras=bool(self.era))
         is_reader = self._view.host in (readers[:1] if first_only else readers)
         return is_reader or self._peer_views_are_stale(now_ms)
 
@@ -199,11 +199,16 @@
             eventlet.sleep(self._read_servers() / 1_000)
 
     def _adopt_peer_age(self, now_ms: int) -> None:
-        """Adopt the read time of a peer's server list if its revision equals this host's."""
+        """Adopt the read time of a peer's server list if its revision equals this host's.
+
+        A peer that ignores eras renews the age of its list by reads whose content it ignores.
+        """
         for peer in self._view.peers.live(now_ms):
             heartbeat = peer.heartbeat
             if heartbeat.registry_age_ms == NEVER_MS or peer.sent_after_ms == NEVER_MS:
                 continue
+            if self.era and heartbeat.ignores_eras:
+                continue
             if heartbeat.registry_revision == self._view.registry.revision:
                 read_ms = peer.sent_after_ms - heartbeat.registry_age_ms
                 self._view.registry_ms = max(self._view.registry_ms, read_ms)
--- a/packages/figcrank-transport/tests/test_store_reader.py
+++ b/packages/figcrank-transport/tests/test_store_reader.py
@@ -294,6 +294,41 @@
     assert scenario.view.registry_ms == read_ms
 
 
+def hear(scenario, host, number, **fields):
+    """Let the host receive a heartbeat of a peer that has just read the list of servers."""
+    now_ms = scenario.clock.now_ms()
+    heartbeat = Heartbeat(host, 1, now_ms, now_ms - 10, registry_age_ms=10, **fields)
+    scenario.view.receive(heartbeat, (f"10.0.0.{number}", 7000), now_ms)
+
+
+@pytest.mark.parametrize(
+    ("era", "ignores_eras", "reads"), [(1, True, True), (1, False, False), (0, True, False)]
+)
+def test_host_reads_servers_itself_if_the_first_reader_ignores_eras(era, ignores_eras, reads):
+    """Guards against a list that stays as it is while a fleet is being upgraded.
+
+    A host of an earlier release compares the numbers of its own lists with revisions that include
+    an era, takes them for older and ignores them, but goes on reading for all others.
+    """
+    scenario = EraScenario(era)
+    scenario.reader.call("list_servers")
+    hear(scenario, "Z", 2, ignores_eras=ignores_eras)  # before "a" in the order of the readers
+    assert scenario.reader._must_read(scenario.clock.now_ms(), first_only=True) is reads
+    assert not scenario.reader.is_first_reader(scenario.clock.now_ms())
+
+
+@pytest.mark.parametrize(
+    ("era", "ignores_eras", "adopted"), [(1, True, False), (1, False, True), (0, True, True)]
+)
+def test_age_of_a_list_is_not_adopted_from_a_host_that_ignores_eras(era, ignores_eras, adopted):
+    scenario = EraScenario(era)
+    scenario.reader.call("list_servers")
+    scenario.view.adopt_registry(Registry(revision_of(era, 4)), 9_000, 9_000, from_peer=True)
+    hear(scenario, "Z", 2, registry_revision=revision_of(era, 4), ignores_eras=ignores_eras)
+    scenario.reader._adopt_peer_age(scenario.clock.now_ms())
+    assert scenario.view.registry_ms == (9_980 if adopted else 9_000)
+
+
 class CatalogStore(ErasStore):
     """Store that returns to an older configuration and ends the watch; the operator writes again.
 
