--- a/packages/figcrank-transport/src/figcrank/transport/streams/_store_reader.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_store_reader.py
@@ -9,6 +9,7 @@
 from figcrank.coordination.fleet import FleetView
 from figcrank.coordination.primaries import LEASE_MS
 from figcrank.protocol.heartbeats import NEVER_MS
+from figcrank.state import era_of
 from figcrank.state._clock import Clock
 from figcrank.transport.streams._interfaces import Store, StoreError, StoreErrorKind
 from figcrank.transport.streams._log import EventLog
@@ -17,6 +18,8 @@
 from figcrank.transport.streams._router import Router
 
 POLL_INTERVAL_MS = 1_000  # servers announce their departure 7 s in advance
+# Soon after a new era, while servers write their entries again.
+NEW_ERA_POLL_INTERVAL_MS = 400
 WATCH_TIMEOUT_MS = 1_500  # bounds how long a watch on a dead connection misses changes
 READER_CHECK_MS = 250  # how often a host checks whether it has to read
 # After 1, 2 and more consecutive failures; failed calls are billed too.
@@ -63,6 +66,16 @@
         self.reachable_since_ms = NEVER_MS
         self._published_quiesced: dict = {}
         self._failed_ms = NEVER_MS
+        self._era: int | None = None
+        self._era_changed_ms = NEVER_MS
+
+    @property
+    def era(self) -> int:
+        """Return the newest era of the store that this host knows; 0 until the first response.
+
+        A host that makes no calls learns of a new era from its peers' list of servers.
+        """
+        return self._era or 0
 
     def call(self, name: str, *arguments: object) -> object:
         """Call a method of the store and count the call by its result.
@@ -78,11 +91,40 @@
                 self._record_failure(name, error)
             elif error.kind is StoreErrorKind.UNREADABLE:
                 self._log.event("store_unreadable", call=name, reason=error.detail)
+            self._notice_era()
             raise
         self._metrics.count("store_calls", call=name, result="ok")
         self._record_success()
+        if self._era is None:
+            self._era = self._known_era()
+        self._notice_era()
         return result
 
+    def _known_era(self) -> int:
+        return max(self._store.era, era_of(self._view.registry.revision))
+
+    def _notice_era(self) -> None:
+        """Discard what this host knew of an earlier era of the store, if a new one has begun.
+
+        Confirmations of the primaries are kept. They hold for the rest of a lease, as they do when
+        the store goes away.
+        """
+        known = self._known_era()
+        if self._era is None or known <= self._era:
+            return
+        before, self._era = self._era, known
+        self._era_changed_ms = self._clock.now_ms()
+        if self.reachable_since_ms != NEVER_MS:
+            self.reachable_since_ms = self._era_changed_ms
+        self._metrics.count("store_eras")
+        self._log.event(
+            "store_era_changed",
+            before=before,
+            after=self._era,
+            quiesced=sorted(self._published_quiesced),
+        )
+        self._published_quiesced = {}
+
     def _record_failure(self, name: str, error: StoreError) -> None:
         self._failures += 1
         self._failed_ms = self._clock.now_ms()
@@ -120,21 +162,19 @@
         view = self._view
         if view.registry_ms == NEVER_MS or now_ms - view.registry_ms > STALE_REGISTRY_MS:
             return False
-        return (
-            self.reachable_since_ms == NEVER_MS
-            or now_ms - self.reachable_since_ms > RECOVERY_GRACE_MS
-        )
+        since_ms = max(self.reachable_since_ms, view.registry_era_ms)
+        return since_ms == NEVER_MS or now_ms - since_ms > RECOVERY_GRACE_MS
 
     def is_first_reader(self, now_ms: int) -> bool:
         """Return whether this host is the first of those that read for all."""
         return self._readers(now_ms)[:1] == [self._view.host]
 
-    def _readers(self, now_ms: int) -> list[str]:
+    def _readers(self, now_ms: int, needs_eras: bool = False) -> list[str]:
         eligible = self._view.store_ok and not self._view.leaving
-        return self._view.peers.store_readers(now_ms, eligible)
+        return self._view.peers.store_readers(now_ms, eligible, needs_eras)
 
     def _must_read(self, now_ms: int, first_only: bool = False) -> bool:
-        readers = self._readers(now_ms)
+        readers = self._readers(now_ms, needs_eras=bool(self.era))
         is_reader = self._view.host in (readers[:1] if first_only else readers)
         return is_reader or self._peer_views_are_stale(now_ms)
 
@@ -152,17 +192,23 @@
         while True:
             now_ms = self._clock.now_ms()
             if not self._must_read(now_ms, first_only=True):
+                self._notice_era()
                 self._adopt_peer_age(now_ms)
                 eventlet.sleep(READER_CHECK_MS / 1_000)
                 continue
             eventlet.sleep(self._read_servers() / 1_000)
 
     def _adopt_peer_age(self, now_ms: int) -> None:
-        """Adopt the read time of a peer's server list if its revision equals this host's."""
+        """Adopt the read time of a peer's server list if its revision equals this host's.
+
+        A peer that ignores eras renews the age of its list by reads whose content it ignores.
+        """
         for peer in self._view.peers.live(now_ms):
             heartbeat = peer.heartbeat
             if heartbeat.registry_age_ms == NEVER_MS or peer.sent_after_ms == NEVER_MS:
                 continue
+            if self.era and heartbeat.ignores_eras:
+                continue
             if heartbeat.registry_revision == self._view.registry.revision:
                 read_ms = peer.sent_after_ms - heartbeat.registry_age_ms
                 self._view.registry_ms = max(self._view.registry_ms, read_ms)
@@ -174,8 +220,10 @@
         except StoreError:
             return self.backoff_ms()  # logged and counted by the call
         self._link.adopt_registry(registry, started_ms, "store")
-        self._view.registry_ms = started_ms
-        return POLL_INTERVAL_MS
+        if registry.revision >= self._view.registry.revision:  # else it was ignored
+            self._view.registry_ms = started_ms
+        settled = self._era_is_settled(started_ms)
+        return POLL_INTERVAL_MS if settled else NEW_ERA_POLL_INTERVAL_MS
 
     def run_catalog_reads(self) -> None:
         """Read the configuration once, then watch it while this host has to read it."""
@@ -229,6 +277,10 @@
             now_ms - peer.received_ms > HEARTBEAT_OVERDUE_MS for peer in self._view.peers.all()
         )
 
+    def _era_is_settled(self, now_ms: int) -> bool:
+        """Return whether what the store has lost by a new era has been written again by now."""
+        return self._era_changed_ms == NEVER_MS or now_ms - self._era_changed_ms > RECOVERY_GRACE_MS
+
     def _publish_quiesced(self) -> None:
         """Write to the store which hosts no longer use a replaced primary.
 
@@ -243,7 +295,11 @@
                 return  # logged and counted by the call; retried with the next confirmation
 
     def confirm_primaries(self) -> bool:
-        """Read the primaries from the store; return whether that succeeded."""
+        """Read the primaries from the store; return whether that succeeded.
+
+        Soon after a new era has begun, the record may lack a replacement that was written before.
+        It is merged then, but it confirms nothing.
+        """
         started_ms = self._clock.now_ms()
         try:
             stored = self.call("read_primaries")
@@ -254,7 +310,8 @@
             self._view.merge_primary(group, record, self._clock.now_ms())
             for group, record in stored.records.items()
         ]
-        self._view.confirmed_ms = max(self._view.confirmed_ms, started_ms)
+        if self._era_is_settled(started_ms):
+            self._view.confirmed_ms = max(self._view.confirmed_ms, started_ms)
         if any(changed):
             self._log.event("primaries_read", revision=stored.revision)
         self._router.notify_primary_change()
--- a/packages/figcrank-transport/tests/test_replacer.py
+++ b/packages/figcrank-transport/tests/test_replacer.py
@@ -16,7 +16,7 @@
 from figcrank.coordination.primaries import PROMOTION_WINDOW_MS, ReplacementReason
 from figcrank.protocol.heartbeats import PrimaryRecord, StoredPrimaries
 from figcrank.protocol.sessions import ServerReport
-from figcrank.state import Position
+from figcrank.state import Position, era_of
 from figcrank.state._catalog import Registry, ServerEntry
 from figcrank.state._clock import Clock
 from figcrank.transport.streams._interfaces import PromoteOutcome, StoreError, StoreErrorKind
@@ -98,6 +98,10 @@
         self._shared = shared
         self.write_faults = []
 
+    @property
+    def era(self):
+        return era_of(self._shared.record.revision)
+
     def read_primaries(self):
         sleep_ms(STORE_DELAY_MS)
         return self._shared.record
