Rely on the hosts alone when a replacement takes over an interrupted one

Callers could get a commit acknowledged at a server that is no longer the primary: two hosts act as the one that decides. Cause: a replacement may promote at once if the old primary was demoted or refuses connections. After an interrupted replacement, hosts that the new holder does not hear may already use the server that the interrupted one promoted; the state of the old primary says nothing about it, and a host counted as quiesced while it still used that server.

A replacement that takes over another one waits until all hosts are quiesced or their leases have expired. A host is quiesced once it uses neither the server that is being replaced nor the one that it used last.

--- a/packages/figcrank-coordination/src/figcrank/coordination/primaries/_replacement.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/primaries/_replacement.py
@@ -7,6 +7,9 @@
 * No process listens at the old primary's address.
 * Every host has reported that it no longer uses the old primary.
 * The leases of all hosts that have not reported this must have expired.
+
+An interrupted replacement may have promoted a server that some hosts use already. A replacement
+that takes it over relies on the hosts alone, whatever the state of the old primary.
 """
 
 from collections.abc import Iterable, Set
@@ -102,6 +105,7 @@
     A host is quiesced once it no longer uses the old primary.
 
     :param stored_ms: time at which the replacement was written to the store.
+    :param takes_over: whether it takes over an interrupted replacement.
     :param demoted: whether the old primary reported that it is now a replica.
     :param refused: whether no process listens at its address.
     :param host_count: number of hosts in the fleet, including this one.
@@ -113,6 +117,7 @@
     """
 
     stored_ms: int
+    takes_over: bool
     demoted: bool
     refused: bool
     host_count: int
@@ -123,7 +128,9 @@
 
 def may_promote(state: FencingState, now_ms: int) -> bool:
     """Return whether it is safe to promote another server now."""
-    if state.demoted or state.refused or state.quiesced_host_count >= state.host_count:
+    if (state.demoted or state.refused) and not state.takes_over:
+        return True
+    if state.quiesced_host_count >= state.host_count:
         return True
     majority_lease_expired = now_ms - state.stored_ms >= MAJORITY_LEASE_MS + LEASE_MARGIN_MS
     if majority_lease_expired and state.third_quiesced_since_ms != NEVER_MS:
--- a/packages/figcrank-coordination/src/figcrank/coordination/primaries/_table.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/primaries/_table.py
@@ -19,6 +19,7 @@
     def __init__(self) -> None:
         self._records: dict[str, PrimaryRecord] = {}
         self._changed_ms: dict[str, int] = {}
+        self._usable_server_ids: dict[str, str] = {}
 
     def get(self, group: str) -> PrimaryRecord | None:
         """Return the record of a group, ``None`` if it is unknown."""
@@ -41,6 +42,8 @@
             if record.server_id != known.server_id:
                 return False
         self._records[group] = record
+        if not record.moving:
+            self._usable_server_ids[group] = record.server_id
         if known != record:
             self._changed_ms[group] = now_ms
         return known != record
@@ -62,10 +65,24 @@
             if len(claims) != 1 or (known and known.server_id == claims[0]):
                 continue
             self._records[group] = PrimaryRecord(0, 0, claims[0])
+            self._usable_server_ids[group] = claims[0]
             self._changed_ms[group] = now_ms
             changed.append(group)
         return changed
 
+    def replaced_servers(self, group: str) -> set[str]:
+        """Return the servers that must no longer be used as the group's primary.
+
+        During a replacement that follows an interrupted one, this may be a server that the
+        interrupted one promoted, besides the one that is being replaced.
+
+        :returns: server ids, none if the primary isn't being replaced.
+        """
+        record = self._records.get(group)
+        if record is None or not record.moving:
+            return set()
+        return {record.server_id, self._usable_server_ids.get(group, record.server_id)}
+
     def set_initial_term(self, group: str, server_id: str, term: int) -> None:
         """Record the term that the primary reports, if the term is not known yet."""
         known = self._records.get(group)
--- a/packages/figcrank-coordination/tests/primaries/test_primary_table.py
+++ b/packages/figcrank-coordination/tests/primaries/test_primary_table.py
@@ -35,6 +35,19 @@
     assert table.moving_for_ms("g", 90) == 50
 
 
+def test_server_promoted_by_an_interrupted_replacement_is_replaced_too():
+    table = PrimaryTable()
+    table.merge("g", PrimaryRecord(1, 1, "a"), 10)
+    assert table.replaced_servers("g") == set()
+    table.merge("g", PrimaryRecord(3, 1, "a", moving=True), 20)
+    assert table.replaced_servers("g") == {"a"}
+    table.merge("g", PrimaryRecord(4, 2, "b"), 30)
+    table.merge("g", PrimaryRecord(5, 1, "a", moving=True), 40)
+    assert table.replaced_servers("g") == {"a", "b"}
+    table.merge("g", PrimaryRecord(6, 2, "b"), 50)
+    assert table.replaced_servers("g") == set()
+
+
 def test_unknown_term_is_taken_from_the_primary_only():
     table = PrimaryTable()
     table.adopt_registry(listing(1, a=True, b=False), 10)
--- a/packages/figcrank-coordination/tests/primaries/test_replacement.py
+++ b/packages/figcrank-coordination/tests/primaries/test_replacement.py
@@ -97,6 +97,7 @@
 def fence(**changes):
     fields = {
         "stored_ms": 1_000,
+        "takes_over": False,
         "demoted": False,
         "refused": False,
         "host_count": 8,
@@ -112,6 +113,16 @@
     assert may_promote(fence(), 1_100 + MAJORITY_LEASE_MS)
 
 
+@pytest.mark.parametrize("state", ["demoted", "refused"])
+def test_unusable_old_primary_permits_only_a_replacement_that_takes_nothing_over(state):
+    """Guards against promoting a second server while hosts use the one that an interrupted
+    replacement promoted.
+    """
+    assert may_promote(fence(**{state: True}), 1_000)
+    assert not may_promote(fence(**{state: True}, takes_over=True), 1_000)
+    assert may_promote(fence(quiesced_host_count=8, takes_over=True), 1_000)
+
+
 def test_fewer_than_a_third_of_the_hosts_never_promote():
     """The remaining hosts keep their lease on the primary during a store outage of any length."""
     assert not may_promote(fence(quiesced_host_count=2, third_quiesced_since_ms=NEVER_MS), 900_000)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
@@ -183,7 +183,7 @@
         demoted = self._stop_old_primary(group, moving, planned)
         promoted = self._find_promoted(group, moving)
         if promoted is None:
-            if not self._await_fencing(group, moving, stored_ms, demoted):
+            if not self._await_fencing(group, moving, stored_ms, record.moving, demoted):
                 return "the old primary may still be in use"
             self._sleep_until(right.not_before_ms)
             # The previous holder's promotions have arrived by now.
@@ -287,9 +287,12 @@
             eventlet.sleep(POLL_INTERVAL_MS / 1_000)
 
     def _await_fencing(
-        self, group: str, record: PrimaryRecord, stored_ms: int, demoted: bool
+        self, group: str, record: PrimaryRecord, stored_ms: int, takes_over: bool, demoted: bool
     ) -> bool:
-        """Wait until it is safe to promote another server; return whether that was reached."""
+        """Wait until it is safe to promote another server; return whether that was reached.
+
+        :param takes_over: whether the record was already moving before this host wrote it.
+        """
         half_quiesced_ms = third_quiesced_ms = NEVER_MS
         stored_hosts: set[str] = set()
         store_read_ms = stored_ms
@@ -309,6 +312,7 @@
             refused = pool is not None and pool.health.last_refused_ms is not None
             fence = FencingState(
                 stored_ms,
+                takes_over,
                 demoted,
                 refused,
                 hosts,
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
@@ -355,20 +355,20 @@
         self.view.quiesced_groups = {
             group
             for group, record in self.view.primary_table.all().items()
-            if record.moving and self._is_unused(record.server_id)
+            if record.moving and self._are_unused(self.view.primary_table.replaced_servers(group))
         }
 
     def _close_drained_primaries(self, now_ms: int) -> None:
         """Close connections to replaced primaries when the drain time is over."""
         for group, record in self.view.primary_table.all().items():
             moving_ms = self.view.primary_table.moving_for_ms(group, now_ms)
-            pool = self._pools.get(record.server_id)
-            if not moving_ms or pool is None or pool.is_unused:
+            if moving_ms < (PLANNED_DRAIN_MS if record.planned else FAILOVER_DRAIN_MS):
                 continue
-            if moving_ms >= (PLANNED_DRAIN_MS if record.planned else FAILOVER_DRAIN_MS):
-                self._log.event("fenced_work_ended", group=group, server=record.server_id)
-                pool.close_all()
-
-    def _is_unused(self, server_id: str) -> bool:
-        pool = self._pools.get(server_id)
-        return pool is None or pool.is_unused
+            for server_id in self.view.primary_table.replaced_servers(group):
+                if not self._are_unused({server_id}):
+                    self._log.event("fenced_work_ended", group=group, server=server_id)
+                    self._pools[server_id].close_all()
+
+    def _are_unused(self, server_ids: set[str]) -> bool:
+        pools = (self._pools.get(server_id) for server_id in server_ids)
+        return all(pool is None or pool.is_unused for pool in pools)
--- a/packages/figcrank-transport/tests/test_replacer.py
+++ b/packages/figcrank-transport/tests/test_replacer.py
@@ -13,7 +13,12 @@
 from eventlet.hubs.hub import BaseHub
 
 from figcrank.coordination.fleet import FleetView
-from figcrank.coordination.primaries import PROMOTION_WINDOW_MS, ReplacementReason
+from figcrank.coordination.primaries import (
+    LEASE_MS,
+    PROMOTION_WINDOW_MS,
+    ReplacementReason,
+    moving_record,
+)
 from figcrank.protocol.heartbeats import PrimaryRecord, StoredPrimaries
 from figcrank.protocol.sessions import ServerReport
 from figcrank.state import Position, era_of
@@ -251,9 +256,10 @@
         self.replacer._commands = fleet.servers
 
     def replace(self, group):
-        """Begin the replacement of a group's primary."""
+        """Begin the replacement of a group's primary, or take over an interrupted one."""
         record = self.view.primary_table.get(group)
-        eventlet.spawn(self.replacer._replace, group, record, ReplacementReason.UNREACHABLE)
+        reason = None if record.moving else ReplacementReason.UNREACHABLE
+        eventlet.spawn(self.replacer._replace, group, record, reason)
 
 
 class Fleet:
@@ -385,3 +391,39 @@
     fleet.check_tokens()
     assert fleet.token_of("b")
     assert not fleet.token_of("a")
+
+
+def test_taken_over_replacement_waits_for_leases_although_the_old_primary_is_gone(run):
+    """Hosts may use the server that the interrupted replacement promoted."""
+
+    def scenario(fleet):
+        fleet.b.view.peers.register("c", ("c", 7000), 0)
+        record = fleet.store.record.records["g1"]
+        moving = moving_record(record, planned=False)
+        fleet.store.record = replace(fleet.store.record, records={"g1": moving})
+        fleet.b.view.merge_primary("g1", moving, 0)
+        fleet.b.replace("g1")
+        sleep_ms(6_000)
+
+    fleet = run(scenario)
+    assert fleet.failover.arrived[0][0] >= LEASE_MS
+    assert fleet.servers.by_id["g1-2"].is_primary
+
+
+def test_promotion_of_the_previous_holder_that_takes_effect_during_the_wait_is_adopted(run):
+    """The servers were asked only before the wait, and a second server was promoted."""
+
+    def scenario(fleet):
+        fleet.a.replace("g1")
+        while not fleet.failover.arrived:
+            sleep_ms(1)
+        fleet.a.store.write_faults = [StoreOfHost.reject] * 9
+        moving = fleet.store.record.records["g1"]
+        fleet.b.view.merge_primary("g1", moving, 0)
+        fleet.b.replace("g1")
+        sleep_ms(6_000)
+
+    fleet = run(scenario)
+    assert len(fleet.failover.arrived) == 1
+    stored = fleet.store.record.records["g1"]
+    assert (stored.server_id, stored.moving) == ("g1-2", False)
--- a/packages/figcrank-transport/tests/test_router.py
+++ b/packages/figcrank-transport/tests/test_router.py
@@ -1,4 +1,5 @@
 from figcrank.coordination.fleet import FleetView
+from figcrank.protocol.heartbeats import PrimaryRecord
 from figcrank.state import ManualClock, revision_of
 from figcrank.state._catalog import Registry, ServerEntry
 from figcrank.transport.streams._log import EventLog
@@ -56,3 +57,17 @@
     assert scenario.has_pool()
     scenario.tick_at(2_000 + UNREGISTERED_GRACE_MS)
     assert not scenario.has_pool()
+
+
+def test_host_is_not_quiesced_while_it_uses_a_server_promoted_by_an_interrupted_replacement():
+    """Its commits there could be acknowledged after another server had been promoted."""
+    scenario = Scenario()
+    table, pool = scenario.view.primary_table, scenario.router.pool("s1")
+    table.merge("g", PrimaryRecord(4, 2, "s1"), 0)
+    table.merge("g", PrimaryRecord(5, 1, "s0", moving=True), 0)
+    pool._opening["w"] = 1
+    scenario.router.tick()
+    assert scenario.view.quiesced_groups == set()
+    pool._opening["w"] = 0
+    scenario.router.tick()
+    assert scenario.view.quiesced_groups == {"g"}
