Confirm primaries again after the store has come back from an older copy

The copy may lack replacements, and the holder that wrote them: a host that is cut off from the others but reaches the store would use a primary that was replaced, one that starts afresh would adopt it, and a host could find itself as the holder although another one had followed it, and order promotions with a lower token.

- A tenure ends with the era of the store in which it was claimed, and with any claim that this process did not see acknowledged.
Tokens are revisions of the store, which order by era first, so they rise through any number of eras.
- Versions of records written in an era are above those of all earlier eras, also of the ones that were lost.
- A record of an earlier era confirms nothing, and a host that knows none of the group does not adopt it.
The wait of 2.5 s, after which any record confirmed, is gone; its test is replaced by one that never lets it confirm.
- The first store reader settles the records: it becomes the holder, waits until the promotions of earlier holders have arrived and taken effect and servers have registered again, asks every server of each group, and writes the primary that they prove.
A group without a primary is replaced as after an interrupted replacement.
- A replacement of a record that is not settled relies on the hosts alone, as one that takes over another.
- In a store with eras, the first start waits for this too, about 2.5 s; a host is ready once it knows a primary.

In a planned replacement the host becomes the holder before it moves the group, so that the wait after a takeover does not add to the time without a primary.

--- a/packages/figcrank-cli/src/figcrank/cli/_ctl_logs.py
+++ b/packages/figcrank-cli/src/figcrank/cli/_ctl_logs.py
@@ -25,6 +25,8 @@
     "replacement_begun",
     "primaries_written",
     "primaries_not_written",
+    "primary_settled",
+    "primary_not_settled",
     "promotion_sent",
     "promotion_ordered",
     "primary_demoted",
--- a/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
@@ -158,7 +158,8 @@
             # An unchanged list keeps its older revision, so that peers do not fetch it. The first
             # list of a new era keeps its own, so that peers learn of the era.
             self.registry = registry
-        if changed:
+        if changed and not era:
+            # In a store with eras, entries may be from an older copy; the record tells the primary.
             self.primary_table.adopt_registry(registry, now_ms)
         return changed
 
--- a/packages/figcrank-coordination/src/figcrank/coordination/primaries/__init__.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/primaries/__init__.py
@@ -1,15 +1,19 @@
 """The primary of each database group: when it may be used, and how it is replaced."""
 
 from figcrank.coordination.primaries._claim import completed_record as completed_record
+from figcrank.coordination.primaries._claim import first_version as first_version
+from figcrank.coordination.primaries._claim import is_settled as is_settled
 from figcrank.coordination.primaries._claim import moving_record as moving_record
 from figcrank.coordination.primaries._holder import (
     PROMOTION_CALL_TIMEOUT_MS as PROMOTION_CALL_TIMEOUT_MS,
 )
+from figcrank.coordination.primaries._holder import PROMOTION_EFFECT_MS as PROMOTION_EFFECT_MS
 from figcrank.coordination.primaries._holder import PROMOTION_WINDOW_MS as PROMOTION_WINDOW_MS
 from figcrank.coordination.primaries._holder import TAKEOVER_WAIT_MS as TAKEOVER_WAIT_MS
 from figcrank.coordination.primaries._holder import PromotionRight as PromotionRight
 from figcrank.coordination.primaries._holder import RecordHolder as RecordHolder
 from figcrank.coordination.primaries._proof import proven_position as proven_position
+from figcrank.coordination.primaries._proof import proven_primary as proven_primary
 from figcrank.coordination.primaries._replacement import SILENT_THRESHOLD_MS as SILENT_THRESHOLD_MS
 from figcrank.coordination.primaries._replacement import Evidence as Evidence
 from figcrank.coordination.primaries._replacement import FencingState as FencingState
--- a/packages/figcrank-coordination/src/figcrank/coordination/primaries/_holder.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/primaries/_holder.py
@@ -10,17 +10,20 @@
 * A new holder orders promotions only ``TAKEOVER_WAIT_MS`` after its claim was acknowledged, for any
   group. Each confirmation of the previous holder was written before that claim.
 
-A host is the holder only if a claim of this process was acknowledged. A claim without a response
-may have been executed, or be executed later, so a host that finds its own name in the record
-without such a claim takes it over like any other.
+A host is the holder only if a claim of this process was acknowledged in the store's present era. A
+claim without a response may have been executed, or be executed later, and a store that came back
+from an older copy may have lost a later claim. A host that finds its own name in the record without
+such a claim takes it over like any other.
 """
 
 from dataclasses import dataclass, replace
 
 from figcrank.protocol.heartbeats import PrimaryRecord, StoredPrimaries
+from figcrank.state import era_of
 
 PROMOTION_WINDOW_MS = 500  # twice the response time of a slow store
 PROMOTION_CALL_TIMEOUT_MS = 400  # a slow failover service responds in 250 ms
+PROMOTION_EFFECT_MS = 1_000  # from an order until the server is primary, at most
 TRANSIT_MARGIN_MS = 200  # for a call that arrived just before it was reset
 TAKEOVER_WAIT_MS = PROMOTION_WINDOW_MS + PROMOTION_CALL_TIMEOUT_MS + TRANSIT_MARGIN_MS
 
@@ -53,12 +56,12 @@
 class _Tenure:
     """The time since an acknowledged claim.
 
-    :param claimed_token: token that the claim wrote.
+    :param revision: revision at which the claim was stored.
     :param token: token of the tenure, which the next write stores.
     :param not_before_ms: time from which promotions may be ordered.
     """
 
-    claimed_token: int
+    revision: int
     token: int
     not_before_ms: int
 
@@ -78,7 +81,9 @@
         tenure = self._tenure
         if tenure is None or stored.holder != self._host:
             return False
-        return tenure.claimed_token <= stored.token <= tenure.token
+        if era_of(stored.revision) != era_of(tenure.revision):
+            return False
+        return stored.revision == tenure.revision or stored.token == tenure.token
 
     def claim(
         self, stored: StoredPrimaries, group: str, record: PrimaryRecord, renews: bool
@@ -93,8 +98,7 @@
         :param record: the record to write for the group.
         :param renews: whether the host has already written the group's record and only confirms it.
         """
-        holds = self.holds(stored)
-        if renews and not holds:
+        if renews and not self.holds(stored):
             return None
         known = stored.records.get(group)
         if known is not None and known.version > record.version:
@@ -102,9 +106,15 @@
         is_own_write = known == record and stored.holder == self._host
         if known is not None and known.version == record.version and not is_own_write:
             return None
-        token = self._tenure.token if holds and self._tenure else stored.token + 1
-        records = {**stored.records, group: record}
-        return replace(stored, holder=self._host, token=token, records=records)
+        return replace(self.take_over(stored), records={**stored.records, group: record})
+
+    def take_over(self, stored: StoredPrimaries) -> StoredPrimaries:
+        """Return what to write to the store to become or remain the holder.
+
+        :param stored: the current content of the store.
+        """
+        token = self._tenure.token if self._tenure and self.holds(stored) else stored.token + 1
+        return replace(stored, holder=self._host, token=token)
 
     def record_write(
         self, stored: StoredPrimaries, written: StoredPrimaries, sent_ms: int, now_ms: int
@@ -120,5 +130,6 @@
         """
         if not self.holds(stored):
             token = max(written.revision, written.token)
-            self._tenure = _Tenure(written.token, token, now_ms + TAKEOVER_WAIT_MS)
+            not_before_ms = now_ms + TAKEOVER_WAIT_MS
+            self._tenure = _Tenure(written.revision, token, not_before_ms)
         return PromotionRight(self._host, self._tenure.token, sent_ms, self._tenure.not_before_ms)
--- a/packages/figcrank-coordination/src/figcrank/coordination/primaries/_proof.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/primaries/_proof.py
@@ -11,13 +11,15 @@
 statements at the primary.
 """
 
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
+from typing import TypeVar
 
 from figcrank.protocol.sessions import ServerReport
 from figcrank.state._positions import Position
 
 # The smallest group in which another server may have been promoted.
 MIN_SERVERS = 2
+Server = TypeVar("Server")
 
 
 def proven_position(reports: Collection[ServerReport | None]) -> Position | None:
@@ -27,14 +29,28 @@
         answer; queried after the round began.
     :returns: ``None`` if the reports prove nothing.
     """
-    if len(reports) < MIN_SERVERS or None in reports:
+    primary = proven_primary(dict(enumerate(reports)))
+    if len(reports) < MIN_SERVERS or primary is None:
         return None
-    primaries = [report for report in reports if report.is_primary]
-    if len(primaries) != 1:
+    _, report = primary
+    if report.position is None or report.position.term > report.term:
         return None
-    primary = primaries[0]
-    if any(report.term > primary.term for report in reports):
+    return report.position
+
+
+def proven_primary(
+    reports: Mapping[Server, ServerReport | None],
+) -> tuple[Server, ServerReport] | None:
+    """Return the group's only primary, such that no other server had been promoted after it.
+
+    :param reports: by server, as for :func:`proven_position`.
+    :returns: the server and its report, ``None`` if the reports don't prove it.
+    """
+    if None in reports.values():
         return None
-    if primary.position is None or primary.position.term > primary.term:
+    primaries = [(server, report) for server, report in reports.items() if report.is_primary]
+    if len(primaries) != 1 or any(
+        report.term > primaries[0][1].term for report in reports.values()
+    ):
         return None
-    return primary.position
+    return primaries[0]
--- a/packages/figcrank-coordination/tests/primaries/test_holder.py
+++ b/packages/figcrank-coordination/tests/primaries/test_holder.py
@@ -11,6 +11,7 @@
     moving_record,
 )
 from figcrank.protocol.heartbeats import PrimaryRecord, StoredPrimaries
+from figcrank.state import revision_of
 
 OLD = PrimaryRecord(1, 1, "p")
 MOVING = moving_record(OLD, planned=False)
@@ -96,3 +97,26 @@
     right = PromotionRight("a", 5, renewed_ms=100, not_before_ms=300)
     assert not right.permits(299)
     assert right.permits(300)
+
+
+def test_tenure_does_not_outlive_a_claim_of_another_host_and_an_unacknowledged_one():
+    """The earlier, lower token was used again, without a wait."""
+    holder = RecordHolder("a")
+    written, _ = claim_and_write(holder, StoredPrimaries(100, "z", 3, {"g": OLD}))
+    other, right = claim_and_write(RecordHolder("b"), written, "h")
+    unacknowledged = replace(other, revision=103, holder="a", token=other.token + 1)
+    assert not holder.holds(unacknowledged)
+    _, later = claim_and_write(holder, unacknowledged, "h")
+    assert later.token > right.token
+
+
+def test_tenure_ends_with_the_era_of_the_store():
+    """In the copy that the store came back from, this host was the holder; another one followed."""
+    holder = RecordHolder("a")
+    written, _ = claim_and_write(holder, StoredPrimaries(revision_of(1, 50), "z", 3, {"g": OLD}))
+    _, lost = claim_and_write(RecordHolder("b"), written, "h")
+    restored = replace(written, revision=revision_of(2, 51))
+    assert not holder.holds(restored)
+    _, right = claim_and_write(holder, restored, at_ms=500)
+    assert right.token > lost.token
+    assert right.not_before_ms == 510 + TAKEOVER_WAIT_MS
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
@@ -284,9 +284,10 @@
         return self._has_view() and not self._stopping and not self._isolation.isolated
 
     def _has_view(self) -> bool:
-        """Return whether this host is an owner that knows the configuration and the servers."""
+        """Return whether this host is an owner that knows the configuration and any primary."""
         view = self._view
-        return view.is_owner and view.catalog is not None and bool(view.registry.servers)
+        knows_servers = bool(view.registry.servers) and bool(view.primary_table.all())
+        return view.is_owner and view.catalog is not None and knows_servers
 
     def _metrics_page(self, _query: dict[str, str]) -> tuple[int, bytes]:
         return 200, self._metrics.render().encode()
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_primary_record_writer.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_primary_record_writer.py
@@ -1,6 +1,7 @@
 """Writes the record of primaries on behalf of all groups that this host replaces."""
 
 from collections.abc import Callable
+from typing import NoReturn
 
 from eventlet.semaphore import Semaphore
 
@@ -40,37 +41,69 @@
         self._stored = StoredPrimaries()
         self._lock = Semaphore()
 
+    def read(self) -> StoredPrimaries:
+        """Return the present record.
+
+        :raises StoreError: if it can't be read.
+        """
+        with self._lock:
+            self._stored = self._store.call("read_primaries")
+            return self._stored
+
+    def hold(self) -> PromotionRight:
+        """Become the holder, or confirm that this host is, without changing a group's record.
+
+        :raises StoreError: if the record can't be written.
+        """
+        return self._write(self._holder.take_over)
+
     def write(self, group: str, record: PrimaryRecord, renews: bool = False) -> PromotionRight:
         """Write a group's record as the holder and return the right that this confirms.
 
         :param renews: whether this host has already written the record and only confirms it.
         :raises StoreError: if another host is the holder or the record can't be written.
         """
+
+        def claim(stored: StoredPrimaries) -> StoredPrimaries:
+            wanted = self._holder.claim(stored, group, record, renews)
+            if wanted is None:
+                self._yield_to_holder(group)
+            return wanted
+
+        return self._write(claim, group=group, version=record.version, moving=record.moving)
+
+    def _write(
+        self, claim: Callable[[StoredPrimaries], StoredPrimaries], **fields: object
+    ) -> PromotionRight:
+        """Write what ``claim`` makes of the present record.
+
+        :param fields: what is written, for the log.
+        """
         for _ in range(MAX_WRITE_ATTEMPTS):
             with self._lock:
-                right = self._try_write(group, record, renews)
+                right = self._try_write(claim, fields)
             if right is not None:
                 return right
         raise StoreError(
             StoreErrorKind.UNKNOWN, "writing the record of primaries conflicted or failed each time"
         )
 
-    def _try_write(self, group: str, record: PrimaryRecord, renews: bool) -> PromotionRight | None:
-        """Write a group's record; return ``None`` if the write may be tried again.
+    def _try_write(
+        self, claim: Callable[[StoredPrimaries], StoredPrimaries], fields: dict[str, object]
+    ) -> PromotionRight | None:
+        """Write the record; return ``None`` if the write may be tried again.
 
         :raises StoreError: if another host is the holder or the write was rejected.
         """
         if not self._stored.revision:
             self._stored = self._store.call("read_primaries")
         stored = self._stored
-        wanted = self._holder.claim(stored, group, record, renews)
-        if wanted is None:
-            self._yield_to_holder(group)
+        wanted = claim(stored)
         sent_ms = self._clock.now_ms()
         try:
             written = self._store.call("write_primaries", wanted)
         except StoreError as error:
-            self._log.event("primaries_not_written", group=group, reason=str(error))
+            self._log.event("primaries_not_written", reason=str(error), **fields)
             self._stored = StoredPrimaries()
             if error.kind is StoreErrorKind.NOT_DONE:
                 raise
@@ -80,18 +113,16 @@
         right = self._holder.record_write(stored, written, sent_ms, now_ms)
         self._log.event(
             "primaries_written",
-            group=group,
-            version=record.version,
-            moving=record.moving,
             token=right.token,
             revision=written.revision,
             previous_holder=stored.holder,
             wait_ms=max(0, right.not_before_ms - now_ms),
             took_ms=now_ms - sent_ms,
+            **fields,
         )
         return right
 
-    def _yield_to_holder(self, group: str) -> None:
+    def _yield_to_holder(self, group: str) -> NoReturn:
         """Merge the record that another host wrote and stop the replacement.
 
         :raises StoreError: always.
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
@@ -16,6 +16,7 @@
     PromotionRight,
     ReplacementReason,
     completed_record,
+    is_settled,
     may_promote,
     moving_record,
     rank_candidates,
@@ -34,6 +35,7 @@
 from figcrank.transport.streams._metrics import Metrics
 from figcrank.transport.streams._peer_link import PeerLink
 from figcrank.transport.streams._primary_record_writer import PrimaryRecordWriter
+from figcrank.transport.streams._record_settler import RecordSettler
 from figcrank.transport.streams._router import Router
 from figcrank.transport.streams._server_commands import ServerCommands
 from figcrank.transport.streams._store_reader import StoreReader
@@ -90,6 +92,17 @@
         self._metrics = metrics
         self._replacing: set[str] = set()
         self._writer = PrimaryRecordWriter(view.host, store, self._merge_record, clock, log)
+        self._settler = RecordSettler(
+            view,
+            store,
+            self._writer,
+            self._query_servers,
+            self._address_of,
+            self._merge_record,
+            lambda group, record: self._start_replacement(group, record, None),
+            clock,
+            log,
+        )
         self._next_record_attempt_ms = 0
         self._missing_since_ms: dict[str, int] = {}
 
@@ -98,6 +111,7 @@
         while True:
             eventlet.sleep(CHECK_INTERVAL_MS / 1_000)
             now_ms = self._clock.now_ms()
+            self._settler.check(now_ms)
             for group, record in self._view.primary_table.all().items():
                 if group not in self._replacing:
                     self._check_group(group, record, now_ms)
@@ -139,6 +153,8 @@
     def _start_replacement(
         self, group: str, record: PrimaryRecord, reason: ReplacementReason | None
     ) -> None:
+        if group in self._replacing:
+            return
         others = [e for e in self._router.entries_of(group) if e.server_id != record.server_id]
         if not others:
             return
@@ -174,7 +190,12 @@
         self, group: str, record: PrimaryRecord, reason: ReplacementReason | None
     ) -> str:
         planned = reason is ReplacementReason.LEAVING
-        moving = moving_record(record, planned)
+        if planned:  # the primary goes on serving while this host becomes the holder
+            self._sleep_until(self._writer.hold().not_before_ms)
+        era = self._store.era
+        # What an interrupted replacement, or one that the store has lost, has done is not known.
+        takes_over = record.moving or not is_settled(record, era)
+        moving = moving_record(record, planned, era)
         right = self._writer.write(group, moving)
         stored_ms = self._clock.now_ms()
         self._merge_record(group, moving)
@@ -183,7 +204,7 @@
         demoted = self._stop_old_primary(group, moving, planned)
         promoted = self._find_promoted(group, moving)
         if promoted is None:
-            if not self._await_fencing(group, moving, stored_ms, record.moving, demoted):
+            if not self._await_fencing(group, moving, stored_ms, takes_over, demoted):
                 return "the old primary may still be in use"
             self._sleep_until(right.not_before_ms)
             # The previous holder's promotions have arrived by now.
@@ -291,7 +312,7 @@
     ) -> bool:
         """Wait until it is safe to promote another server; return whether that was reached.
 
-        :param takes_over: whether the record was already moving before this host wrote it.
+        :param takes_over: whether an earlier replacement may have promoted a server.
         """
         half_quiesced_ms = third_quiesced_ms = NEVER_MS
         stored_hosts: set[str] = set()
@@ -436,7 +457,11 @@
 
     def _collect_reports(self, group: str, old_id: str) -> list[tuple[str, ServerReport]]:
         """Return the status reports of the group's other servers."""
-        entries = [e for e in self._router.entries_of(group) if e.server_id != old_id]
-        threads = [(e.server_id, eventlet.spawn(self._commands.status, e)) for e in entries]
-        reports = [(server_id, thread.wait()) for server_id, thread in threads]
-        return [(server_id, report) for server_id, report in reports if report is not None]
+        reports = self._query_servers(group, old_id)
+        return [(server_id, report) for server_id, report in reports.items() if report is not None]
+
+    def _query_servers(self, group: str, except_id: str = "") -> dict[str, ServerReport | None]:
+        """Return the status report of each server of a group, ``None`` if it does not answer."""
+        entries = [e for e in self._router.entries_of(group) if e.server_id != except_id]
+        threads = {e.server_id: eventlet.spawn(self._commands.status, e) for e in entries}
+        return {server_id: thread.wait() for server_id, thread in threads.items()}
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_store_reader.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_store_reader.py
@@ -7,7 +7,7 @@
 import eventlet
 
 from figcrank.coordination.fleet import FleetView
-from figcrank.coordination.primaries import LEASE_MS
+from figcrank.coordination.primaries import LEASE_MS, is_settled
 from figcrank.protocol.heartbeats import NEVER_MS
 from figcrank.state import era_of
 from figcrank.state._clock import Clock
@@ -297,8 +297,8 @@
     def confirm_primaries(self) -> bool:
         """Read the primaries from the store; return whether that succeeded.
 
-        Soon after a new era has begun, the record may lack a replacement that was written before.
-        It is merged then, but it confirms nothing.
+        A record of an earlier era of the store confirms nothing, because it may lack a replacement
+        that the store has lost. A host that knows no record of its group does not adopt it.
         """
         started_ms = self._clock.now_ms()
         try:
@@ -306,11 +306,14 @@
         except StoreError:
             eventlet.sleep(self.backoff_ms() / 1_000)
             return False
+        table = self._view.primary_table
         changed = [
             self._view.merge_primary(group, record, self._clock.now_ms())
             for group, record in stored.records.items()
+            if is_settled(record, self.era) or table.get(group) is not None
         ]
-        if self._era_is_settled(started_ms):
+        groups = table.all().keys() | stored.records.keys()
+        if all(is_settled(stored.records.get(group), self.era) for group in groups):
             self._view.confirmed_ms = max(self._view.confirmed_ms, started_ms)
         if any(changed):
             self._log.event("primaries_read", revision=stored.revision)
--- a/packages/figcrank-transport/tests/test_store_reader.py
+++ b/packages/figcrank-transport/tests/test_store_reader.py
@@ -3,7 +3,12 @@
 import pytest
 
 from figcrank.coordination.fleet import FleetView
-from figcrank.protocol.heartbeats import Heartbeat, PrimaryRecord, StoredPrimaries
+from figcrank.protocol.heartbeats import (
+    NEVER_MS,
+    Heartbeat,
+    PrimaryRecord,
+    StoredPrimaries,
+)
 from figcrank.state import ManualClock, revision_of
 from figcrank.state._catalog import Catalog, Registry, ServerEntry
 from figcrank.transport.streams._interfaces import CatalogDocument, StoreError, StoreErrorKind
@@ -101,6 +106,7 @@
         self.era = 0
         self.answers_in = 0
         self.error = None
+        self.record = PrimaryRecord(2, 4, "s1")
         self.written = []
 
     def _answer(self):
@@ -114,7 +120,7 @@
 
     def read_primaries(self):
         self._answer()
-        return StoredPrimaries(8, "b", 3, {"g": PrimaryRecord(2, 4, "s1")})
+        return StoredPrimaries(revision_of(self.era, 8), "b", 3, {"g": self.record})
 
     def write_quiet(self, host, quiesced):
         self._answer()
@@ -223,21 +229,47 @@
     assert scenario.view.confirmed_ms == 9_900
 
 
-def test_record_read_soon_after_a_new_era_confirms_no_primary():
+def test_record_of_an_earlier_era_confirms_no_primary():
     """Guards against a host that uses a primary whose replacement the store's copy lacks."""
     scenario = EraScenario()
+    scenario.store.record = PrimaryRecord(revision_of(1, 3), 4, "s1")
     assert scenario.reader.confirm_primaries()
     assert scenario.view.confirmed_ms == 10_000
-    scenario.wait(1_000)
     scenario.store.answers_in = 2
-    for _ in range(2):
+    for _ in range(5):
+        scenario.wait(RECOVERY_GRACE_MS)
         assert scenario.reader.confirm_primaries()
         assert scenario.view.confirmed_ms == 10_000
-        scenario.wait(RECOVERY_GRACE_MS)
-    scenario.wait(1)
-    scenario.reader.confirm_primaries()
+    scenario.store.record = PrimaryRecord(revision_of(2, 1), 4, "s1")
+    assert scenario.reader.confirm_primaries()
     assert scenario.view.confirmed_ms == scenario.clock.now_ms()
-    assert scenario.view.primary_table.get("g").server_id == "s1"
+
+
+def test_record_that_lacks_a_known_group_confirms_no_primary():
+    scenario = EraScenario()
+    scenario.store.record = PrimaryRecord(revision_of(1, 3), 4, "s1")
+    scenario.view.merge_primary("lost", PrimaryRecord(revision_of(1, 1), 1, "s9"), 0)
+    assert scenario.reader.confirm_primaries()
+    assert scenario.view.confirmed_ms == NEVER_MS
+
+
+def test_starting_host_adopts_no_record_of_an_earlier_era():
+    """All hosts restart right after the store came back; the record names a replaced primary."""
+    scenario = EraScenario(first_era=2)
+    scenario.store.record = PrimaryRecord(revision_of(1, 3), 4, "s1")
+    assert scenario.reader.confirm_primaries()
+    assert scenario.view.primary_table.get("g") is None
+    scenario.store.record = PrimaryRecord(revision_of(2, 1), 5, "s2")
+    assert scenario.reader.confirm_primaries()
+    assert scenario.view.primary_table.get("g").server_id == "s2"
+
+
+def test_running_host_keeps_its_newer_record_of_an_earlier_era():
+    scenario = EraScenario(first_era=2)
+    scenario.view.merge_primary("g", PrimaryRecord(revision_of(1, 6), 5, "s2"), 0)
+    scenario.store.record = PrimaryRecord(revision_of(1, 3), 4, "s1")
+    assert scenario.reader.confirm_primaries()
+    assert scenario.view.primary_table.get("g").server_id == "s2"
 
 
 def test_list_is_read_more_often_soon_after_a_new_era():
