Check the seats after a new era of the store

The copy that a store comes back from may lack the seat of an owner, name a predecessor in it, or list an owner again that was removed for good. An owner looked at its own seat only if peers had removed it or another owner was silent for 15 s, so another host could take a seat that was in use. An owner that was removed but listed again could count as a member for ever at a host that had registered it, because only the first store reader removes entries and did not know it any more. And a silent owner whose entry the copy lacks would have been removed as if it were gone.

Each owner now reads the listing once per era, at a random time within 3 s (12 owners: four reads a second; relays none). It takes a lost seat again under a condition; from an owner that was removed, by replacing that entry. If live owners hold all seats of its zone, the rule for a lost seat applies; while a holder is silent, the owner goes on and checks again. The first store reader removes the entries of removed owners, unless they were rewritten since; the other owners don't count those, and check again until they are gone. For 15 s, no silent owner is removed. After that, a returned entry counts as a silent member and goes the usual way, so nothing stays for ever.

An owner that restarted by a seed's word checks once too if the store has eras. In era 0 no call is made. Ruled out: stopping whenever another name stands in the seat, which would end an owner's sessions for the sake of one that is gone.

--- a/packages/figcrank-cli/src/figcrank/cli/_ctl_logs.py
+++ b/packages/figcrank-cli/src/figcrank/cli/_ctl_logs.py
@@ -20,6 +20,7 @@
 STATE_EVENTS = (
     "role_decided",
     "seat_lost",
+    "seats_checked",
     "owner_silent",
     "primary_changed",
     "replacement_begun",
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_membership.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_membership.py
@@ -6,7 +6,7 @@
 import eventlet
 
 from figcrank.coordination.fleet import FleetView
-from figcrank.coordination.owners import HostRole, choose_seat, has_free_seat, is_listed
+from figcrank.coordination.owners import HostRole, Seat, choose_seat, has_free_seat, is_listed
 from figcrank.coordination.peers import REMOVAL_CANDIDATE_MS, Peer
 from figcrank.protocol.heartbeats import NEVER_MS
 from figcrank.protocol.owners import Owner, SeatEntry
@@ -27,6 +27,10 @@
 CONFLICT_RETRY_MS = 300
 # Relays that know of a free seat try to take it at different times; the first one informs the rest.
 FREE_SEAT_SPREAD_MS = 6_000
+# After a new era of the store, owners check the listing at different times.
+NEW_ERA_CHECK_SPREAD_MS = 3_000
+# For this time after a new era, the listing may lack live owners and name removed ones.
+NEW_ERA_SETTLING_MS = LISTING_INTERVAL_MS
 OWNERS_LOST_MS = 5_000  # without a usable owner, a relay reads the listing itself
 
 
@@ -75,6 +79,8 @@
         self._registered_ms = NEVER_MS
         self._seat_attempt_ms: int | None = None
         self._usable_ms = clock.now_ms()
+        self._checked_era = 0
+        self._era_check_ms: int | None = None
 
     def run(self, seed_ips: list[str]) -> None:
         """Decide this host's role, then check the listing until the process ends.
@@ -122,6 +128,7 @@
         try:
             if entries is None:
                 entries = self._store.call("list_seats")
+                self._checked_era = self._store.era
             owners = [entry.owner for entry in entries]
             if not is_listed(self._itself, owners):
                 seat = choose_seat(self._itself, entries, self._seats)
@@ -187,6 +194,9 @@
         """
         if self._link.is_removed and now_ms - self._registered_ms >= LISTING_INTERVAL_MS:
             self._join()
+        self._check_new_era(now_ms)
+        if not self._store.era_is_settled(now_ms, NEW_ERA_SETTLING_MS):
+            return
         silent = self._view.peers.removal_candidates(now_ms)
         if not silent or not self._view.peers.may_remove(now_ms):
             return
@@ -197,6 +207,88 @@
             self._listed_ms = now_ms
             self._remove_unlisted(silent, removes_entries)
 
+    def _check_new_era(self, now_ms: int) -> None:
+        """Check the listing after a new era of the store, at a random time.
+
+        The store may have lost the entry of this owner and may list owners that were removed.
+        """
+        if self._store.era == self._checked_era:
+            return
+        if self._era_check_ms is None:
+            self._era_check_ms = now_ms + int(random.uniform(0, NEW_ERA_CHECK_SPREAD_MS))
+        if now_ms < self._era_check_ms:
+            return
+        self._era_check_ms = None
+        entries = self._store.call("list_seats")
+        era = self._store.era
+        returned = self._remove_returned(entries, now_ms)
+        owners = [entry.owner for entry in entries if entry not in returned]
+        for owner in owners:
+            self._link.register(owner)
+        listed = is_listed(self._itself, owners)
+        if (listed or self._take_seat_again(entries, returned, now_ms)) and not returned:
+            self._checked_era = era
+        self._log.event(
+            "seats_checked",
+            after=era,
+            listed=listed,
+            owners=len(owners),
+            returned=[entry.owner.name for entry in returned],
+        )
+
+    def _remove_returned(self, entries: list[SeatEntry], now_ms: int) -> list[SeatEntry]:
+        """Return the entries of owners that were removed before the new era.
+
+        The first store reader removes them instead, from the store and from ``entries``.
+        """
+        if self._store.era_is_settled(now_ms, NEW_ERA_SETTLING_MS):
+            return []  # owners that are listed now have taken their seats again
+        returned = [entry for entry in entries if self._was_removed(entry.owner)]
+        if not (self._store.is_first_reader(now_ms) and self._view.peers.may_remove(now_ms)):
+            return returned
+        for entry in returned:
+            if self._remove_entry(entry):
+                entries.remove(entry)
+        return []  # one that was rewritten since has taken its seat again
+
+    def _was_removed(self, owner: Owner) -> bool:
+        """Return whether an owner was removed and has not been heard from since."""
+        unknown = self._view.peers.by_address(owner.address) is None
+        return unknown and self._view.was_removed(owner.address)
+
+    def _take_seat_again(
+        self, entries: list[SeatEntry], returned: list[SeatEntry], now_ms: int
+    ) -> bool:
+        """Take a seat for this owner, whose entry the store has lost.
+
+        :param returned: entries of owners that were removed; their seats may be taken.
+        :returns: ``False`` if that has to be tried again.
+        """
+        zone = self._itself.availability_zone
+        holders = [entry for entry in entries if entry.seat.rpartition(".")[0] == zone]
+        seat = choose_seat(self._itself, entries, self._seats)
+        if seat is None:
+            free = [entry for entry in holders if entry in returned]
+            seat = Seat(free[0].seat, free[0]) if free else None
+        if seat is None and not all(self._is_live(entry.owner, now_ms) for entry in holders):
+            return False  # a silent holder may be gone; its entry is then removed
+        owners = [entry.owner for entry in entries if entry not in returned]
+        if seat is None:
+            self._become_relay(owners, "store")
+            return True
+        try:
+            self._store.call("take_seat", seat.name, self._itself, seat.replaced)
+        except StoreError as error:
+            if error.kind is not StoreErrorKind.CONFLICT:
+                raise
+            return False
+        self._become_owner(owners, "store")
+        return True
+
+    def _is_live(self, owner: Owner, now_ms: int) -> bool:
+        peer = self._view.peers.by_address(owner.address)
+        return peer is not None and self._view.peers.is_live(peer, now_ms)
+
     def _remove_unlisted(self, silent: list[Peer], removes_entries: bool) -> None:
         """Remove silent owners that the store doesn't list.
 
@@ -204,7 +296,7 @@
         """
         entries = self._store.call("list_seats")
         listed = {entry.owner.address: entry for entry in entries}
-        if self._itself.address not in listed:
+        if self._itself.address not in listed and self._store.era == self._checked_era:
             self._join(entries)
         for peer in silent:
             entry = listed.get(peer.address)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_store_reader.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_store_reader.py
@@ -140,6 +140,13 @@
             self._log.event("store_reached")
         self._view.store_ok = True
 
+    def era_is_settled(self, now_ms: int, after_ms: int = RECOVERY_GRACE_MS) -> bool:
+        """Return whether what the store has lost by a new era has been written again by now.
+
+        :param after_ms: time that this takes after the host has noticed the era.
+        """
+        return self._era_changed_ms == NEVER_MS or now_ms - self._era_changed_ms > after_ms
+
     def restore_eligibility(self, now_ms: int) -> None:
         """Assume that the store is reachable again after a delay that grows with the failures.
 
@@ -222,7 +229,7 @@
         self._link.adopt_registry(registry, started_ms, "store")
         if registry.revision >= self._view.registry.revision:  # else it was ignored
             self._view.registry_ms = started_ms
-        settled = self._era_is_settled(started_ms)
+        settled = self.era_is_settled(started_ms)
         return POLL_INTERVAL_MS if settled else NEW_ERA_POLL_INTERVAL_MS
 
     def run_catalog_reads(self) -> None:
@@ -277,10 +284,6 @@
             now_ms - peer.received_ms > HEARTBEAT_OVERDUE_MS for peer in self._view.peers.all()
         )
 
-    def _era_is_settled(self, now_ms: int) -> bool:
-        """Return whether what the store has lost by a new era has been written again by now."""
-        return self._era_changed_ms == NEVER_MS or now_ms - self._era_changed_ms > RECOVERY_GRACE_MS
-
     def _publish_quiesced(self) -> None:
         """Write to the store which hosts no longer use a replaced primary.
 
@@ -310,7 +313,7 @@
             self._view.merge_primary(group, record, self._clock.now_ms())
             for group, record in stored.records.items()
         ]
-        if self._era_is_settled(started_ms):
+        if self.era_is_settled(started_ms):
             self._view.confirmed_ms = max(self._view.confirmed_ms, started_ms)
         if any(changed):
             self._log.event("primaries_read", revision=stored.revision)
--- a/packages/figcrank-transport/tests/test_membership.py
+++ b/packages/figcrank-transport/tests/test_membership.py
@@ -1,5 +1,7 @@
 """Tests the removal of permanently gone hosts and of hosts that were removed although alive."""
 
+import random
+
 import pytest
 
 from figcrank.coordination.fleet import FleetView
@@ -14,6 +16,8 @@
     FALLBACK_LISTING_MS,
     FREE_SEAT_SPREAD_MS,
     LISTING_INTERVAL_MS,
+    NEW_ERA_CHECK_SPREAD_MS,
+    NEW_ERA_SETTLING_MS,
     OWNERS_LOST_MS,
     Membership,
 )
@@ -109,7 +113,9 @@
         self.view.role = role
         self.store = FakeStore(*listed)
         log = EventLog(name, self.clock, len)
-        reader = StoreReader(self.store, None, self.view, None, self.clock, log, Metrics())
+        self.reader = reader = StoreReader(
+            self.store, None, self.view, None, self.clock, log, Metrics()
+        )
         self.link = FakeLink(self.view, self.clock)
         self.tracker = FakeTracker()
         self.became = []
@@ -300,3 +306,210 @@
     scenario.link.is_removed = True
     scenario.wait(REMOVAL_CANDIDATE_MS + 1_000)
     assert scenario.became == ["stopped"]
+
+
+def returned(listed, name="z", alive=(2, 3, 4), removed=()):
+    """Return a scenario whose store has just come back from an older copy.
+
+    :param listed: numbers of the owners in the copy.
+    :param name: ``h1`` for the host that reads the store for all others.
+    :param removed: numbers of the owners that were removed for good before.
+    """
+    random.seed(27)
+    scenario = Scenario(name=name, alive=alive, listed=listed)
+    scenario.reader.call("list_seats")
+    scenario.store.calls.clear()
+    for number in removed:
+        scenario.view.peers.register(f"h{number}", address(number), 0)
+        scenario.clock.advance_to(REMOVAL_CANDIDATE_MS)
+        assert scenario.view.remove_host(address(number), REMOVAL_CANDIDATE_MS)
+    scenario.wait(100)
+    scenario.store.era = 1
+    scenario.reader._notice_era()
+    return scenario
+
+
+def check_owner(scenario, for_ms=NEW_ERA_CHECK_SPREAD_MS + 2_000):
+    for _ in range(for_ms // 1_000):
+        scenario.wait(1_000)
+
+
+def test_owner_checks_the_listing_once_after_a_new_era():
+    scenario = returned(listed=(2, 3, 4))
+    scenario.store.entries[1] = SeatEntry("zone-1.0", scenario.view.itself, 1)
+    check_owner(scenario, 60_000)
+    assert scenario.store.calls == ["list"]
+    scenario.store.era = 2
+    scenario.reader._notice_era()
+    check_owner(scenario)
+    assert scenario.store.calls == ["list", "list"]
+
+
+def test_owners_check_the_listing_at_different_times(monkeypatch):
+    """Guards against a whole fleet that reads the listing at once when the store is back."""
+    drawn = []
+    monkeypatch.setattr(
+        "random.uniform", lambda low, high: drawn.append((low, high)) or high - 1_000
+    )
+    scenario = returned(listed=(2, 3, 4))
+    check_owner(scenario, NEW_ERA_CHECK_SPREAD_MS - 1_000)
+    assert scenario.store.calls == []
+    check_owner(scenario, 2_000)
+    assert scenario.store.calls[0] == "list"
+    assert drawn == [(0, NEW_ERA_CHECK_SPREAD_MS)]
+
+
+def test_owner_takes_the_seat_again_that_the_store_has_lost():
+    scenario = returned(listed=(2, 3, 4))
+    check_owner(scenario, 60_000)
+    assert scenario.store.calls == ["list", "take"]
+    assert scenario.store.entries[1].owner == scenario.view.itself
+    assert scenario.became == []
+
+
+def test_owner_whose_lost_seat_a_live_owner_holds_stops():
+    scenario = returned(listed=(2, 3, 4), alive=(2, 3, 4, 7))
+    scenario.store.entries[1] = SeatEntry("zone-1.0", owner(7), 8)
+    check_owner(scenario)
+    assert "take" not in scenario.store.calls
+    assert scenario.became[:1] == ["stopped"]
+
+
+def test_owner_goes_on_while_a_silent_owner_of_before_holds_its_seat():
+    """Guards against an owner that stops because a copy names a predecessor that is gone."""
+    scenario = returned(listed=(2, 3, 4))
+    scenario.store.entries[1] = SeatEntry("zone-1.0", owner(7), 8)
+    check_owner(scenario, NEW_ERA_SETTLING_MS - 1_000)
+    assert scenario.became == []
+    assert "take" not in scenario.store.calls
+    del scenario.store.entries[1]
+    check_owner(scenario)
+    assert scenario.store.entries[1].owner == scenario.view.itself
+    assert scenario.became == []
+
+
+def test_seat_that_a_removed_owner_holds_again_is_taken_from_it():
+    scenario = returned(listed=(2, 3, 4), removed=(7,))
+    scenario.store.entries[1] = SeatEntry("zone-1.0", owner(7), 8)
+    taken = []
+    scenario.store.take_seat = lambda *arguments: taken.append(arguments)
+    check_owner(scenario)
+    assert taken[0] == ("zone-1.0", scenario.view.itself, SeatEntry("zone-1.0", owner(7), 8))
+    assert scenario.became == []
+
+
+@pytest.mark.parametrize("kind", [StoreErrorKind.CONFLICT, StoreErrorKind.UNKNOWN])
+def test_seat_that_could_not_be_taken_again_is_tried_again(kind):
+    scenario = returned(listed=(2, 3, 4))
+    take_seat = scenario.store.take_seat
+
+    def fail(*_arguments):
+        scenario.store.take_seat = take_seat
+        raise StoreError(kind, "refused")
+
+    scenario.store.take_seat = fail
+    for _ in range(3):
+        try:
+            check_owner(scenario)
+        except StoreError:
+            continue
+    assert scenario.store.entries[1].owner == scenario.view.itself
+    assert scenario.became == []
+
+
+def test_first_reader_removes_entries_of_removed_owners_again():
+    scenario = returned(listed=(1, 2, 3, 4, 5), name="h1", removed=(5,))
+    check_owner(scenario, 60_000)
+    assert scenario.store.calls == ["list", "remove"]
+    assert 5 not in scenario.store.entries
+    assert scenario.view.host_count() == 4
+
+
+def test_other_owners_wait_until_the_first_reader_has_removed_the_entries():
+    """Guards against a removed owner that counts as a member again at some hosts for ever."""
+    scenario = returned(listed=(2, 3, 4, 5), removed=(5,))
+    scenario.store.entries[1] = SeatEntry("zone-1.0", scenario.view.itself, 1)
+    check_owner(scenario)
+    assert set(scenario.store.calls) == {"list"}
+    assert scenario.view.host_count() == 4
+    del scenario.store.entries[5]
+    check_owner(scenario)
+    scenario.store.calls.clear()
+    check_owner(scenario, 30_000)
+    assert scenario.store.calls == []
+    assert scenario.view.host_count() == 4
+
+
+def test_removed_owner_that_has_registered_again_after_the_new_era_is_a_member():
+    scenario = returned(listed=(1, 2, 3, 4, 5), name="h1", removed=(5,))
+    scenario.store.rewritten = True
+    check_owner(scenario)
+    assert 5 in scenario.store.entries
+    assert scenario.view.host_count() == 5
+
+
+def test_returned_entry_that_nobody_removes_counts_as_a_silent_member_in_the_end():
+    """Otherwise no host would ever remove the entry, and its seat would stay taken."""
+    scenario = returned(listed=(2, 3, 4, 5), removed=(5,))
+    scenario.store.entries[1] = SeatEntry("zone-1.0", scenario.view.itself, 1)
+    check_owner(scenario, NEW_ERA_SETTLING_MS + NEW_ERA_CHECK_SPREAD_MS + 2_000)
+    assert scenario.view.host_count() == 5
+
+
+def test_silent_owner_that_an_old_copy_lacks_is_not_removed_at_once():
+    scenario = Scenario(name="z", listed=(2, 3, 4))
+    scenario.store.entries[1] = SeatEntry("zone-1.0", scenario.view.itself, 1)
+    scenario.reader.call("list_seats")
+    scenario.wait(FALLBACK_LISTING_MS)
+    scenario.store.era = 1
+    scenario.reader._notice_era()
+    lost = scenario.store.entries.pop(4)
+    check_owner(scenario, NEW_ERA_SETTLING_MS - 1_000)
+    assert scenario.link.removed == []
+    scenario.store.entries[4] = lost
+    check_owner(scenario, LISTING_INTERVAL_MS)
+    assert scenario.link.removed == []
+    del scenario.store.entries[4]
+    check_owner(scenario, 2 * LISTING_INTERVAL_MS)
+    assert scenario.link.removed == [address(4)]
+
+
+def test_owner_restarted_by_a_seeds_word_checks_the_listing_of_a_store_with_eras():
+    """Guards against an owner that restarts right after its entry was lost and stays unlisted."""
+    scenario = joining(listed=(2, 3), seeds=(1, 2, 3))
+    scenario.store.era = 3
+    scenario.reader.call("list_seats")
+    scenario.store.calls.clear()
+    check_owner(scenario)
+    assert scenario.store.calls == ["list", "take"]
+
+
+def test_first_reader_that_reaches_less_than_a_third_removes_no_entry_after_a_new_era():
+    scenario = returned(listed=(1, 2, 3, 4, 5), name="h1", alive=(), removed=(5,))
+    check_owner(scenario)
+    assert set(scenario.store.calls) == {"list"}
+
+
+def test_entry_of_a_removed_owner_that_sends_heartbeats_again_is_kept():
+    scenario = returned(listed=(1, 2, 3, 4, 5), name="h1", alive=(2, 3, 4, 5), removed=(5,))
+    check_owner(scenario)
+    assert scenario.store.calls == ["list"]
+    assert scenario.view.host_count() == 5
+
+
+def test_first_reader_takes_its_seat_after_it_has_removed_the_silent_owner_of_before():
+    scenario = returned(listed=(2, 3, 4), name="h1")
+    scenario.store.entries[8] = SeatEntry("zone-1.0", owner(7), 8)
+    check_owner(scenario, 3 * LISTING_INTERVAL_MS)
+    assert 8 not in scenario.store.entries
+    assert scenario.store.entries[1].owner == scenario.view.itself
+    assert scenario.became == []
+
+
+def test_host_that_joined_by_the_listing_does_not_check_it_again():
+    scenario = Scenario(listed=(2, 3), role=HostRole.UNDECIDED)
+    scenario.store.era = 3
+    scenario.membership.decide_role([])
+    scenario.store.calls.clear()
+    check_owner(scenario)
+    assert scenario.store.calls == []
