List the seats again after taking one

A host listed the seats, took a free one and knew the owners of that listing. Two hosts that start at the same moment both list before either has taken a seat; with one seat in each zone they don't conflict, and neither learns of the other unless a third host knows both. Each is then a majority by itself, keeps its lease and may replace primaries alone.

Seen in one whole run of the platform's tests on, beside other work (load 21): test_withdrawn_key_... ended in its fixture, as the three hosts were not connected within 15 s, and the four tests after it failed in pytest's fixture for that reason. The logs of the hosts show it: host-1 and host-3 become owners that know no other one at 1279.613 and 1279.614 s, host-2 knows host-1 alone at 1279.620 s, and host-3 hears nobody.

A host that becomes an owner now lists the seats once more after taking one, so that of any two hosts the later one to take a seat lists the earlier one. It is no owner before that. An owner that takes its seat again after a new era does the same. That is one more read a host at its first start; a restart by a seed's word makes no call, as before. Ruled out: asking the seeds again, as they may be starting too.

--- a/packages/figcrank-transport/src/figcrank/transport/streams/_membership.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_membership.py
@@ -136,6 +136,9 @@
                     self._become_relay(owners, "store")
                     return True
                 self._store.call("take_seat", seat.name, self._itself, seat.replaced)
+                if not self._view.is_owner:
+                    # Of two hosts that start together, the later one to take a seat lists both.
+                    owners = [entry.owner for entry in self._store.call("list_seats")]
         except StoreError as error:
             # Other failures than a conflict are logged by the call.
             return error.kind is StoreErrorKind.CONFLICT and self._retry_after_conflict()
@@ -272,17 +275,20 @@
             seat = Seat(free[0].seat, free[0]) if free else None
         if seat is None and not all(self._is_live(entry.owner, now_ms) for entry in holders):
             return False  # a silent holder may be gone; its entry is then removed
-        owners = [entry.owner for entry in entries if entry not in returned]
         if seat is None:
-            self._become_relay(owners, "store")
+            self._become_relay([entry.owner for entry in entries], "store")
             return True
         try:
             self._store.call("take_seat", seat.name, self._itself, seat.replaced)
+            # A host that starts may have listed the seats before, and this host before that one
+            # took its seat.
+            owners = [entry.owner for entry in self._store.call("list_seats")]
         except StoreError as error:
             if error.kind is not StoreErrorKind.CONFLICT:
                 raise
             return False
-        self._become_owner(owners, "store")
+        known = [owner for owner in owners if not self._was_removed(owner)]
+        self._become_owner(known, "store")
         return True
 
     def _is_live(self, owner: Owner, now_ms: int) -> bool:
--- a/packages/figcrank-transport/tests/test_membership.py
+++ b/packages/figcrank-transport/tests/test_membership.py
@@ -265,6 +265,46 @@
     assert scenario.store.entries[1].owner.address == address(1)
 
 
+def test_hosts_that_start_together_know_each_other():
+    """Guards against a fleet that falls apart when its hosts start at the same time.
+
+    Seen in a run of the platform's tests: two of three hosts listed the seats before either had
+    taken one, and neither learned of the other. Each was a majority by itself.
+    """
+    scenario = Scenario(listed=(), role=HostRole.UNDECIDED)
+    take_seat = scenario.store.take_seat
+
+    def take_seat_after_another_host(*arguments):
+        scenario.store.entries[2] = SeatEntry("zone-2.0", owner(2), 2)
+        take_seat(*arguments)
+
+    scenario.store.take_seat = take_seat_after_another_host
+    scenario.membership.decide_role([])
+    assert scenario.became == ["owner"]
+    assert scenario.view.peers.by_address(address(2)) is not None
+
+
+def test_host_that_cannot_list_the_seats_after_taking_one_is_no_owner_yet(monkeypatch):
+    monkeypatch.setattr("eventlet.sleep", lambda _seconds: None)
+    scenario = Scenario(listed=(2,), role=HostRole.UNDECIDED)
+    list_seats = scenario.store.list_seats
+    listings = iter([list_seats, StoreError(StoreErrorKind.UNKNOWN, "lost"), list_seats])
+    roles = []
+
+    def list_or_fail():
+        roles.append(scenario.view.role)
+        listing = next(listings)
+        if isinstance(listing, StoreError):
+            raise listing
+        return listing()
+
+    scenario.store.list_seats = list_or_fail
+    scenario.membership.decide_role([])
+    assert roles == 3 * [HostRole.UNDECIDED]
+    assert scenario.store.calls == ["list", "take", "list"]
+    assert scenario.became == ["owner"]
+
+
 def relay(*known):
     scenario = Scenario(role=HostRole.RELAY, listed=known)
     scenario.tracker.known = [owner(number) for number in known]
@@ -362,11 +402,24 @@
 def test_owner_takes_the_seat_again_that_the_store_has_lost():
     scenario = returned(listed=(2, 3, 4))
     check_owner(scenario, 60_000)
-    assert scenario.store.calls == ["list", "take"]
+    assert scenario.store.calls == ["list", "take", "list"]
     assert scenario.store.entries[1].owner == scenario.view.itself
     assert scenario.became == []
 
 
+def test_owner_that_takes_its_seat_again_knows_a_host_that_starts_at_the_same_time():
+    scenario = returned(listed=(2, 3, 4))
+    take_seat = scenario.store.take_seat
+
+    def take_seat_after_another_host(*arguments):
+        scenario.store.entries[5] = SeatEntry("zone-5.0", owner(5), 5)
+        take_seat(*arguments)
+
+    scenario.store.take_seat = take_seat_after_another_host
+    check_owner(scenario)
+    assert scenario.view.peers.by_address(address(5)) is not None
+
+
 def test_owner_whose_lost_seat_a_live_owner_holds_stops():
     scenario = returned(listed=(2, 3, 4), alive=(2, 3, 4, 7))
     scenario.store.entries[1] = SeatEntry("zone-1.0", owner(7), 8)
@@ -481,7 +534,7 @@
     scenario.reader.call("list_seats")
     scenario.store.calls.clear()
     check_owner(scenario)
-    assert scenario.store.calls == ["list", "take"]
+    assert scenario.store.calls == ["list", "take", "list"]
 
 
 def test_first_reader_that_reaches_less_than_a_third_removes_no_entry_after_a_new_era():
