Count removed hosts in the leases on primaries

Four of nine hosts are cut off at 5.2 s. The only host that reaches the store removes their entries at 20.6 s, and the four others remove them on its word. At 24.1 s the rest is cut into two and three; at 27.5 s the four return, two to each part, and the parts stay split, four to five. The five know seven hosts, as two of the removed ones came back to them: five of seven is more than two thirds, so they keep their leases without the store. One of the four reaches the store at 27.9 s, removes the other part (silent for 23 s) at 28.46 s, and the four are then all hosts to each other: the promotion is ordered at 28.86 s without a wait.

So the hosts that this host or a peer removed in the last 10 min count in the majority, the two thirds, and "all hosts responded".

With removed hosts counted, those that remain may be fewer than two thirds of the count while no peer is overdue. The two store readers then go on reading the record of primaries; otherwise the hosts would lose their leases though the store is reachable. They don't read it while two thirds respond.

--- a/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
@@ -28,6 +28,7 @@
 from figcrank.state._positions import Position
 
 # Partitions between regions last minutes; hosts on the other side must still receive the removal.
+# For this time a removed host still counts for leases and promotions, as it may only be cut off.
 ANNOUNCE_REMOVED_MS = 600_000
 # Three heartbeats or two store reads without a response; the lease is then unlikely to be renewed.
 LEASE_RENEWAL_TIMEOUT_MS = 1_000
@@ -226,10 +227,19 @@
         host had responded.
         """
         stored_ms = max(self.confirmed_ms, self.peers.store_confirmed_ms())
-        fully_confirmed_ms = max(stored_ms, self.peers.all_responded_ms(now_ms))
-        if now_ms - fully_confirmed_ms > MAJORITY_LEASE_MS:
-            return max(stored_ms, self.peers.two_thirds_responded_ms(now_ms))
-        return max(stored_ms, self.peers.majority_responded_ms(now_ms))
+        removed_count = self.removed_host_count()
+        all_responded_ms = NEVER_MS if removed_count else self.peers.all_responded_ms(now_ms)
+        if now_ms - max(stored_ms, all_responded_ms) > MAJORITY_LEASE_MS:
+            return max(stored_ms, self.peers.two_thirds_responded_ms(now_ms, removed_count))
+        return max(stored_ms, self.peers.majority_responded_ms(now_ms, removed_count))
+
+    def majority_responded_ms(self, now_ms: int) -> int:
+        """Return the latest time after which a majority of the hosts responded."""
+        return self.peers.majority_responded_ms(now_ms, self.removed_host_count())
+
+    def two_thirds_responded_ms(self, now_ms: int) -> int:
+        """Return the latest time after which more than two thirds of the hosts responded."""
+        return self.peers.two_thirds_responded_ms(now_ms, self.removed_host_count())
 
     def lease_lost_ms(self, now_ms: int) -> int:
         """Return the time since this host lost its lease on primaries, 0 while it has one."""
@@ -417,6 +427,21 @@
                 del self._removed_ms[address]
         return tuple(sorted(self._removed_ms))
 
+    def removed_host_count(self) -> int:
+        """Return the number of removed hosts that still count for leases and promotions.
+
+        These are the hosts that this host or a peer removed recently. Two sides of a partition may
+        remove each other's hosts. If each side then counted its own hosts alone, one could keep its
+        leases while the other one promotes. The hosts that respond are therefore compared with all
+        hosts that may take part in a promotion, whichever side removed them.
+        """
+        removed = set(self._removed_ms)
+        for peer in self.peers.all():
+            if peer.heartbeat is not None:
+                removed.update(peer.heartbeat.removed)
+        removed.discard(self.itself.address)
+        return sum(1 for address in removed if self.peers.by_address(address) is None)
+
     def host_count(self) -> int:
         """Return the number of hosts that may hold connections, including this and silent ones."""
         return 1 + len(self.peers.all())
--- a/packages/figcrank-coordination/src/figcrank/coordination/peers/_table.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/peers/_table.py
@@ -134,19 +134,25 @@
         """Return whether a host's last heartbeat is recent."""
         return peer.received_ms != NEVER_MS and now_ms - peer.received_ms <= LIVE_TIMEOUT_MS
 
-    def majority_responded_ms(self, now_ms: int) -> int:
-        """Return the latest time after which a majority of hosts, including this one, responded."""
-        times = self._response_times(now_ms)
+    def majority_responded_ms(self, now_ms: int, removed_count: int = 0) -> int:
+        """Return the latest time after which a majority of hosts, including this one, responded.
+
+        :param removed_count: number of removed hosts that still count.
+        """
+        times = self._response_times(now_ms, removed_count)
         return times[len(times) // 2]
 
-    def two_thirds_responded_ms(self, now_ms: int) -> int:
-        """Return the latest time after which more than two thirds of the hosts responded."""
-        times = self._response_times(now_ms)
+    def two_thirds_responded_ms(self, now_ms: int, removed_count: int = 0) -> int:
+        """Return the latest time after which more than two thirds of the hosts responded.
+
+        :param removed_count: number of removed hosts that still count.
+        """
+        times = self._response_times(now_ms, removed_count)
         return times[2 * len(times) // 3]
 
-    def _response_times(self, now_ms: int) -> list[int]:
+    def _response_times(self, now_ms: int, removed_count: int) -> list[int]:
         others = (peer.sent_after_ms for peer in self._peers.values())
-        return sorted([now_ms, *others], reverse=True)
+        return sorted([now_ms, *others, *[NEVER_MS] * removed_count], reverse=True)
 
     def all_responded_ms(self, now_ms: int) -> int:
         """Return the latest time after which every known host responded."""
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_store_reader.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_store_reader.py
@@ -203,23 +203,34 @@
         """Confirm the primaries from the store while heartbeats can't confirm them.
 
         That is the case if the last confirmation, by a majority of hosts or by a peer's read, is
-        about to expire. A store reader also confirms them while a peer's heartbeat is overdue.
+        about to expire. A store reader also confirms them while a peer's heartbeat is overdue, and
+        while so many hosts have been removed that the others don't keep their leases by heartbeats.
         """
         while True:
             eventlet.sleep(CONFIRM_INTERVAL_MS / 1_000)
             now_ms = self._clock.now_ms()
             self.restore_eligibility(now_ms)
-            confirmed_ms = max(
-                self._view.peers.majority_responded_ms(now_ms),
-                self._view.peers.store_confirmed_ms(),
-            )
-            confirmation_expiring = now_ms - confirmed_ms > LEASE_MS - 2 * CONFIRM_INTERVAL_MS
-            if confirmation_expiring or (
-                self._has_overdue_peer(now_ms) and self._must_read(now_ms)
-            ):
+            if self.must_confirm(now_ms):
                 self.confirm_primaries()
                 self._publish_quiesced()
 
+    def must_confirm(self, now_ms: int) -> bool:
+        """Return whether this host has to confirm the primaries from the store now."""
+        confirmed_ms = max(
+            self._view.majority_responded_ms(now_ms), self._view.peers.store_confirmed_ms()
+        )
+        if _is_expiring(confirmed_ms, now_ms):
+            return True
+        return self._must_read(now_ms) and (
+            self._has_overdue_peer(now_ms) or self._lacks_removed_hosts(now_ms)
+        )
+
+    def _lacks_removed_hosts(self, now_ms: int) -> bool:
+        """Return whether heartbeats don't renew the leases because hosts have been removed."""
+        if not self._view.removed_host_count():
+            return False
+        return _is_expiring(self._view.two_thirds_responded_ms(now_ms), now_ms)
+
     def _has_overdue_peer(self, now_ms: int) -> bool:
         """Return whether a peer's heartbeat is overdue.
 
@@ -259,3 +270,8 @@
             self._log.event("primaries_read", revision=stored.revision)
         self._router.notify_primary_change()
         return True
+
+
+def _is_expiring(confirmed_ms: int, now_ms: int) -> bool:
+    """Return whether a lease that was renewed at this time needs a new confirmation."""
+    return now_ms - confirmed_ms > LEASE_MS - 2 * CONFIRM_INTERVAL_MS
--- a/packages/figcrank-transport/tests/test_store_reader.py
+++ b/packages/figcrank-transport/tests/test_store_reader.py
@@ -1,4 +1,5 @@
 from figcrank.coordination.fleet import FleetView
+from figcrank.protocol.heartbeats import Heartbeat
 from figcrank.state import ManualClock
 from figcrank.transport.streams._interfaces import StoreError, StoreErrorKind
 from figcrank.transport.streams._log import EventLog
@@ -65,3 +66,27 @@
     assert not reader.registry_is_fresh(clock.now_ms() + 1_000)
     view.registry_ms = clock.now_ms() + 3_000
     assert reader.registry_is_fresh(clock.now_ms() + 3_000)
+
+
+def make_reader_that_removed(removed_count):
+    """Return a store reader of a fleet of five whose remaining hosts respond to it."""
+    reader, view, clock, _ = make_reader()
+    clock.advance_to(40_000)
+    for number in range(2, 6):
+        address = (f"10.0.0.{number}", 7000)
+        view.peers.register(f"h{number}", address, 10_000)
+        if number < 2 + removed_count:
+            view.remove_host(address, 40_000)
+        else:
+            view.receive(Heartbeat(f"h{number}", 1, 5, echo_ms=39_900), address, 40_000)
+    return reader
+
+
+def test_store_reader_confirms_primaries_while_removed_hosts_leave_no_two_thirds():
+    """Otherwise the hosts that remain lose their leases though the store is reachable."""
+    assert make_reader_that_removed(2).must_confirm(40_000)
+
+
+def test_store_is_not_read_while_heartbeats_renew_the_leases():
+    assert not make_reader_that_removed(0).must_confirm(40_000)
+    assert not make_reader_that_removed(1).must_confirm(40_000)
