Count removed hosts in the fencing of a promotion

A promotion went ahead at once when all hosts in the table no longer used the old primary. Hosts beyond a partition that had been removed from the table were not waited for, though they may hold a lease of a bare majority for 3 s after their last read of the store, or one of two thirds. They count now, as they do in the lease (docs/decisions/removed-hosts.md). A planned switch does not wait for them, as its old primary is demoted.

test_removed_host_is_not_taken_for_quiesced failed before (2 hosts counted, not 4). With this count left out, test_removed_hosts_may_still_hold_a_majority_lease fails.

The known gap of docs/PROOF.md (one host heard by both sides) rested on the same count: the promotion did not wait for the side that had been removed.

--- a/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
@@ -294,8 +294,8 @@
     def _await_quiesced(self, group: str, wait_ms: int) -> None:
         deadline_ms = self._clock.now_ms() + wait_ms
         while self._clock.now_ms() < deadline_ms:
-            hosts, quiesced = self._count_quiesced_hosts(group, set())
-            if quiesced >= hosts:
+            _, quiesced = self._count_quiesced_hosts(group, set())
+            if quiesced >= self._view.host_count():
                 return
             eventlet.sleep(POLL_INTERVAL_MS / 2_000)
             self._router.tick()
@@ -303,11 +303,14 @@
     def _count_quiesced_hosts(self, group: str, from_store: set[str]) -> tuple[int, int]:
         """Return the number of hosts, and of those that no longer use the old primary.
 
+        Removed hosts count too while they may hold a lease on the other side of a partition.
+
         :param from_store: hosts that reported this through the store.
         """
         _, from_heartbeats = self._view.quiesced_hosts(self._clock.now_ms()).get(group, (0, []))
         members = {self._view.host, *(peer.name for peer in self._view.peers.all())}
-        return len(members), len(members & (from_store | set(from_heartbeats)))
+        hosts = len(members) + self._view.removed_host_count()
+        return hosts, len(members & (from_store | set(from_heartbeats)))
 
     def _stored_quiesced_hosts(self, group: str, version: int) -> set[str]:
         """Return the hosts that no longer use the old primary, as reported through the store."""
