--- a/packages/figcrank-transport/tests/test_store_reader.py
+++ b/packages/figcrank-transport/tests/test_store_reader.py
@@ -428,3 +428,27 @@
         revision_of(2, 92),
         revision_of(2, 93),
     ]
+
+
+def make_reader_that_removed(removed_count):
+    """Return a store reader of a fleet of five whose remaining hosts respond to it."""
+    reader, view, clock, _ = make_reader()
+    clock.advance_to(40_000)
+    for number in range(2, 6):
+        address = (f"10.0.0.{number}", 7000)
+        view.peers.register(f"h{number}", address, 10_000)
+        if number < 2 + removed_count:
+            view.remove_host(address, 40_000)
+        else:
+            view.receive(Heartbeat(f"h{number}", 1, 5, echo_ms=39_900), address, 40_000)
+    return reader
+
+
+def test_store_reader_confirms_primaries_while_removed_hosts_leave_no_two_thirds():
+    """Otherwise the hosts that remain lose their leases though the store is reachable."""
+    assert make_reader_that_removed(2).must_confirm(40_000)
+
+
+def test_store_is_not_read_while_heartbeats_renew_the_leases():
+    assert not make_reader_that_removed(0).must_confirm(40_000)
+    assert not make_reader_that_removed(1).must_confirm(40_000)
