--- a/packages/figcrank-coordination/tests/fleet/test_removed_hosts.py
+++ b/packages/figcrank-coordination/tests/fleet/test_removed_hosts.py
@@ -123,7 +123,14 @@
         if self._third_ms == NEVER_MS and 3 * len(names) >= hosts:
             self._third_ms = now_ms
         fence = FencingState(
-            self._stored_ms, False, False, hosts, len(names), self._half_ms, self._third_ms
+            stored_ms=self._stored_ms,
+            takes_over=False,
+            demoted=False,
+            refused=False,
+            host_count=hosts,
+            quiesced_host_count=len(names),
+            half_quiesced_since_ms=self._half_ms,
+            third_quiesced_since_ms=self._third_ms,
         )
         if may_promote(fence, now_ms):
             self.promoted_ms = now_ms
