Wait for the previous holder's promotions to take effect

Callers can get a commit acknowledged at a server that lost the lead: a host takes over an interrupted replacement and promotes another server than the previous holder, whose promotion then takes effect after its own. The record names the server of the earlier term.

Cause: the new holder waited until the previous one's calls had arrived. A promotion takes effect up to 1 s after its call, and a server that is slow to answer, or can't be reached by the new holder, does not show it. A replacement that takes over another one now waits for that second too, as the settling of records after a new era does. It costs a takeover up to 1 s after a change of the holder, of which the fence takes a part; nothing otherwise.

The servers of the test now give out terms by group.

--- a/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
@@ -11,6 +11,7 @@
 from figcrank.coordination.fleet import FleetView
 from figcrank.coordination.primaries import (
     PROMOTION_CALL_TIMEOUT_MS,
+    PROMOTION_EFFECT_MS,
     Evidence,
     FencingState,
     PromotionRight,
@@ -208,7 +209,12 @@
                 return "the old primary may still be in use"
             self._sleep_until(right.not_before_ms)
             # The previous holder's promotions have arrived by now.
-            promoted = self._find_promoted(group, moving) or self._promote(group, moving, right)
+            promoted = self._find_promoted(group, moving)
+            if promoted is None and takes_over:
+                # One that takes effect after this host's would depose the server promoted here.
+                self._sleep_until(right.not_before_ms + PROMOTION_EFFECT_MS)
+                promoted = self._find_promoted(group, moving)
+            promoted = promoted or self._promote(group, moving, right)
         if promoted is None:
             return "no server could be promoted"
         server_id, term = promoted
--- a/packages/figcrank-transport/tests/test_replacer.py
+++ b/packages/figcrank-transport/tests/test_replacer.py
@@ -15,7 +15,9 @@
 from figcrank.coordination.fleet import FleetView
 from figcrank.coordination.primaries import (
     LEASE_MS,
+    PROMOTION_EFFECT_MS,
     PROMOTION_WINDOW_MS,
+    TAKEOVER_WAIT_MS,
     ReplacementReason,
     moving_record,
 )
@@ -161,7 +163,10 @@
 
 
 class Servers:
-    """The servers of all groups; the first one of each group has crashed."""
+    """The servers of all groups; the first one of each group has crashed.
+
+    ``silent`` holds those that do not answer.
+    """
 
     def __init__(self):
         self.by_id = {
@@ -169,17 +174,21 @@
             for group in GROUPS
             for number in range(3)
         }
+        self.silent = {f"{group}-0" for group in GROUPS}
+
+    def of(self, group):
+        return [server for server in self.by_id.values() if server.group == group]
 
     def status(self, entry):
-        server = self.by_id[entry.server_id]
-        return None if server.server_id.endswith("-0") else server.report
+        return None if entry.server_id in self.silent else self.by_id[entry.server_id].report
 
     def demote(self, _entry, _term):
         return None
 
     def promote(self, server_id):
         server = self.by_id[server_id]
-        server.is_primary, server.term = True, server.term + 1
+        newest_term = max(other.term for other in self.of(server.group))
+        server.is_primary, server.term = True, newest_term + 1
 
 
 @dataclass
@@ -189,6 +198,7 @@
     servers: Servers
     busy_holders: set = field(default_factory=set)
     connect_ms: dict = field(default_factory=dict)
+    promotion_ms: int = PROMOTION_MS
     arrived: list = field(default_factory=list)
 
     def promote(self, group, server_id, holder, token, may_send, timeout_ms):
@@ -198,7 +208,7 @@
         self.arrived.append((HubClock().now_ms(), holder, token, group))
         if holder in self.busy_holders:
             return PromoteOutcome.NOT_DONE
-        eventlet.spawn_after(PROMOTION_MS / 1_000, self.servers.promote, server_id)
+        eventlet.spawn_after(self.promotion_ms / 1_000, self.servers.promote, server_id)
         return PromoteOutcome.ACCEPTED
 
 
@@ -427,3 +437,28 @@
     assert len(fleet.failover.arrived) == 1
     stored = fleet.store.record.records["g1"]
     assert (stored.server_id, stored.moving) == ("g1-2", False)
+
+
+def test_promotion_of_the_previous_holder_takes_effect_before_another_server_is_promoted(run):
+    """It took effect after the new holder's, and the record named the server that lost the lead."""
+
+    def scenario(fleet):
+        fleet.failover.promotion_ms = PROMOTION_EFFECT_MS
+        fleet.failover.connect_ms["a"] = PROMOTION_WINDOW_MS - 20
+        fleet.a.replace("g1")
+        sleep_ms(TAKEOVER_WAIT_MS + 50)  # it has renewed its right and connects
+        moving = fleet.store.record.records["g1"]
+        fleet.b.view.merge_primary("g1", moving, 0)
+        fleet.servers.silent.add("g1-2")
+        fleet.b.replace("g1")
+        while not fleet.failover.arrived:
+            sleep_ms(1)
+        fleet.failover.promotion_ms = PROMOTION_MS
+        sleep_ms(8_000)
+
+    fleet = run(scenario)
+    fleet.check_tokens()
+    assert [holder for _, holder, _, _ in fleet.failover.arrived] == ["a", "b"]
+    stored = fleet.store.record.records["g1"]
+    leader = max(fleet.servers.of("g1"), key=lambda server: server.term)
+    assert (stored.server_id, stored.moving) == (leader.server_id, False)
