Stop a replacement whose first write fell into a new era

A replacement could promote at once beside hosts that use another primary: whether it takes over another one was decided before its first write. If the store came back from an older copy between the two, the write was repeated in the new era, where a replacement by another host may be lost, and the replacement went on as if the record were settled.

The replacement now ends if the era has changed since that decision; the next one, of a record that is not settled, relies on the hosts alone.

Evidence: the test fails before the change (a promotion 1,120 ms after it began, on the state of the old primary). Found by reading.

--- a/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
@@ -198,6 +198,8 @@
         takes_over = record.moving or not is_settled(record, era)
         moving = moving_record(record, planned, era)
         right = self._writer.write(group, moving)
+        if self._store.era != era:
+            return "the store came back from an older copy"
         stored_ms = self._clock.now_ms()
         self._merge_record(group, moving)
         if self._view.primary_table.get(group) != moving:
--- a/packages/figcrank-transport/tests/test_replacer.py
+++ b/packages/figcrank-transport/tests/test_replacer.py
@@ -23,7 +23,7 @@
 )
 from figcrank.protocol.heartbeats import PrimaryRecord, StoredPrimaries
 from figcrank.protocol.sessions import ServerReport
-from figcrank.state import Position, era_of
+from figcrank.state import Position, era_of, number_of, revision_of
 from figcrank.state._catalog import Registry, ServerEntry
 from figcrank.state._clock import Clock
 from figcrank.transport.streams._interfaces import PromoteOutcome, StoreError, StoreErrorKind
@@ -92,6 +92,11 @@
             self.record = replace(value, revision=value.revision + 1)
         return self.record
 
+    def restore(self, copy):
+        """Begin a new era with an earlier content."""
+        revision = revision_of(era_of(self.record.revision) + 1, number_of(copy.revision))
+        self.record = replace(copy, revision=revision)
+
 
 class StoreOfHost:
     """One host's calls to the store.
@@ -462,3 +467,21 @@
     stored = fleet.store.record.records["g1"]
     leader = max(fleet.servers.of("g1"), key=lambda server: server.term)
     assert (stored.server_id, stored.moving) == (leader.server_id, False)
+
+
+def test_replacement_that_is_written_in_a_new_era_is_not_continued(run):
+    """It took the state of the old primary as proof, but the store had lost a replacement."""
+
+    def scenario(fleet):
+        def lose_takeover(value):
+            fleet.store.restore(fleet.store.record)
+            raise StoreError(StoreErrorKind.CONFLICT, "revision differs")
+
+        fleet.b.view.peers.register("c", ("c", 7000), 0)
+        fleet.b.store.write_faults = [lose_takeover]
+        fleet.b.replace("g1")
+        sleep_ms(LEASE_MS)
+
+    fleet = run(scenario)
+    assert era_of(fleet.store.record.revision) == 1
+    assert not fleet.failover.arrived
