Do not remove a host that was heard in the last 10 s on a peer's word

A peer announces a removal for 10 min, and the receiver only asked whether the host was live now. It must be silent for 10 s now, by this host's own clock; a peer removes a host after 15 s, so a host that is gone is silent everywhere by then. If the receiver does not drop it, it reads the listing itself after 30 s, as before.

The test failed before.

--- a/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
@@ -31,6 +31,9 @@
 # Partitions between regions last minutes; hosts on the other side must still receive the removal.
 # For this time a removed host still counts for leases and promotions, as it may only be cut off.
 ANNOUNCE_REMOVED_MS = 600_000
+# A peer removes a host after 15 s of silence. A host that was heard within this time has returned,
+# or is cut off from that peer alone.
+REMOVED_SILENCE_MS = 10_000
 # Three heartbeats or two store reads without a response; the lease is then unlikely to be renewed.
 LEASE_RENEWAL_TIMEOUT_MS = 1_000
 # Two lists of servers, which are read once per second, were not read.
@@ -414,10 +417,10 @@
     def remove_host(self, address: tuple[str, int], now_ms: int) -> Peer | None:
         """Remove a departed host and its operation counts, and announce the removal to peers.
 
-        :returns: the removed host, ``None`` if it is unknown or still live.
+        :returns: the removed host, ``None`` if it is unknown or was heard or listed recently.
         """
         known = self.peers.by_address(address)
-        if known is None or self.peers.is_live(known, now_ms):
+        if known is None or now_ms - max(known.received_ms, known.known_ms) <= REMOVED_SILENCE_MS:
             return None
         self.peers.remove(address)
         self._removed_ms[address] = now_ms
--- a/packages/figcrank-coordination/tests/fleet/test_fleet_view.py
+++ b/packages/figcrank-coordination/tests/fleet/test_fleet_view.py
@@ -205,6 +205,19 @@
     assert [peer.name for peer in view.peers.all()] == ["b"]
 
 
+def test_host_heard_recently_is_not_removed_on_the_word_of_a_peer():
+    """Guards against removing a host that has returned, by an announcement from before.
+
+    Seen in a hunted day: hosts that had returned were removed again after 1.2 s of silence.
+    """
+    view, other = make_view(), make_view("b", 2)
+    exchange(view, other, 20_000)
+    assert view.remove_host(("10.0.0.2", 7000), 24_000) is None
+    assert view.host_count() == 2
+    assert view.remove_host(("10.0.0.2", 7000), 35_000) is not None
+    assert view.host_count() == 1
+
+
 def make_fleet_of_five(live_peers, now_ms, started_ms=0):
     view = FleetView("a", 1, ("10.0.0.1", 7000), started_ms=started_ms)
     for number in range(2, 6):
