--- a/packages/figcrank-coordination/src/figcrank/coordination/primaries/_replacement.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/primaries/_replacement.py
@@ -108,7 +108,7 @@
     :param takes_over: whether it takes over an interrupted replacement.
     :param demoted: whether the old primary reported that it is now a replica.
     :param refused: whether no process listens at its address.
-    :param host_count: number of hosts in the fleet, including this one.
+    :param host_count: number of hosts in the fleet, including this one and recently removed ones.
     :param quiesced_host_count: number of quiesced hosts, including this one.
     :param half_quiesced_since_ms: time since which at least half of the hosts are quiesced, so that
         those which may still use it are not a majority; ``NEVER_MS`` if fewer are.
