Test that a lost replacement is settled in the new era

The replacer of a host runs in virtual time: its store loses a replacement, the servers answer, and the record names the present primary of each group in the new era. The test fails if nothing is settled.

--- a/packages/figcrank-transport/tests/test_replacer.py
+++ b/packages/figcrank-transport/tests/test_replacer.py
@@ -19,6 +19,7 @@
     PROMOTION_WINDOW_MS,
     TAKEOVER_WAIT_MS,
     ReplacementReason,
+    is_settled,
     moving_record,
 )
 from figcrank.protocol.heartbeats import PrimaryRecord, StoredPrimaries
@@ -256,12 +257,13 @@
         for group in records:
             router.pool(f"{group}-0").health.record_failure(0, refused=True)
         self.store = StoreOfHost(fleet.store)
-        reader = StoreReader(self.store, None, self.view, router, self.clock, log, metrics)
+        self.router = router
+        self.reader = StoreReader(self.store, None, self.view, router, self.clock, log, metrics)
         self.replacer = PrimaryReplacer(
             self.view,
             router,
             FakeLink(),
-            reader,
+            self.reader,
             fleet.failover,
             None,
             self.clock,
@@ -485,3 +487,38 @@
     fleet = run(scenario)
     assert era_of(fleet.store.record.revision) == 1
     assert not fleet.failover.arrived
+
+
+def settle_after_losing_the_replacement_of_g1(fleet):
+    """Let the store lose a replacement that host ``a`` ran, and let ``a`` settle the records."""
+    copy = fleet.store.record
+    fleet.a.replace("g1")
+    sleep_ms(4_000)
+    fleet.store.restore(copy)
+    for server_id in sorted(fleet.servers.silent):
+        fleet.a.router.pool(server_id).health.record_answer(fleet.a.clock.now_ms())
+    fleet.servers.silent.clear()
+    fleet.a.router.tick()  # it no longer reports them
+    eventlet.spawn(fleet.a.replacer.run)
+    fleet.a.reader.call("list_quiet")  # the host learns of the era
+    for _ in range(60):
+        fleet.a.view.registry_ms = fleet.a.clock.now_ms()
+        sleep_ms(100)
+
+
+def test_replacement_that_the_store_lost_is_settled_in_the_new_era(run):
+    """A host that reads the store alone took the old primary for the present one."""
+
+    def scenario(fleet):
+        fleet.servers.by_id["g1-0"].is_primary = False  # it returns as a replica
+        settle_after_losing_the_replacement_of_g1(fleet)
+
+    fleet = run(scenario)
+    stored = fleet.store.record.records
+    assert {group: record.server_id for group, record in stored.items()} == {
+        "g1": "g1-2",
+        "g2": "g2-0",
+        "g3": "g3-0",
+    }
+    assert all(is_settled(record, 1) for record in stored.values())
+    assert stored == fleet.a.view.primary_table.all()
