Settle a group whose old primary was not demoted

A host that starts after a drill of the store refuses a group's statements for as long as the old primary can't reach the new one: each of them says that it is the primary, which proved nothing, no replacement began, and the host that would have demoted the old one may be gone.

All servers of the group have answered then, and only one of them is the primary of the newest term. That one is now taken; the fence of its promotion has ended the use of the other one. A host without a lease still takes no position from two primaries.

Evidence: the test fails before the change.

--- a/packages/figcrank-coordination/src/figcrank/coordination/primaries/_proof.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/primaries/_proof.py
@@ -32,6 +32,8 @@
     primary = proven_primary(dict(enumerate(reports)))
     if len(reports) < MIN_SERVERS or primary is None:
         return None
+    if sum(report.is_primary for report in reports) > 1:
+        return None
     _, report = primary
     if report.position is None or report.position.term > report.term:
         return None
@@ -41,16 +43,19 @@
 def proven_primary(
     reports: Mapping[Server, ServerReport | None],
 ) -> tuple[Server, ServerReport] | None:
-    """Return the group's only primary, such that no other server had been promoted after it.
+    """Return the group's newest primary, such that no other server had been promoted after it.
+
+    A primary of an earlier term was replaced and can't reach the newest one yet.
 
     :param reports: by server, as for :func:`proven_position`.
     :returns: the server and its report, ``None`` if the reports don't prove it.
     """
-    if None in reports.values():
-        return None
-    primaries = [(server, report) for server, report in reports.items() if report.is_primary]
-    if len(primaries) != 1 or any(
-        report.term > primaries[0][1].term for report in reports.values()
-    ):
+    if not reports or None in reports.values():
         return None
-    return primaries[0]
+    newest_term = max(report.term for report in reports.values())
+    newest = [
+        (server, report)
+        for server, report in reports.items()
+        if report.is_primary and report.term == newest_term
+    ]
+    return newest[0] if len(newest) == 1 else None
--- a/packages/figcrank-transport/tests/test_replacer.py
+++ b/packages/figcrank-transport/tests/test_replacer.py
@@ -522,3 +522,11 @@
     }
     assert all(is_settled(record, 1) for record in stored.values())
     assert stored == fleet.a.view.primary_table.all()
+
+
+def test_old_primary_that_was_not_demoted_does_not_keep_records_from_being_settled(run):
+    """While the new primary can't reach it, it goes on as the primary of the earlier term."""
+    fleet = run(settle_after_losing_the_replacement_of_g1)
+    record = fleet.store.record.records["g1"]
+    assert (record.server_id, record.term) == ("g1-2", 2)
+    assert is_settled(record, 1)
