Settle a group whose replacement only the store's older copy shows

Callers of a group were refused for good, as its primary was unknown: all hosts had been killed and started afresh after the store came back from a copy in which a replacement was under way. None of them adopts a record of an earlier era, so none continued the replacement, and the settler skipped the group as moving.

It now skips a group only if a host knows the record and will continue the replacement. Otherwise the group is settled by what its servers say, or replaced if none of them leads.

--- a/packages/figcrank-transport/src/figcrank/transport/streams/_record_settler.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_record_settler.py
@@ -108,10 +108,11 @@
             return
         settled = {}
         for group in self._unsettled_groups():
-            known = self._view.primary_table.get(group) or stored.records.get(group)
-            if known is None or not known.moving:
-                record = self._find_primary(group, known, era)
-                settled.update({group: record} if record else {})
+            own = self._view.primary_table.get(group)
+            if own is not None and own.moving:
+                continue  # its replacement writes the record
+            record = self._find_primary(group, own or stored.records.get(group), era)
+            settled.update({group: record} if record else {})
         if settled:
             for group, record in self._writer.settle(settled).records.items():
                 self._merge(group, record)
--- a/packages/figcrank-transport/tests/test_replacer.py
+++ b/packages/figcrank-transport/tests/test_replacer.py
@@ -524,6 +524,27 @@
     assert stored == fleet.a.view.primary_table.all()
 
 
+def test_interrupted_replacement_that_only_the_copy_shows_is_settled(run):
+    """All hosts had started afresh; none knew the record, and none continued the replacement."""
+
+    def scenario(fleet):
+        moving = moving_record(fleet.store.record.records["g1"], planned=False)
+        records = {**fleet.store.record.records, "g1": moving}
+        fleet.store.restore(replace(fleet.store.record, records=records))
+        fleet.servers.silent.clear()
+        fresh = Host("c", fleet, {})
+        eventlet.spawn(fresh.replacer.run)
+        fresh.reader.call("list_quiet")
+        for _ in range(60):
+            fresh.view.registry_ms = fresh.clock.now_ms()
+            sleep_ms(100)
+
+    fleet = run(scenario)
+    record = fleet.store.record.records["g1"]
+    assert (record.server_id, record.moving) == ("g1-0", False)
+    assert is_settled(record, 1)
+
+
 def test_old_primary_that_was_not_demoted_does_not_keep_records_from_being_settled(run):
     """While the new primary can't reach it, it goes on as the primary of the earlier term."""
     fleet = run(settle_after_losing_the_replacement_of_g1)
