--- a/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
@@ -29,7 +29,11 @@
 from figcrank.state._positions import Position
 
 # Partitions between regions last minutes; hosts on the other side must still receive the removal.
+# For this time a removed host still counts for leases and promotions, as it may only be cut off.
 ANNOUNCE_REMOVED_MS = 600_000
+# A peer removes a host after 15 s of silence. A host that was heard within this time has returned,
+# or is cut off from that peer alone.
+REMOVED_SILENCE_MS = 10_000
 # Three heartbeats or two store reads without a response; the lease is then unlikely to be renewed.
 LEASE_RENEWAL_TIMEOUT_MS = 1_000
 # Two lists of servers, which are read once per second, were not read.
@@ -158,7 +162,8 @@
             # An unchanged list keeps its older revision, so that peers do not fetch it. The first
             # list of a new era keeps its own, so that peers learn of the era.
             self.registry = registry
-        if changed:
+        if changed and not era:
+            # In a store with eras, entries may be from an older copy; the record tells the primary.
             self.primary_table.adopt_registry(registry, now_ms)
         return changed
 
@@ -234,10 +239,19 @@
         host had responded.
         """
         stored_ms = max(self.confirmed_ms, self.peers.store_confirmed_ms())
-        fully_confirmed_ms = max(stored_ms, self.peers.all_responded_ms(now_ms))
-        if now_ms - fully_confirmed_ms > MAJORITY_LEASE_MS:
-            return max(stored_ms, self.peers.two_thirds_responded_ms(now_ms))
-        return max(stored_ms, self.peers.majority_responded_ms(now_ms))
+        removed_count = self.removed_host_count()
+        all_responded_ms = NEVER_MS if removed_count else self.peers.all_responded_ms(now_ms)
+        if now_ms - max(stored_ms, all_responded_ms) > MAJORITY_LEASE_MS:
+            return max(stored_ms, self.peers.two_thirds_responded_ms(now_ms, removed_count))
+        return max(stored_ms, self.peers.majority_responded_ms(now_ms, removed_count))
+
+    def majority_responded_ms(self, now_ms: int) -> int:
+        """Return the latest time after which a majority of the hosts responded."""
+        return self.peers.majority_responded_ms(now_ms, self.removed_host_count())
+
+    def two_thirds_responded_ms(self, now_ms: int) -> int:
+        """Return the latest time after which more than two thirds of the hosts responded."""
+        return self.peers.two_thirds_responded_ms(now_ms, self.removed_host_count())
 
     def lease_lost_ms(self, now_ms: int) -> int:
         """Return the time since this host lost its lease on primaries, 0 while it has one."""
@@ -403,10 +417,10 @@
     def remove_host(self, address: tuple[str, int], now_ms: int) -> Peer | None:
         """Remove a departed host and its operation counts, and announce the removal to peers.
 
-        :returns: the removed host, ``None`` if it is unknown or still live.
+        :returns: the removed host, ``None`` if it is unknown or was heard or listed recently.
         """
         known = self.peers.by_address(address)
-        if known is None or self.peers.is_live(known, now_ms):
+        if known is None or now_ms - max(known.received_ms, known.known_ms) <= REMOVED_SILENCE_MS:
             return None
         self.peers.remove(address)
         self._removed_ms[address] = now_ms
@@ -425,6 +439,21 @@
                 del self._removed_ms[address]
         return tuple(sorted(self._removed_ms))
 
+    def removed_host_count(self) -> int:
+        """Return the number of removed hosts that still count for leases and promotions.
+
+        These are the hosts that this host or a peer removed recently. Two sides of a partition may
+        remove each other's hosts. If each side then counted its own hosts alone, one could keep its
+        leases while the other one promotes. The hosts that respond are therefore compared with all
+        hosts that may take part in a promotion, whichever side removed them.
+        """
+        removed = set(self._removed_ms)
+        for peer in self.peers.all():
+            if peer.heartbeat is not None:
+                removed.update(peer.heartbeat.removed)
+        removed.discard(self.itself.address)
+        return sum(1 for address in removed if self.peers.by_address(address) is None)
+
     def host_count(self) -> int:
         """Return the number of hosts that may hold connections, including this and silent ones."""
         return 1 + len(self.peers.all())
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_store_reader.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_store_reader.py
@@ -7,7 +7,7 @@
 import eventlet
 
 from figcrank.coordination.fleet import FleetView
-from figcrank.coordination.primaries import LEASE_MS
+from figcrank.coordination.primaries import LEASE_MS, is_settled
 from figcrank.protocol.heartbeats import NEVER_MS
 from figcrank.state import era_of
 from figcrank.state._clock import Clock
@@ -140,6 +140,13 @@
             self._log.event("store_reached")
         self._view.store_ok = True
 
+    def era_is_settled(self, now_ms: int, after_ms: int = RECOVERY_GRACE_MS) -> bool:
+        """Return whether what the store has lost by a new era has been written again by now.
+
+        :param after_ms: time that this takes after the host has noticed the era.
+        """
+        return self._era_changed_ms == NEVER_MS or now_ms - self._era_changed_ms > after_ms
+
     def restore_eligibility(self, now_ms: int) -> None:
         """Assume that the store is reachable again after a delay that grows with the failures.
 
@@ -222,7 +229,7 @@
         self._link.adopt_registry(registry, started_ms, "store")
         if registry.revision >= self._view.registry.revision:  # else it was ignored
             self._view.registry_ms = started_ms
-        settled = self._era_is_settled(started_ms)
+        settled = self.era_is_settled(started_ms)
         return POLL_INTERVAL_MS if settled else NEW_ERA_POLL_INTERVAL_MS
 
     def run_catalog_reads(self) -> None:
@@ -251,23 +258,34 @@
         """Confirm the primaries from the store while heartbeats can't confirm them.
 
         That is the case if the last confirmation, by a majority of hosts or by a peer's read, is
-        about to expire. A store reader also confirms them while a peer's heartbeat is overdue.
+        about to expire. A store reader also confirms them while a peer's heartbeat is overdue, and
+        while so many hosts have been removed that the others don't keep their leases by heartbeats.
         """
         while True:
             eventlet.sleep(CONFIRM_INTERVAL_MS / 1_000)
             now_ms = self._clock.now_ms()
             self.restore_eligibility(now_ms)
-            confirmed_ms = max(
-                self._view.peers.majority_responded_ms(now_ms),
-                self._view.peers.store_confirmed_ms(),
-            )
-            confirmation_expiring = now_ms - confirmed_ms > LEASE_MS - 2 * CONFIRM_INTERVAL_MS
-            if confirmation_expiring or (
-                self._has_overdue_peer(now_ms) and self._must_read(now_ms)
-            ):
+            if self.must_confirm(now_ms):
                 self.confirm_primaries()
                 self._publish_quiesced()
 
+    def must_confirm(self, now_ms: int) -> bool:
+        """Return whether this host has to confirm the primaries from the store now."""
+        confirmed_ms = max(
+            self._view.majority_responded_ms(now_ms), self._view.peers.store_confirmed_ms()
+        )
+        if _is_expiring(confirmed_ms, now_ms):
+            return True
+        return self._must_read(now_ms) and (
+            self._has_overdue_peer(now_ms) or self._lacks_removed_hosts(now_ms)
+        )
+
+    def _lacks_removed_hosts(self, now_ms: int) -> bool:
+        """Return whether heartbeats don't renew the leases because hosts have been removed."""
+        if not self._view.removed_host_count():
+            return False
+        return _is_expiring(self._view.two_thirds_responded_ms(now_ms), now_ms)
+
     def _has_overdue_peer(self, now_ms: int) -> bool:
         """Return whether a peer's heartbeat is overdue.
 
@@ -277,10 +295,6 @@
             now_ms - peer.received_ms > HEARTBEAT_OVERDUE_MS for peer in self._view.peers.all()
         )
 
-    def _era_is_settled(self, now_ms: int) -> bool:
-        """Return whether what the store has lost by a new era has been written again by now."""
-        return self._era_changed_ms == NEVER_MS or now_ms - self._era_changed_ms > RECOVERY_GRACE_MS
-
     def _publish_quiesced(self) -> None:
         """Write to the store which hosts no longer use a replaced primary.
 
@@ -297,8 +311,8 @@
     def confirm_primaries(self) -> bool:
         """Read the primaries from the store; return whether that succeeded.
 
-        Soon after a new era has begun, the record may lack a replacement that was written before.
-        It is merged then, but it confirms nothing.
+        A record of an earlier era of the store confirms nothing, because it may lack a replacement
+        that the store has lost. A host that knows no record of its group does not adopt it.
         """
         started_ms = self._clock.now_ms()
         try:
@@ -306,13 +320,21 @@
         except StoreError:
             eventlet.sleep(self.backoff_ms() / 1_000)
             return False
+        table = self._view.primary_table
         changed = [
             self._view.merge_primary(group, record, self._clock.now_ms())
             for group, record in stored.records.items()
+            if is_settled(record, self.era) or table.get(group) is not None
         ]
-        if self._era_is_settled(started_ms):
+        groups = table.all().keys() | stored.records.keys()
+        if all(is_settled(stored.records.get(group), self.era) for group in groups):
             self._view.confirmed_ms = max(self._view.confirmed_ms, started_ms)
         if any(changed):
             self._log.event("primaries_read", revision=stored.revision)
         self._router.notify_primary_change()
         return True
+
+
+def _is_expiring(confirmed_ms: int, now_ms: int) -> bool:
+    """Return whether a lease that was renewed at this time needs a new confirmation."""
+    return now_ms - confirmed_ms > LEASE_MS - 2 * CONFIRM_INTERVAL_MS
--- a/packages/figcrank-transport/tests/test_replacer.py
+++ b/packages/figcrank-transport/tests/test_replacer.py
@@ -15,13 +15,16 @@
 from figcrank.coordination.fleet import FleetView
 from figcrank.coordination.primaries import (
     LEASE_MS,
+    PROMOTION_EFFECT_MS,
     PROMOTION_WINDOW_MS,
+    TAKEOVER_WAIT_MS,
     ReplacementReason,
+    is_settled,
     moving_record,
 )
 from figcrank.protocol.heartbeats import PrimaryRecord, StoredPrimaries
 from figcrank.protocol.sessions import ServerReport
-from figcrank.state import Position, era_of
+from figcrank.state import Position, era_of, number_of, revision_of
 from figcrank.state._catalog import Registry, ServerEntry
 from figcrank.state._clock import Clock
 from figcrank.transport.streams._interfaces import PromoteOutcome, StoreError, StoreErrorKind
@@ -90,6 +93,11 @@
             self.record = replace(value, revision=value.revision + 1)
         return self.record
 
+    def restore(self, copy):
+        """Begin a new era with an earlier content."""
+        revision = revision_of(era_of(self.record.revision) + 1, number_of(copy.revision))
+        self.record = replace(copy, revision=revision)
+
 
 class StoreOfHost:
     """One host's calls to the store.
@@ -161,7 +169,10 @@
 
 
 class Servers:
-    """The servers of all groups; the first one of each group has crashed."""
+    """The servers of all groups; the first one of each group has crashed.
+
+    ``silent`` holds those that do not answer.
+    """
 
     def __init__(self):
         self.by_id = {
@@ -169,17 +180,21 @@
             for group in GROUPS
             for number in range(3)
         }
+        self.silent = {f"{group}-0" for group in GROUPS}
+
+    def of(self, group):
+        return [server for server in self.by_id.values() if server.group == group]
 
     def status(self, entry):
-        server = self.by_id[entry.server_id]
-        return None if server.server_id.endswith("-0") else server.report
+        return None if entry.server_id in self.silent else self.by_id[entry.server_id].report
 
     def demote(self, _entry, _term):
         return None
 
     def promote(self, server_id):
         server = self.by_id[server_id]
-        server.is_primary, server.term = True, server.term + 1
+        newest_term = max(other.term for other in self.of(server.group))
+        server.is_primary, server.term = True, newest_term + 1
 
 
 @dataclass
@@ -189,6 +204,7 @@
     servers: Servers
     busy_holders: set = field(default_factory=set)
     connect_ms: dict = field(default_factory=dict)
+    promotion_ms: int = PROMOTION_MS
     arrived: list = field(default_factory=list)
 
     def promote(self, group, server_id, holder, token, may_send, timeout_ms):
@@ -198,7 +214,7 @@
         self.arrived.append((HubClock().now_ms(), holder, token, group))
         if holder in self.busy_holders:
             return PromoteOutcome.NOT_DONE
-        eventlet.spawn_after(PROMOTION_MS / 1_000, self.servers.promote, server_id)
+        eventlet.spawn_after(self.promotion_ms / 1_000, self.servers.promote, server_id)
         return PromoteOutcome.ACCEPTED
 
 
@@ -241,12 +257,13 @@
         for group in records:
             router.pool(f"{group}-0").health.record_failure(0, refused=True)
         self.store = StoreOfHost(fleet.store)
-        reader = StoreReader(self.store, None, self.view, router, self.clock, log, metrics)
+        self.router = router
+        self.reader = StoreReader(self.store, None, self.view, router, self.clock, log, metrics)
         self.replacer = PrimaryReplacer(
             self.view,
             router,
             FakeLink(),
-            reader,
+            self.reader,
             fleet.failover,
             None,
             self.clock,
@@ -427,3 +444,89 @@
     assert len(fleet.failover.arrived) == 1
     stored = fleet.store.record.records["g1"]
     assert (stored.server_id, stored.moving) == ("g1-2", False)
+
+
+def test_promotion_of_the_previous_holder_takes_effect_before_another_server_is_promoted(run):
+    """It took effect after the new holder's, and the record named the server that lost the lead."""
+
+    def scenario(fleet):
+        fleet.failover.promotion_ms = PROMOTION_EFFECT_MS
+        fleet.failover.connect_ms["a"] = PROMOTION_WINDOW_MS - 20
+        fleet.a.replace("g1")
+        sleep_ms(TAKEOVER_WAIT_MS + 50)  # it has renewed its right and connects
+        moving = fleet.store.record.records["g1"]
+        fleet.b.view.merge_primary("g1", moving, 0)
+        fleet.servers.silent.add("g1-2")
+        fleet.b.replace("g1")
+        while not fleet.failover.arrived:
+            sleep_ms(1)
+        fleet.failover.promotion_ms = PROMOTION_MS
+        sleep_ms(8_000)
+
+    fleet = run(scenario)
+    fleet.check_tokens()
+    assert [holder for _, holder, _, _ in fleet.failover.arrived] == ["a", "b"]
+    stored = fleet.store.record.records["g1"]
+    leader = max(fleet.servers.of("g1"), key=lambda server: server.term)
+    assert (stored.server_id, stored.moving) == (leader.server_id, False)
+
+
+def test_replacement_that_is_written_in_a_new_era_is_not_continued(run):
+    """It took the state of the old primary as proof, but the store had lost a replacement."""
+
+    def scenario(fleet):
+        def lose_takeover(value):
+            fleet.store.restore(fleet.store.record)
+            raise StoreError(StoreErrorKind.CONFLICT, "revision differs")
+
+        fleet.b.view.peers.register("c", ("c", 7000), 0)
+        fleet.b.store.write_faults = [lose_takeover]
+        fleet.b.replace("g1")
+        sleep_ms(LEASE_MS)
+
+    fleet = run(scenario)
+    assert era_of(fleet.store.record.revision) == 1
+    assert not fleet.failover.arrived
+
+
+def settle_after_losing_the_replacement_of_g1(fleet):
+    """Let the store lose a replacement that host ``a`` ran, and let ``a`` settle the records."""
+    copy = fleet.store.record
+    fleet.a.replace("g1")
+    sleep_ms(4_000)
+    fleet.store.restore(copy)
+    for server_id in sorted(fleet.servers.silent):
+        fleet.a.router.pool(server_id).health.record_answer(fleet.a.clock.now_ms())
+    fleet.servers.silent.clear()
+    fleet.a.router.tick()  # it no longer reports them
+    eventlet.spawn(fleet.a.replacer.run)
+    fleet.a.reader.call("list_quiet")  # the host learns of the era
+    for _ in range(60):
+        fleet.a.view.registry_ms = fleet.a.clock.now_ms()
+        sleep_ms(100)
+
+
+def test_replacement_that_the_store_lost_is_settled_in_the_new_era(run):
+    """A host that reads the store alone took the old primary for the present one."""
+
+    def scenario(fleet):
+        fleet.servers.by_id["g1-0"].is_primary = False  # it returns as a replica
+        settle_after_losing_the_replacement_of_g1(fleet)
+
+    fleet = run(scenario)
+    stored = fleet.store.record.records
+    assert {group: record.server_id for group, record in stored.items()} == {
+        "g1": "g1-2",
+        "g2": "g2-0",
+        "g3": "g3-0",
+    }
+    assert all(is_settled(record, 1) for record in stored.values())
+    assert stored == fleet.a.view.primary_table.all()
+
+
+def test_old_primary_that_was_not_demoted_does_not_keep_records_from_being_settled(run):
+    """While the new primary can't reach it, it goes on as the primary of the earlier term."""
+    fleet = run(settle_after_losing_the_replacement_of_g1)
+    record = fleet.store.record.records["g1"]
+    assert (record.server_id, record.term) == ("g1-2", 2)
+    assert is_settled(record, 1)
