--- a/packages/figcrank-transport/tests/test_store_reader.py
+++ b/packages/figcrank-transport/tests/test_store_reader.py
@@ -260,7 +260,11 @@
     assert scenario.view.registry_ms == 9_000
 
 
-def test_host_that_makes_no_calls_learns_of_a_new_era_from_its_peers():
+def test_host_that_makes_no_calls_learns_of_a_new_era_from_its_peers(monkeypatch):
+    def end(_seconds):
+        raise EndOfReadsError
+
+    monkeypatch.setattr("eventlet.sleep", end)
     scenario = EraScenario()
     scenario.reader.call("list_servers")
     scenario.wait(60_000)
@@ -268,7 +272,9 @@
     entry = ServerEntry("s1", "g", "10.1.0.1:80", "a", 5, False, False)
     scenario.view.adopt_registry(Registry(revision_of(1, 20), {"s1": entry}), 0, 0, False)
     scenario.view.adopt_registry(Registry(revision_of(2, 4)), now_ms, now_ms, from_peer=True)
-    scenario.reader._notice_era()
+    hear(scenario, "Z", 2)  # reads for all others
+    with pytest.raises(EndOfReadsError):
+        scenario.reader.run_server_reads()
     assert scenario.reader.era == 2
     assert len(scenario.events("store_era_changed")) == 1
     assert not scenario.reader.registry_is_fresh(now_ms + RECOVERY_GRACE_MS)
