Adopt the newest of two promoted servers

Callers can get a commit acknowledged at a server that lost the lead: two interrupted replacements, the second of which took over the first, may have promoted one server each, and the first one goes on as the primary of its term while it can't reach the second. The replacement that took over then adopted the one that it found first. It now adopts the one of the latest term.

Evidence: the test fails before the change (g1-1 of term 2 was adopted beside g1-2 of term 3).

--- a/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
@@ -384,10 +384,15 @@
 
     def _find_promoted(self, group: str, record: PrimaryRecord) -> tuple[str, int] | None:
         """Return a server that is already primary in a later term, due to an earlier promotion."""
-        for server_id, report in self._collect_reports(group, record.server_id):
-            if report.is_primary and report.term > record.term:
-                return server_id, report.term
-        return None
+        promoted = [
+            (report.term, server_id)
+            for server_id, report in self._collect_reports(group, record.server_id)
+            if report.is_primary and report.term > record.term
+        ]
+        if not promoted:
+            return None
+        term, server_id = max(promoted)  # an interrupted replacement may follow another one
+        return server_id, term
 
     def _promote(
         self, group: str, record: PrimaryRecord, right: PromotionRight
--- a/packages/figcrank-transport/tests/test_replacer.py
+++ b/packages/figcrank-transport/tests/test_replacer.py
@@ -551,3 +551,21 @@
     record = fleet.store.record.records["g1"]
     assert (record.server_id, record.term) == ("g1-2", 2)
     assert is_settled(record, 1)
+
+
+def test_newest_of_two_promoted_servers_is_adopted(run):
+    """Two interrupted replacements promoted one each; the one of the earlier term was adopted."""
+
+    def scenario(fleet):
+        for server_id, term in (("g1-1", 2), ("g1-2", 3)):
+            server = fleet.servers.by_id[server_id]
+            server.is_primary, server.term = True, term
+        moving = moving_record(fleet.store.record.records["g1"], planned=False)
+        fleet.store.record = replace(fleet.store.record, records={"g1": moving})
+        fleet.b.view.merge_primary("g1", moving, 0)
+        fleet.b.replace("g1")
+        sleep_ms(1_000)
+
+    fleet = run(scenario)
+    stored = fleet.store.record.records["g1"]
+    assert (stored.server_id, stored.term, stored.moving) == ("g1-2", 3, False)
