Adopt a primary that has returned under another id

Callers of a group were refused for up to 30 s: the primary had crashed and was back under a new id, still leading its term, while the record named the old id. The server itself was the best candidate, but the order to promote it changes nothing for a primary, and its term never rose.

A server that leads in the record's own term, or a later one, is adopted without an order: a term has only one primary. Ruled out: a lost order; each was answered with 200. The test fails before the change.

--- a/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
@@ -385,11 +385,15 @@
             eventlet.sleep(DEMOTE_RETRY_MS / 1_000)
 
     def _find_promoted(self, group: str, record: PrimaryRecord) -> tuple[str, int] | None:
-        """Return a server that is already primary in a later term, due to an earlier promotion."""
+        """Return a server that is already the primary.
+
+        It was promoted earlier, in a later term, or it is the old primary itself, which has
+        returned under another id: a term has only one primary.
+        """
         promoted = [
             (report.term, server_id)
             for server_id, report in self._collect_reports(group, record.server_id)
-            if report.is_primary and report.term > record.term
+            if report.is_primary and report.term >= record.term
         ]
         if not promoted:
             return None
--- a/packages/figcrank-transport/tests/test_replacer.py
+++ b/packages/figcrank-transport/tests/test_replacer.py
@@ -598,3 +598,17 @@
 
     fleet = run(scenario)
     assert fleet.failover.arrived[0][0] >= 1_000 + LEASE_MS
+
+
+def test_primary_that_returned_under_another_id_is_adopted(run):
+    """It was ordered to be promoted again and again, which changes nothing for a primary."""
+
+    def scenario(fleet):
+        fleet.servers.by_id["g1-2"].is_primary = True  # of the same term as the one that is gone
+        fleet.a.replace("g1")
+        sleep_ms(6_000)
+
+    fleet = run(scenario)
+    assert not fleet.failover.arrived
+    stored = fleet.store.record.records["g1"]
+    assert (stored.server_id, stored.term, stored.moving) == ("g1-2", 1, False)
