Send writes and commits only under a lease on the primary

Callers can get a commit acknowledged at a replaced primary: a host opens a transaction, loses the other hosts and the store but not the primary, and its lease expires. Another host waits for that lease and promotes a server. The commit was sent nevertheless, as the lease was checked only when the transaction was opened. A single write had the same gap while its connection was prepared: setting a variable or preparing the statement takes up to 300 ms each after the check, and a promotion allows 100 ms from a check to the arrival of a statement.

A write is now sent only if the lease still holds once its connection is prepared, else it looks for the primary again. The commit of a transaction that wrote waits for the lease until its deadline, and is aborted without being sent if there is none or if the server is no longer the primary. Until the connections to a primary that is being replaced are closed, its transactions may end, as before. Statements within a transaction need no check, as nothing is kept before the commit.

--- a/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
@@ -226,9 +226,11 @@
             return PrimaryUse.UNKNOWN
         if record.moving:
             return PrimaryUse.MOVING
-        if now_ms - self.lease_renewed_ms(now_ms) > LEASE_MS:
-            return PrimaryUse.NO_LEASE
-        return PrimaryUse.USABLE
+        return PrimaryUse.USABLE if self.has_lease(now_ms) else PrimaryUse.NO_LEASE
+
+    def has_lease(self, now_ms: int) -> bool:
+        """Return whether the primary records were confirmed within the last lease."""
+        return now_ms - self.lease_renewed_ms(now_ms) <= LEASE_MS
 
     def lease_renewed_ms(self, now_ms: int) -> int:
         """Return the time at which the primary records were last confirmed.
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
@@ -133,6 +133,10 @@
         """Return whether statements may be sent to the group's primary now."""
         return self.view.primary_use(group, self._clock.now_ms()) is PrimaryUse.USABLE
 
+    def has_lease(self) -> bool:
+        """Return whether the primary records were confirmed recently enough to use primaries."""
+        return self.view.has_lease(self._clock.now_ms())
+
     def read_pools(
         self, route: DatabaseRoute, last_commit: Position | None, workspace: str, tried: set[str]
     ) -> list[tuple[ServerPool, Position | None]]:
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_runner.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_runner.py
@@ -129,12 +129,18 @@
             if connection.is_lost():
                 self._router.discard_failed_connection(pool, connection)
                 continue
-            tries += 1
             try:
-                reply = self._send(connection, statement, deadline_ms)
+                data = self._preparer.encode(connection, statement, None)
             except OpenError:
+                tries += 1
                 self._router.discard_failed_connection(pool, connection)
                 continue
+            # The lease may have expired while the connection was prepared.
+            if not self._is_usable_primary(pool, route.group):
+                pool.release(connection)
+                continue
+            tries += 1
+            reply = connection.send_and_wait(data, deadline_ms - self._clock.now_ms())
             if reply is None:
                 self._router.discard_failed_connection(pool, connection)
                 detail = "the primary did not answer"
@@ -178,13 +184,29 @@
                     eventlet.sleep(RETRY_PAUSE_MS / 1_000)
                 continue
             # The primary may have been fenced while the connection was opened.
-            if not self._router.is_primary(pool) or not self._router.primary_usable(route.group):
+            if not self._is_usable_primary(pool, route.group):
                 pool.release(connection)
                 continue
             if self._preparer.apply_variables(session, connection):
                 return pool, connection
             self._router.discard_failed_connection(pool, connection)
 
+    def _is_usable_primary(self, pool: ServerPool, group: str) -> bool:
+        return self._router.is_primary(pool) and self._router.primary_usable(group)
+
+    def _await_lease(self, pool: ServerPool, deadline_ms: int) -> bool:
+        """Wait until this host has a lease on a transaction's primary; return whether it has one.
+
+        A transaction may end while its primary is being replaced, until its connection is closed.
+        """
+        while self._router.is_primary(pool):
+            if self._router.has_lease():
+                return True
+            if self._clock.now_ms() + RETRY_PAUSE_MS >= deadline_ms:
+                return False
+            self._router.wait_for_primary_change(RETRY_PAUSE_MS)
+        return False
+
     def _send(
         self, connection: ServerConnection, statement: Statement, deadline_ms: int
     ) -> StatementReply | None:
@@ -475,6 +497,10 @@
         pool, connection = transaction.pool, transaction.connection
         server_id = pool.entry.server_id
         transaction.connection = None
+        if transaction.wrote and not self._await_lease(pool, deadline_ms):
+            pool.discard(connection)  # the server rolls back
+            detail = "this host has no lease on the primary"
+            return Answer(b"", SessionFailure.ABORTED, detail, 0, server_id)
         if connection.is_lost():
             self._router.discard_failed_connection(pool, connection)
             detail = "the connection to the server was lost before the commit was sent"
