Let the test of a tenure's era fail without the check

The restored record had the token of a claim that was not renewed, which alone ended the tenure: with the comparison of eras switched off, the test passed. The record is renewed first now, so that the copy names the tenure's own token; with the comparison switched off it fails, with it it passes.

--- a/packages/figcrank-coordination/tests/primaries/test_holder.py
+++ b/packages/figcrank-coordination/tests/primaries/test_holder.py
@@ -114,8 +114,10 @@
     """In the copy that the store came back from, this host was the holder; another one followed."""
     holder = RecordHolder("a")
     written, _ = claim_and_write(holder, StoredPrimaries(revision_of(1, 50), "z", 3, {"g": OLD}))
-    _, lost = claim_and_write(RecordHolder("b"), written, "h")
-    restored = replace(written, revision=revision_of(2, 51))
+    renewed = replace(holder.claim(written, "g", MOVING, renews=True), revision=revision_of(1, 52))
+    assert holder.holds(renewed)
+    _, lost = claim_and_write(RecordHolder("b"), renewed, "h")
+    restored = replace(renewed, revision=revision_of(2, 52))
     assert not holder.holds(restored)
     _, right = claim_and_write(holder, restored, at_ms=500)
     assert right.token > lost.token
