Adopt a returned primary in a takeover only once it is known to lead

Callers could get a commit acknowledged at a server that lost the lead: a primary returns under another id before the promotion of an interrupted replacement has taken effect, and the promoted server does not answer the host that takes over. That host adopted the returned one at once, as the server of the record's own term, without waiting for the hosts. A term has only one primary, but an interrupted replacement may have begun a later one.

A replacement that takes over another one now adopts servers of later terms alone, and orders the promotion of the returned primary like that of any candidate. The service changes nothing for the present primary, so a server that still leads in its old term when its promotion must have taken effect is adopted then. Other replacements adopt a returned primary at once, as before.

The failover service of the test now changes nothing for the present primary. Found by reading.

--- a/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
@@ -205,17 +205,17 @@
         if self._view.primary_table.get(group) != moving:
             return "a newer primary record was merged first"
         demoted = self._stop_old_primary(group, moving, planned)
-        promoted = self._find_promoted(group, moving)
+        promoted = self._find_promoted(group, moving, not takes_over)
         if promoted is None:
             if not self._await_fencing(group, moving, stored_ms, takes_over, demoted):
                 return "the old primary may still be in use"
             self._sleep_until(right.not_before_ms)
             # The previous holder's promotions have arrived by now.
-            promoted = self._find_promoted(group, moving)
+            promoted = self._find_promoted(group, moving, not takes_over)
             if promoted is None and takes_over:
                 # One that takes effect after this host's would depose the server promoted here.
                 self._sleep_until(right.not_before_ms + PROMOTION_EFFECT_MS)
-                promoted = self._find_promoted(group, moving)
+                promoted = self._find_promoted(group, moving, False)
             promoted = promoted or self._promote(group, moving, right)
         if promoted is None:
             return "no server could be promoted"
@@ -384,16 +384,20 @@
                 return
             eventlet.sleep(DEMOTE_RETRY_MS / 1_000)
 
-    def _find_promoted(self, group: str, record: PrimaryRecord) -> tuple[str, int] | None:
-        """Return a server that is already the primary.
+    def _find_promoted(
+        self, group: str, record: PrimaryRecord, may_have_returned: bool
+    ) -> tuple[str, int] | None:
+        """Return a server that is already the primary, in a later term if it was promoted.
 
-        It was promoted earlier, in a later term, or it is the old primary itself, which has
-        returned under another id: a term has only one primary.
+        :param may_have_returned: whether it may be the old primary itself, which has returned under
+            another id: a term has only one primary. An interrupted replacement may have promoted
+            a server of a later term, however.
         """
+        least_term = record.term if may_have_returned else record.term + 1
         promoted = [
             (report.term, server_id)
             for server_id, report in self._collect_reports(group, record.server_id)
-            if report.is_primary and report.term >= record.term
+            if report.is_primary and report.term >= least_term
         ]
         if not promoted:
             return None
@@ -427,7 +431,8 @@
             if outcome is PromoteOutcome.NOT_DONE:
                 eventlet.sleep(PROMOTION_RETRY_MS / 1_000)
                 continue
-            promoted = self._await_promoted(server_id, record.term)
+            accepted = outcome is PromoteOutcome.ACCEPTED
+            promoted = self._await_promoted(server_id, record.term, accepted)
             if promoted is not None:
                 return promoted
         return None
@@ -462,13 +467,22 @@
         )
         return outcome
 
-    def _await_promoted(self, server_id: str, old_term: int) -> tuple[str, int] | None:
-        deadline_ms = self._clock.now_ms() + PROMOTION_TIMEOUT_MS
-        while self._clock.now_ms() < deadline_ms:
+    def _await_promoted(
+        self, server_id: str, old_term: int, accepted: bool
+    ) -> tuple[str, int] | None:
+        """Return a server and its term once it is primary by its promotion.
+
+        :param accepted: whether the service accepted the order. It changes nothing for the present
+            primary, which goes on in its term.
+        """
+        ordered_ms = self._clock.now_ms()
+        while self._clock.now_ms() < ordered_ms + PROMOTION_TIMEOUT_MS:
             entry = self._entry(server_id)
             report = self._commands.status(entry) if entry else None
-            if report is not None and report.is_primary and report.term > old_term:
-                return server_id, report.term
+            if report is not None and report.is_primary:
+                took_effect = self._clock.now_ms() - ordered_ms > PROMOTION_EFFECT_MS
+                if report.term > old_term or (accepted and took_effect):
+                    return server_id, report.term
             eventlet.sleep(POLL_INTERVAL_MS / 1_000)
         return None
 
--- a/packages/figcrank-transport/tests/test_replacer.py
+++ b/packages/figcrank-transport/tests/test_replacer.py
@@ -188,8 +188,9 @@
 
     def promote(self, server_id):
         server = self.by_id[server_id]
-        newest_term = max(other.term for other in self.of(server.group))
-        server.is_primary, server.term = True, newest_term + 1
+        leader = max(self.of(server.group), key=lambda other: (other.term, other.is_primary))
+        if server is not leader or not server.is_primary:
+            server.is_primary, server.term = True, leader.term + 1
 
 
 class Commands:
@@ -614,6 +615,39 @@
     assert (stored.server_id, stored.term, stored.moving) == ("g1-2", 1, False)
 
 
+def take_over_beside_a_returned_primary(fleet):
+    """Let ``b`` take over a replacement; the old primary is back as ``g1-1`` of the same term."""
+    fleet.servers.by_id["g1-0"].is_primary = False
+    fleet.servers.by_id["g1-1"].is_primary = True
+    fleet.servers.silent.add("g1-2")
+    moving = moving_record(fleet.store.record.records["g1"], planned=False)
+    fleet.store.record = replace(fleet.store.record, records={"g1": moving})
+    fleet.b.view.merge_primary("g1", moving, 0)
+    fleet.b.replace("g1")
+    sleep_ms(8_000)
+
+
+def test_returned_primary_is_not_adopted_beside_a_silent_server_that_may_have_been_promoted(run):
+    """It leads no longer if the interrupted replacement promoted the silent server."""
+
+    def scenario(fleet):
+        promoted = fleet.servers.by_id["g1-2"]
+        promoted.is_primary, promoted.term = True, 2
+        take_over_beside_a_returned_primary(fleet)
+
+    fleet = run(scenario)
+    leader = max(fleet.servers.of("g1"), key=lambda server: server.term)
+    stored = fleet.store.record.records["g1"]
+    assert (stored.server_id, stored.term) == (leader.server_id, leader.term)
+
+
+def test_returned_primary_that_still_leads_is_adopted_once_its_promotion_changes_nothing(run):
+    fleet = run(take_over_beside_a_returned_primary)
+    assert [group for _, _, _, group in fleet.failover.arrived] == ["g1"]
+    stored = fleet.store.record.records["g1"]
+    assert (stored.server_id, stored.term, stored.moving) == ("g1-1", 1, False)
+
+
 def run_hosts(fleet, until_ms):
     """Run both hosts' replacers, with fresh lists of servers, until a time."""
     for host in (fleet.a, fleet.b):
