Let two hosts that settle records not take the record from each other

Two hosts that reach the store but not each other both settle the records after a new era. Each became the holder once a second and found, when its wait of 2.1 s was over, that the other one had followed: no record was settled while the hosts stayed apart, and each claim also ended a replacement that the other one ran.

A host that lost the record during an attempt now yields until the record has not changed for 4 s.

Evidence: the new test brings the store back from a copy, once and twice, at 28 steps of two replacements in one host, with a second host that does not hear the first.

--- a/packages/figcrank-transport/src/figcrank/transport/streams/_record_settler.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_record_settler.py
@@ -19,12 +19,15 @@
 from figcrank.protocol.heartbeats import PrimaryRecord
 from figcrank.protocol.sessions import ServerReport
 from figcrank.state._clock import Clock
-from figcrank.transport.streams._interfaces import StoreError
+from figcrank.transport.streams._interfaces import StoreError, StoreErrorKind
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._primary_record_writer import PrimaryRecordWriter
 from figcrank.transport.streams._store_reader import StoreReader
 
 POLL_INTERVAL_MS = 100
+# Longer than an attempt. Hosts that don't hear each other would otherwise take the record from each
+# other before either has settled it.
+YIELD_MS = 4_000
 RETRY_MS = 1_000  # a server that did not answer may answer then
 
 
@@ -66,6 +69,9 @@
         self._log = log
         self._running = False
         self._next_attempt_ms = 0
+        self._yields = False  # since another host became the holder during an attempt
+        self._seen_revision = 0
+        self._seen_ms = 0
 
     def check(self, now_ms: int) -> None:
         """Begin an attempt if this host is the first store reader and a record is not settled."""
@@ -85,6 +91,7 @@
         try:
             self._settle()
         except StoreError as error:
+            self._yields = error.kind is StoreErrorKind.CONFLICT
             self._log.event("primaries_not_settled", reason=str(error))
         finally:
             self._next_attempt_ms = self._clock.now_ms() + RETRY_MS
@@ -96,7 +103,7 @@
         for group, record in stored.records.items():
             if is_settled(record, era):
                 self._merge(group, record)
-        if not self._unsettled_groups():
+        if not self._unsettled_groups() or self._must_yield(stored.revision):
             return
         right = self._writer.hold()
         # Promotions that were ordered before have then arrived and taken effect.
@@ -117,6 +124,16 @@
             for group, record in self._writer.settle(settled).records.items():
                 self._merge(group, record)
 
+    def _must_yield(self, revision: int) -> bool:
+        """Return whether another host may still be settling the record.
+
+        :param revision: present revision of the record.
+        """
+        now_ms = self._clock.now_ms()
+        if revision != self._seen_revision:
+            self._seen_revision, self._seen_ms = revision, now_ms
+        return self._yields and now_ms - self._seen_ms < YIELD_MS
+
     def _registry_is_complete(self) -> bool:
         """Return whether servers have had the time to write their entries again."""
         now_ms = self._clock.now_ms()
--- a/packages/figcrank-transport/tests/test_replacer.py
+++ b/packages/figcrank-transport/tests/test_replacer.py
@@ -612,3 +612,51 @@
     assert not fleet.failover.arrived
     stored = fleet.store.record.records["g1"]
     assert (stored.server_id, stored.term, stored.moving) == ("g1-2", 1, False)
+
+
+def run_hosts(fleet, until_ms):
+    """Run both hosts' replacers, with fresh lists of servers, until a time."""
+    for host in (fleet.a, fleet.b):
+        eventlet.spawn(host.replacer.run)
+    while fleet.a.clock.now_ms() < until_ms:
+        for host in (fleet.a, fleet.b):
+            host.view.registry_ms = host.clock.now_ms()
+            host.reader.confirm_primaries()
+        sleep_ms(100)
+
+
+def return_crashed_servers(fleet):
+    """Let crashed servers start again, as replicas where another server was promoted."""
+    fleet.servers.silent.clear()
+    fleet.servers.refusing.clear()
+    for group in GROUPS:
+        returned, newest = fleet.servers.by_id[f"{group}-0"], max(
+            s.term for s in fleet.servers.of(group)
+        )
+        returned.is_primary, returned.term = returned.term == newest, newest
+        for host in (fleet.a, fleet.b):
+            host.router.pool(returned.server_id).health.record_answer(host.clock.now_ms())
+
+
+@pytest.mark.parametrize("drills", [1, 2])
+@pytest.mark.parametrize("restored_ms", range(0, 3_500, 125))
+def test_store_may_come_back_from_a_copy_at_any_step_of_two_replacements(run, restored_ms, drills):
+    def scenario(fleet):
+        copy = fleet.store.record
+        fleet.a.replace("g1")
+        fleet.a.replace("g2")
+        sleep_ms(restored_ms)
+        for _ in range(drills):
+            fleet.store.restore(copy)
+            sleep_ms(10)
+        eventlet.spawn_after(6, return_crashed_servers, fleet)
+        run_hosts(fleet, 25_000)
+
+    fleet = run(scenario)
+    fleet.check_tokens()
+    for group, record in fleet.store.record.records.items():
+        primaries = [server for server in fleet.servers.of(group) if server.is_primary]
+        leader = max(primaries, key=lambda server: server.term)
+        assert (record.server_id, record.term) == (leader.server_id, leader.term)
+        assert not record.moving
+        assert is_settled(record, drills)
