--- a/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
@@ -341,7 +341,9 @@
             if third_quiesced_ms == NEVER_MS and 3 * quiesced >= hosts:
                 third_quiesced_ms = now_ms
             pool = self._router.pool(record.server_id)
-            refused = pool is not None and pool.health.last_refused_ms is not None
+            # A refusal from before says nothing: the server may have restarted, out of reach.
+            refused_ms = pool.health.last_refused_ms if pool else None
+            refused = refused_ms is not None and refused_ms >= stored_ms
             fence = FencingState(
                 stored_ms,
                 takes_over,
@@ -383,11 +385,20 @@
             eventlet.sleep(DEMOTE_RETRY_MS / 1_000)
 
     def _find_promoted(self, group: str, record: PrimaryRecord) -> tuple[str, int] | None:
-        """Return a server that is already primary in a later term, due to an earlier promotion."""
-        for server_id, report in self._collect_reports(group, record.server_id):
-            if report.is_primary and report.term > record.term:
-                return server_id, report.term
-        return None
+        """Return a server that is already the primary.
+
+        It was promoted earlier, in a later term, or it is the old primary itself, which has
+        returned under another id: a term has only one primary.
+        """
+        promoted = [
+            (report.term, server_id)
+            for server_id, report in self._collect_reports(group, record.server_id)
+            if report.is_primary and report.term >= record.term
+        ]
+        if not promoted:
+            return None
+        term, server_id = max(promoted)  # an interrupted replacement may follow another one
+        return server_id, term
 
     def _promote(
         self, group: str, record: PrimaryRecord, right: PromotionRight
--- a/packages/figcrank-transport/tests/test_replacer.py
+++ b/packages/figcrank-transport/tests/test_replacer.py
@@ -19,6 +19,7 @@
     PROMOTION_WINDOW_MS,
     TAKEOVER_WAIT_MS,
     ReplacementReason,
+    is_settled,
     moving_record,
 )
 from figcrank.protocol.heartbeats import PrimaryRecord, StoredPrimaries
@@ -170,7 +171,7 @@
 class Servers:
     """The servers of all groups; the first one of each group has crashed.
 
-    ``silent`` holds those that do not answer.
+    ``silent`` holds those that do not answer, ``refusing`` those of them whose process has ended.
     """
 
     def __init__(self):
@@ -180,22 +181,35 @@
             for number in range(3)
         }
         self.silent = {f"{group}-0" for group in GROUPS}
+        self.refusing = set(self.silent)
 
     def of(self, group):
         return [server for server in self.by_id.values() if server.group == group]
 
-    def status(self, entry):
-        return None if entry.server_id in self.silent else self.by_id[entry.server_id].report
-
-    def demote(self, _entry, _term):
-        return None
-
     def promote(self, server_id):
         server = self.by_id[server_id]
         newest_term = max(other.term for other in self.of(server.group))
         server.is_primary, server.term = True, newest_term + 1
 
 
+class Commands:
+    """Commands that a host sends to servers."""
+
+    def __init__(self, servers, router, clock):
+        self._servers, self._router, self._clock = servers, router, clock
+
+    def status(self, entry):
+        if entry.server_id in self._servers.refusing:
+            health = self._router.pool(entry.server_id).health
+            health.record_failure(self._clock.now_ms(), refused=True)
+        if entry.server_id in self._servers.silent:
+            return None
+        return self._servers.by_id[entry.server_id].report
+
+    def demote(self, entry, _term):
+        self.status(entry)  # no test has a primary that can be demoted
+
+
 @dataclass
 class FailoverCalls:
     """The failover service; ``busy_holders`` are told to come back, as beyond its call rate."""
@@ -256,19 +270,20 @@
         for group in records:
             router.pool(f"{group}-0").health.record_failure(0, refused=True)
         self.store = StoreOfHost(fleet.store)
-        reader = StoreReader(self.store, None, self.view, router, self.clock, log, metrics)
+        self.router = router
+        self.reader = StoreReader(self.store, None, self.view, router, self.clock, log, metrics)
         self.replacer = PrimaryReplacer(
             self.view,
             router,
             FakeLink(),
-            reader,
+            self.reader,
             fleet.failover,
             None,
             self.clock,
             log,
             metrics,
         )
-        self.replacer._commands = fleet.servers
+        self.replacer._commands = Commands(fleet.servers, router, self.clock)
 
     def replace(self, group):
         """Begin the replacement of a group's primary, or take over an interrupted one."""
@@ -485,3 +500,115 @@
     fleet = run(scenario)
     assert era_of(fleet.store.record.revision) == 1
     assert not fleet.failover.arrived
+
+
+def settle_after_losing_the_replacement_of_g1(fleet):
+    """Let the store lose a replacement that host ``a`` ran, and let ``a`` settle the records."""
+    copy = fleet.store.record
+    fleet.a.replace("g1")
+    sleep_ms(4_000)
+    fleet.store.restore(copy)
+    for server_id in sorted(fleet.servers.silent):
+        fleet.a.router.pool(server_id).health.record_answer(fleet.a.clock.now_ms())
+    fleet.servers.silent.clear()
+    fleet.servers.refusing.clear()
+    fleet.a.router.tick()  # it no longer reports them
+    eventlet.spawn(fleet.a.replacer.run)
+    fleet.a.reader.call("list_quiet")  # the host learns of the era
+    for _ in range(60):
+        fleet.a.view.registry_ms = fleet.a.clock.now_ms()
+        sleep_ms(100)
+
+
+def test_replacement_that_the_store_lost_is_settled_in_the_new_era(run):
+    """A host that reads the store alone took the old primary for the present one."""
+
+    def scenario(fleet):
+        fleet.servers.by_id["g1-0"].is_primary = False  # it returns as a replica
+        settle_after_losing_the_replacement_of_g1(fleet)
+
+    fleet = run(scenario)
+    stored = fleet.store.record.records
+    assert {group: record.server_id for group, record in stored.items()} == {
+        "g1": "g1-2",
+        "g2": "g2-0",
+        "g3": "g3-0",
+    }
+    assert all(is_settled(record, 1) for record in stored.values())
+    assert stored == fleet.a.view.primary_table.all()
+
+
+def test_interrupted_replacement_that_only_the_copy_shows_is_settled(run):
+    """All hosts had started afresh; none knew the record, and none continued the replacement."""
+
+    def scenario(fleet):
+        moving = moving_record(fleet.store.record.records["g1"], planned=False)
+        records = {**fleet.store.record.records, "g1": moving}
+        fleet.store.restore(replace(fleet.store.record, records=records))
+        fleet.servers.silent.clear()
+        fleet.servers.refusing.clear()
+        fresh = Host("c", fleet, {})
+        eventlet.spawn(fresh.replacer.run)
+        fresh.reader.call("list_quiet")
+        for _ in range(60):
+            fresh.view.registry_ms = fresh.clock.now_ms()
+            sleep_ms(100)
+
+    fleet = run(scenario)
+    record = fleet.store.record.records["g1"]
+    assert (record.server_id, record.moving) == ("g1-0", False)
+    assert is_settled(record, 1)
+
+
+def test_old_primary_that_was_not_demoted_does_not_keep_records_from_being_settled(run):
+    """While the new primary can't reach it, it goes on as the primary of the earlier term."""
+    fleet = run(settle_after_losing_the_replacement_of_g1)
+    record = fleet.store.record.records["g1"]
+    assert (record.server_id, record.term) == ("g1-2", 2)
+    assert is_settled(record, 1)
+
+
+def test_newest_of_two_promoted_servers_is_adopted(run):
+    """Two interrupted replacements promoted one each; the one of the earlier term was adopted."""
+
+    def scenario(fleet):
+        for server_id, term in (("g1-1", 2), ("g1-2", 3)):
+            server = fleet.servers.by_id[server_id]
+            server.is_primary, server.term = True, term
+        moving = moving_record(fleet.store.record.records["g1"], planned=False)
+        fleet.store.record = replace(fleet.store.record, records={"g1": moving})
+        fleet.b.view.merge_primary("g1", moving, 0)
+        fleet.b.replace("g1")
+        sleep_ms(1_000)
+
+    fleet = run(scenario)
+    stored = fleet.store.record.records["g1"]
+    assert (stored.server_id, stored.term, stored.moving) == ("g1-2", 3, False)
+
+
+def test_refusal_from_before_does_not_prove_that_the_old_primary_is_gone(run):
+    """It had restarted out of this host's reach, and other hosts used it again."""
+
+    def scenario(fleet):
+        fleet.b.view.peers.register("c", ("c", 7000), 0)
+        fleet.servers.refusing.clear()  # it refused connections at 0 ms and is silent since
+        sleep_ms(1_000)
+        fleet.b.replace("g1")
+        sleep_ms(6_000)
+
+    fleet = run(scenario)
+    assert fleet.failover.arrived[0][0] >= 1_000 + LEASE_MS
+
+
+def test_primary_that_returned_under_another_id_is_adopted(run):
+    """It was ordered to be promoted again and again, which changes nothing for a primary."""
+
+    def scenario(fleet):
+        fleet.servers.by_id["g1-2"].is_primary = True  # of the same term as the one that is gone
+        fleet.a.replace("g1")
+        sleep_ms(6_000)
+
+    fleet = run(scenario)
+    assert not fleet.failover.arrived
+    stored = fleet.store.record.records["g1"]
+    assert (stored.server_id, stored.term, stored.moving) == ("g1-2", 1, False)
