Correct the comment on the timeout after which a replacement is taken over

It said that the time exceeds a change of the holder, a fence and a promotion. A fence alone may take 3.1 s; another host that continues the replacement meanwhile waits for the fence again. The value is unchanged.

--- a/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
@@ -42,7 +42,7 @@
 from figcrank.transport.streams._store_reader import StoreReader
 
 CHECK_INTERVAL_MS = 60  # a crash is handled within two checks
-TAKEOVER_TIMEOUT_MS = 2_500  # exceeds a holder change, a fence and a promotion of 1 s
+TAKEOVER_TIMEOUT_MS = 2_500  # another host then continues what has not changed for so long
 CATCH_UP_TIMEOUT_MS = 600  # in a planned switch, for a replica to apply every commit
 PROMOTION_TIMEOUT_MS = 3_000  # the longest promotions take 1 s
 POLL_INTERVAL_MS = 40  # status polling of the promoted server
