Decode regions, cold servers and evacuation bounds; add an extension to heartbeats

Cause: decisions for uneven servers, evacuated zones and two regions need inputs that the configuration and the settings give and nothing decoded, and state of other owners that heartbeats had no room for. Hosts of earlier releases accept exactly six elements, so a peer gets the seventh only after it has shown by the store's state that it reads it. The test of that state now covers four cases in place of three; a view page has one new key, and its server entries keep their fields.

--- a/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
@@ -19,9 +19,12 @@
 from figcrank.protocol.heartbeats import (
     NEVER_MS,
     OMITTABLE_FIELDS,
+    Evacuations,
     Heartbeat,
+    HeartbeatExtension,
     PrimaryFailure,
     PrimaryRecord,
+    ServerLoad,
 )
 from figcrank.protocol.owners import Owner
 from figcrank.state import era_of
@@ -111,6 +114,9 @@
         self.limits: dict[str, SharedLimit] = {}
         self.primary_failures: dict[str, PrimaryFailure] = {}
         self.quiesced_groups: set[str] = set()
+        self.evacuations = Evacuations()
+        self.busy_zones: tuple[str, ...] = ()  # evacuated ones in which this host still has work
+        self.server_loads: dict[str, ServerLoad] = {}  # of this host
         self._removed_ms: dict[tuple[str, int], int] = {}
         self._state_changes = ChangeTracker()
         self._spent_changes = ChangeTracker()
@@ -366,9 +372,13 @@
             spent=spent,
             partial=partial,
             unchanged=tuple(name for name in OMITTABLE_FIELDS if name not in state),
+            extension=self._extension() if peer.reads_extension else None,
             **state,
         )
 
+    def _extension(self) -> HeartbeatExtension:
+        return HeartbeatExtension(self.evacuations, self.busy_zones, self.server_loads)
+
     def _observed_positions(self, now_ms: int) -> dict:
         observed = {}
         for group, history in self.position_histories.items():
--- a/packages/figcrank-coordination/src/figcrank/coordination/peers/_table.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/peers/_table.py
@@ -30,6 +30,7 @@
     :param heartbeat: its last heartbeat, with the omitted fields filled in.
     :param needs_all_fields: whether its heartbeats omit fields that this host never received.
     :param availability_zone: its availability zone, empty while unknown.
+    :param reads_extension: whether it has shown, since its start, that it reads extensions.
     """
 
     name: str
@@ -40,6 +41,7 @@
     heartbeat: Heartbeat | None = None
     needs_all_fields: bool = False
     availability_zone: str = ""
+    reads_extension: bool = False
 
 
 class PeerTable:
@@ -89,6 +91,9 @@
             return None
         peer.needs_all_fields = False
         peer.name = heartbeat.host
+        peer.reads_extension = heartbeat.reads_extension or (
+            last is not None and peer.reads_extension
+        )
         peer.heartbeat = heartbeat.with_omitted_fields(last) if heartbeat.partial else heartbeat
         peer.received_ms = now_ms
         if heartbeat.echo_ms != NEVER_MS and heartbeat.echo_ms <= now_ms:
--- a/packages/figcrank-coordination/tests/fleet/test_partial_heartbeats.py
+++ b/packages/figcrank-coordination/tests/fleet/test_partial_heartbeats.py
@@ -128,3 +128,27 @@
     heartbeat = view.heartbeat_for(peer, hosts.now_ms)
     assert set(heartbeat.spent) == set(WORKSPACES[:4])
     assert len(encode_heartbeat(heartbeat)) <= MAX_HEARTBEAT_BYTES
+
+
+def test_extension_is_sent_only_to_a_peer_that_reads_it():
+    """Guards against hosts of an earlier release that reject a heartbeat with a seventh element."""
+    view = make_host("a", 1)
+    (peer,) = view.peers.all()
+    assert view.heartbeat_for(peer, 10).extension is None
+    earlier = replace(make_host("b", 1).heartbeat_for(peer, 10), host="b", reads_extension=False)
+    view.receive(earlier, ADDRESSES["b"], 20)
+    assert view.heartbeat_for(peer, 30).extension is None
+    view.receive(replace(earlier, sent_ms=40, reads_extension=True), ADDRESSES["b"], 50)
+    assert view.heartbeat_for(peer, 60).extension is not None
+
+
+def test_restarted_peer_must_show_again_that_it_reads_the_extension():
+    """It may have been started again as an earlier release."""
+    view = make_host("a", 1)
+    (peer,) = view.peers.all()
+    heartbeat = replace(make_host("b", 1).heartbeat_for(peer, 10), host="b")
+    view.receive(heartbeat, ADDRESSES["b"], 20)
+    view.receive(
+        replace(heartbeat, boot_id=2, sent_ms=30, reads_extension=False), ADDRESSES["b"], 40
+    )
+    assert view.heartbeat_for(peer, 50).extension is None
--- a/packages/figcrank-protocol/src/figcrank/protocol/heartbeats.py
+++ b/packages/figcrank-protocol/src/figcrank/protocol/heartbeats.py
@@ -3,6 +3,9 @@
 Most of a host's state is the same from one heartbeat to the next. Once a peer has echoed a
 heartbeat, later heartbeats to it omit the fields that have not changed since;
 :meth:`Heartbeat.with_omitted_fields` restores them.
+
+Hosts of earlier releases accept six elements only. The extension, a seventh one, is sent to peers
+that have shown that they read it.
 """
 
 import json
@@ -12,10 +15,11 @@
 
 NEVER_MS = -1  # an age or time that does not exist
 # How a heartbeat tells whether the sender's calls to the store were answered. Earlier releases send
-# and understand the first two, and take any other number for the second.
+# and understand the first two or three, and take any other number for the second.
 STORE_LOST = 0
 STORE_OK_WITHOUT_ERAS = 1
-STORE_OK = 2
+STORE_OK_WITHOUT_EXTENSION = 2
+STORE_OK = 3
 
 
 class HeartbeatError(ValueError):
@@ -88,6 +92,86 @@
     refused: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Evacuations:
+    """The availability zones that an operator has evacuated.
+
+    :param revision: store revision at which they were listed; 0 if they never were.
+    :param zones: names of the evacuated zones.
+    """
+
+    revision: int = 0
+    zones: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class ServerLoad:
+    """One owner's recent load on a server.
+
+    :param in_flight: its statements and new connections that the server is working on.
+    :param waiting: its statements that wait for the server.
+    :param service_ms: mean time from sending a statement to its reply; 0 without samples.
+    :param samples: number of replies in that mean.
+    :param rejections: statements and connections that the server rejected.
+    """
+
+    in_flight: int = 0
+    waiting: int = 0
+    service_ms: float = 0.0
+    samples: int = 0
+    rejections: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class HeartbeatExtension:
+    """State that hosts of earlier releases neither send nor understand.
+
+    :param evacuations: the sender's list of evacuated availability zones.
+    :param busy_zones: evacuated availability zones in which the sender still has work.
+    :param server_loads: the sender's load on servers that it used recently, by server id.
+    """
+
+    evacuations: Evacuations = field(default_factory=Evacuations)
+    busy_zones: tuple[str, ...] = ()
+    server_loads: dict[str, ServerLoad] = field(default_factory=dict)
+
+    def to_fields(self) -> dict:
+        """Return the extension as an object to encode as JSON, without its empty parts."""
+        fields = {}
+        if self.evacuations.revision:
+            fields["evacuations"] = [self.evacuations.revision, sorted(self.evacuations.zones)]
+        if self.busy_zones:
+            fields["busy_zones"] = list(self.busy_zones)
+        if self.server_loads:
+            fields["loads"] = {
+                server_id: [
+                    load.in_flight,
+                    load.waiting,
+                    round(load.service_ms, 1),
+                    load.samples,
+                    load.rejections,
+                ]
+                for server_id, load in self.server_loads.items()
+            }
+        return fields
+
+    @classmethod
+    def from_fields(cls, fields: dict) -> "HeartbeatExtension":
+        """Return the extension decoded from an object made by :meth:`to_fields`.
+
+        Unknown parts are ignored.
+
+        :raises ValueError: if a part is invalid.
+        """
+        revision, zones = fields.get("evacuations", (0, ()))
+        loads = {
+            str(server_id): ServerLoad(int(n), int(w), float(ms), int(samples), int(rejections))
+            for server_id, (n, w, ms, samples, rejections) in fields.get("loads", {}).items()
+        }
+        evacuations = Evacuations(int(revision), frozenset(map(str, zones)))
+        return cls(evacuations, tuple(map(str, fields.get("busy_zones", ()))), loads)
+
+
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
     """State that one host reports to another.
@@ -114,6 +198,9 @@
     :param unchanged: names of the fields that are omitted because they have not changed.
     :param ignores_eras: whether the sender reads the store as if it had no eras, as earlier
         releases do; it ignores its own lists of servers once it has one from a host of this one.
+    :param reads_extension: whether this heartbeat shows that the sender reads an extension; it
+        can't show that while it does not reach the store.
+    :param extension: state that earlier releases don't send; ``None`` if it was left out.
     """
 
     host: str
@@ -136,6 +223,8 @@
     partial: bool = False
     unchanged: tuple[str, ...] = ()
     ignores_eras: bool = False
+    reads_extension: bool = True
+    extension: HeartbeatExtension | None = None
 
     def with_omitted_fields(self, previous: "Heartbeat") -> "Heartbeat":
         """Return this heartbeat with its omitted fields restored.
@@ -184,13 +273,17 @@
         {g: [p.term, p.offset, age_ms] for g, (p, age_ms) in heartbeat.observed.items()},
         [int(heartbeat.partial), heartbeat.spent],
     )
+    if heartbeat.extension is not None:
+        fields = (*fields, heartbeat.extension.to_fields())
     return json.dumps(fields, separators=(",", ":")).encode()
 
 
 def _store_state(heartbeat: Heartbeat) -> int:
     if not heartbeat.store_ok:
         return STORE_LOST
-    return STORE_OK_WITHOUT_ERAS if heartbeat.ignores_eras else STORE_OK
+    if heartbeat.ignores_eras:
+        return STORE_OK_WITHOUT_ERAS
+    return STORE_OK if heartbeat.reads_extension else STORE_OK_WITHOUT_EXTENSION
 
 
 def decode_heartbeat(data: bytes) -> Heartbeat:
@@ -199,7 +292,7 @@
     :raises HeartbeatError: if the datagram can't be decoded as a heartbeat.
     """
     try:
-        sender, state, store, omittable, observed, (partial, spent) = json.loads(data)
+        sender, state, store, omittable, observed, (partial, spent), *extra = json.loads(data)
         unchanged = tuple(n for n, v in zip(OMITTABLE_FIELDS, omittable, strict=True) if v is None)
         primaries, quiesced_groups, primary_failures, removed = omittable
         host, boot_id, sent_ms, echo_ms, echo_age_ms = sender
@@ -229,6 +322,8 @@
             bool(partial),
             unchanged,
             ignores_eras=store_state == STORE_OK_WITHOUT_ERAS,
+            reads_extension=store_state == STORE_OK,
+            extension=HeartbeatExtension.from_fields(extra[0]) if extra else None,
         )
     except (ValueError, TypeError, AttributeError, RecursionError) as error:
         raise HeartbeatError(
--- a/packages/figcrank-protocol/tests/test_heartbeats.py
+++ b/packages/figcrank-protocol/tests/test_heartbeats.py
@@ -7,14 +7,17 @@
 
 from figcrank.protocol.heartbeats import (
     OMITTABLE_FIELDS,
+    Evacuations,
     Heartbeat,
     HeartbeatError,
+    HeartbeatExtension,
     PrimaryFailure,
     PrimaryRecord,
+    ServerLoad,
     decode_heartbeat,
     encode_heartbeat,
 )
-from figcrank.state import Position
+from figcrank.state import Position, revision_of
 
 FULL_HEARTBEAT = Heartbeat(
     "a",
@@ -30,6 +33,35 @@
 )
 
 
+EXTENSION = HeartbeatExtension(
+    Evacuations(revision_of(1, 9), frozenset({"az-1", "az-2"})),
+    ("az-1",),
+    {"s1": ServerLoad(3, 2, 18.5, 40, 1)},
+)
+
+
+def test_extension_round_trip():
+    heartbeat = replace(FULL_HEARTBEAT, extension=EXTENSION)
+    assert decode_heartbeat(encode_heartbeat(heartbeat)) == heartbeat
+
+
+def test_heartbeat_without_extension_has_the_elements_that_earlier_releases_accept():
+    """Guards against hosts of an earlier release that can't decode a heartbeat of this one."""
+    assert len(json.loads(encode_heartbeat(FULL_HEARTBEAT))) == 6
+
+
+def test_unknown_parts_of_an_extension_are_ignored():
+    """A later release may add parts."""
+    assert HeartbeatExtension.from_fields({"later": [1]}) == HeartbeatExtension()
+
+
+@pytest.mark.parametrize("extension", [[], {"loads": {"s1": [1]}}, {"evacuations": 3}])
+def test_invalid_extension_is_rejected(extension):
+    elements = json.loads(encode_heartbeat(FULL_HEARTBEAT))
+    with pytest.raises(HeartbeatError):
+        decode_heartbeat(json.dumps([*elements, extension]).encode())
+
+
 def test_heartbeat_round_trip():
     assert decode_heartbeat(encode_heartbeat(FULL_HEARTBEAT)) == FULL_HEARTBEAT
 
@@ -58,14 +90,24 @@
 
 
 @pytest.mark.parametrize(
-    ("store_ok", "ignores_eras", "sent"),
-    [(False, False, 0), (True, True, 1), (True, False, 2)],
+    ("store_ok", "ignores_eras", "reads_extension", "sent"),
+    [
+        (False, False, False, 0),
+        (True, True, False, 1),
+        (True, False, False, 2),
+        (True, False, True, 3),
+    ],
 )
 def test_state_of_the_store_is_sent_so_that_earlier_releases_understand_it(
-    store_ok, ignores_eras, sent
+    store_ok, ignores_eras, reads_extension, sent
 ):
-    """Earlier releases send 0 or 1, and take any number but 0 for an answering store."""
-    heartbeat = replace(FULL_HEARTBEAT, store_ok=store_ok, ignores_eras=ignores_eras)
+    """Earlier releases send 0, 1 or 2, and take any number but 0 for an answering store."""
+    heartbeat = replace(
+        FULL_HEARTBEAT,
+        store_ok=store_ok,
+        ignores_eras=ignores_eras,
+        reads_extension=reads_extension,
+    )
     data = encode_heartbeat(heartbeat)
     assert json.loads(data)[2][0] == sent
     assert decode_heartbeat(data) == heartbeat
--- a/packages/figcrank-state/src/figcrank/state/_catalog.py
+++ b/packages/figcrank-state/src/figcrank/state/_catalog.py
@@ -30,6 +30,7 @@
     :param priority: 0 is served first, higher values later.
     :param max_staleness_ms: staleness bound of reads; unused for ``PRIMARY``.
     :param allows_anonymous: whether callers need no key.
+    :param allowed_regions: regions whose servers may run its statements; empty for every region.
     """
 
     name: str
@@ -41,6 +42,7 @@
     priority: int = 0
     max_staleness_ms: int = 0
     allows_anonymous: bool = False
+    allowed_regions: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,11 +66,13 @@
     :param name: name of the group.
     :param max_connections: maximum number of connections from all hosts to each of its servers.
     :param sync_replicas: number of replicas that must hold a commit before it is acknowledged.
+    :param cold_per_s: statements per second that a cold server of the group bears.
     """
 
     name: str
     max_connections: int
     sync_replicas: int = 0
+    cold_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,6 +85,9 @@
     :param workspace_by_key: name of the workspace that each key belongs to.
     :param groups: database groups by name.
     :param transaction_idle_ms: idle time after which a transaction may be ended.
+    :param workspace_priorities: priority by workspace name, 0 is served first; absent is 0.
+    :param workspace_regions: regions whose servers may run a workspace's statements, by workspace
+        name; absent for every region.
     """
 
     version: int
@@ -89,6 +96,8 @@
     workspace_by_key: dict[str, str] = field(default_factory=dict)
     groups: dict[str, GroupPolicy] = field(default_factory=dict)
     transaction_idle_ms: int = 3_000
+    workspace_priorities: dict[str, int] = field(default_factory=dict)
+    workspace_regions: dict[str, tuple[str, ...]] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,6 +112,8 @@
     :param draining: whether it is about to leave.
     :param claims_primary: whether it reports itself as the primary.
     :param born_ms: its start time, in milliseconds since the Unix epoch.
+    :param cold_remaining_ms: time for which it is still slow after its start, when its entry was
+        read. Not compared, since it changes with every registration.
     """
 
     server_id: str
@@ -113,6 +124,7 @@
     draining: bool
     claims_primary: bool
     born_ms: int = 0
+    cold_remaining_ms: int = field(default=0, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_peer_link.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_peer_link.py
@@ -31,6 +31,8 @@
 CONNECT_TIMEOUT_MS = 600
 VIEW_PATH = "/view"
 FAST_COMPRESSION = 1  # a configuration shrinks by most of its size at the fastest level
+# Fields of a server in the view page.
+SERVER_FIELDS = tuple(name for name in ServerEntry.__slots__ if name != "cold_remaining_ms")
 Address = tuple[str, int]
 
 
@@ -209,7 +211,13 @@
             self.adopt_catalog(zlib.decompress(packed), "peer")
         elif view["catalog"]:
             self.adopt_catalog(view["catalog"].encode(), "peer")
-        servers = {item["server_id"]: ServerEntry(**item) for item in view["servers"]}
+        cold_ms = view.get("cold_remaining_ms", {})  # earlier releases don't send it
+        servers = {
+            item["server_id"]: ServerEntry(
+                **item, cold_remaining_ms=cold_ms.get(item["server_id"], 0)
+            )
+            for item in view["servers"]
+        }
         registry = Registry(view["revision"], servers)
         if view["registry_age_ms"] >= 0:
             self.adopt_registry(registry, as_of_ms - view["registry_age_ms"], "peer")
@@ -279,6 +287,11 @@
             "revision": view.registry.revision,
             "registry_age_ms": now_ms - view.registry_ms if view.registry_ms >= 0 else -1,
             "servers": [_as_fields(entry) for entry in view.registry.servers.values()],
+            "cold_remaining_ms": {
+                entry.server_id: entry.cold_remaining_ms
+                for entry in view.registry.servers.values()
+                if entry.cold_remaining_ms
+            },
             "hosts": [[o.name, o.address, o.availability_zone] for o in view.owners()],
         }
         return 200, json.dumps(body, separators=(",", ":")).encode()
@@ -292,4 +305,5 @@
 
 
 def _as_fields(entry: ServerEntry) -> dict:
-    return {name: getattr(entry, name) for name in ServerEntry.__slots__}
+    """Return the fields of an entry that hosts of earlier releases know; they accept no others."""
+    return {name: getattr(entry, name) for name in SERVER_FIELDS}
--- a/packages/figcrank-transport/tests/test_peer_link.py
+++ b/packages/figcrank-transport/tests/test_peer_link.py
@@ -48,7 +48,14 @@
     page = json.loads(body)
     assert status == 200
     assert page["servers"] == [SERVER]
-    assert set(page) == {"catalog", "revision", "registry_age_ms", "servers", "hosts"}
+    assert set(page) == {
+        "catalog",
+        "revision",
+        "registry_age_ms",
+        "servers",
+        "hosts",
+        "cold_remaining_ms",
+    }
 
 
 def test_view_of_another_release_is_applied(link):
