Use admission and its order at each server's queue

Cause: ServerPool kept waiting statements in a list that each admission scanned, refused them only at their timeouts, let new statements take the slot of an admitted one, and noticed no caller that had disconnected. Change: ServerPool.acquire takes a Demand; the queue is in AdmissionGate. A refusal is BUSY with "retry after N ms", told at once; a read that one server does not admit goes to another. Statements that wait for a primary go on in the order of their arrival; those in the queue of a primary that is being replaced, or of a server that is gone, look for a server anew. The choice for reads uses the expected wait. Waiting statements look at their caller's socket every 200 ms and at their turn; relays do so while an owner's reply is awaited. A read or a transaction whose sent statement got no reply is not answered BUSY any more, since it may have run. In the test of ranking, five waiting statements became the 30 ms that the old formula gave them.

--- a/packages/figcrank-coordination/src/figcrank/coordination/placement/_ranking.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/placement/_ranking.py
@@ -19,7 +19,7 @@
     :param server_id: id of the server.
     :param latency_ms: moving average of its response times.
     :param busy: number of this host's statements that it is running.
-    :param waiting: number of this host's statements that wait for a connection to it.
+    :param wait_ms: expected time until the read begins there, 0 if a slot is free.
     :param slots: number of statements that it runs at once.
     :param same_zone: whether it is in this host's availability zone.
     :param connected: whether the workspace has an idle open connection to it.
@@ -30,7 +30,7 @@
     server_id: str
     latency_ms: float
     busy: int
-    waiting: int
+    wait_ms: float
     slots: int
     same_zone: bool
     connected: bool
@@ -48,8 +48,8 @@
 
 def expected_ms(candidate: Candidate) -> float:
     """Return the expected response time of a candidate, in milliseconds."""
-    load = (candidate.busy + candidate.waiting) / max(1, candidate.slots)
-    cost = candidate.latency_ms * (1.0 + load)
+    load = candidate.busy / max(1, candidate.slots)
+    cost = candidate.latency_ms * (1.0 + load) + candidate.wait_ms
     cost += 0.0 if candidate.connected else CONNECT_COST_MS
     cost += 0.0 if candidate.same_zone else ZONE_COST_MS
     cost += PRIMARY_COST_MS if candidate.is_primary else 0.0
--- a/packages/figcrank-coordination/tests/placement/test_ranking.py
+++ b/packages/figcrank-coordination/tests/placement/test_ranking.py
@@ -5,7 +5,7 @@
     fields = {
         "latency_ms": 30.0,
         "busy": 0,
-        "waiting": 0,
+        "wait_ms": 0.0,
         "slots": 5,
         "same_zone": True,
         "connected": True,
@@ -32,7 +32,7 @@
 
 
 def test_distant_server_is_preferred_to_a_full_one():
-    assert best(candidate("full", busy=5, waiting=5), candidate("far", same_zone=False)) == "far"
+    assert best(candidate("full", busy=5, wait_ms=30.0), candidate("far", same_zone=False)) == "far"
 
 
 def test_failed_server_is_retried_with_increasing_backoff():
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_caller_connection.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_caller_connection.py
@@ -81,6 +81,21 @@
             self._release()
             self._sock.close()
 
+    def is_connected(self) -> bool:
+        """Return whether the caller has not closed the connection.
+
+        Input that the caller has sent in advance is not read, and is no sign of a close. While
+        this host is closing the session, its own shutdown would look like that of the caller.
+        """
+        if self._closing:
+            return True
+        try:
+            return bool(self._sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except BlockingIOError:
+            return True  # open, nothing received
+        except OSError:
+            return False
+
     def close_when_idle(self) -> None:
         """Close the session once no operation or transaction is in progress."""
         self._closing = True
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_connection.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_connection.py
@@ -20,6 +20,7 @@
 CONNECT_TIMEOUT_MS = 300  # 100 round trips in a region; TCP resends a lost SYN after 1 s or more
 HANDSHAKE_TIMEOUT_MS = 700  # a handshake holds a slot for 12 ms, and may wait behind a full queue
 RECEIVE_BYTES = 16_384
+CALLER_CHECK_MS = 200  # one system call for each waiting caller five times a second
 TCP_USER_TIMEOUT_MS = 2_000  # closes a connection whose data stays unacknowledged
 
 Reply = StatementReply | RelayReply
@@ -139,14 +140,24 @@
             # Closing calls the reply handler.
             self.close()
 
-    def send_and_wait(self, data: bytes, timeout_ms: float) -> Reply | None:
-        """Send a statement and return the reply; on a timeout, close and return ``None``."""
+    def send_and_wait(
+        self, data: bytes, timeout_ms: float, is_wanted: Callable[[], bool] | None = None
+    ) -> Reply | None:
+        """Send a statement and return the reply; on a timeout, close and return ``None``.
+
+        :param is_wanted: called every 200 ms; if it returns false, the timeout is over.
+        """
         done = Event()
         self.send(data, lambda _connection, reply: done.send(reply))
-        with eventlet.Timeout(max(0.001, timeout_ms / 1_000), False):
-            return done.wait()
-        self.close()
-        return None
+        deadline_ms = self._clock.now_ms() + timeout_ms
+        while True:
+            left_ms = deadline_ms - self._clock.now_ms() if is_wanted else timeout_ms
+            step_ms = min(left_ms, CALLER_CHECK_MS) if is_wanted else left_ms
+            with eventlet.Timeout(max(0.001, step_ms / 1_000), False):
+                return done.wait()
+            if step_ms >= left_ms or not is_wanted():
+                self.close()
+                return None
 
     def close(self) -> None:
         """Close the connection; the handler of an unanswered statement gets ``None``."""
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
@@ -308,6 +308,9 @@
             server = f'{{server="{pool.entry.server_id}"}}'
             values[f"server_busy{server}"] = pool.busy
             values[f"server_waiting{server}"] = pool.waiting
+            for priority, waiting in pool.waiting_by_priority().items():
+                label = f'{{server="{pool.entry.server_id}",priority="{priority}"}}'
+                values[f"admission_waiting{label}"] = waiting
             values[f"server_limit{server}"] = pool.limit
             values[f"server_latency_ms{server}"] = pool.health.latency_ms
         for group, record in view.primary_table.all().items():
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_pool.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_pool.py
@@ -1,16 +1,10 @@
 """Connection pool to one backend server."""
 
-import itertools
-
-import eventlet
-from eventlet.event import Event
-
+from figcrank.coordination.admission import Demand
 from figcrank.coordination.placement import (
     ConcurrencyLimit,
     ServerHealth,
-    Waiter,
     max_retained_connections,
-    next_waiter,
 )
 from figcrank.protocol.sessions import (
     ServerCodec,
@@ -21,7 +15,9 @@
 from figcrank.state._catalog import ServerEntry
 from figcrank.state._clock import Clock
 from figcrank.state._positions import Position
+from figcrank.transport.streams._admission_gate import AdmissionGate
 from figcrank.transport.streams._connection import OpenError, ServerConnection
+from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._metrics import Metrics
 
 LAGGING_RETRY_MS = 60  # about one replication delay; a lagging replica is skipped for this long
@@ -40,10 +36,16 @@
     :param codec: server wire format.
     :param clock: this host's clock.
     :param metrics: metrics registry.
+    :param log: event log, ``None`` to log nothing.
     """
 
     def __init__(
-        self, entry: ServerEntry, codec: ServerCodec, clock: Clock, metrics: Metrics
+        self,
+        entry: ServerEntry,
+        codec: ServerCodec,
+        clock: Clock,
+        metrics: Metrics,
+        log: EventLog | None = None,
     ) -> None:
         self.entry = entry
         self.health = ServerHealth()
@@ -58,9 +60,9 @@
         self._idle: list[ServerConnection] = []
         self._busy: set[ServerConnection] = set()
         self._opening: dict[str, int] = {}
-        self._waiters: list[tuple[Waiter, Event]] = []
-        self._sequence = itertools.count()
-        self._admitted = 0  # waiters that were admitted and have not resumed yet
+        self._gate = AdmissionGate(clock, metrics, log)
+        self._kinds: dict[ServerConnection, str] = {}  # of what the connections in use run
+        self._service_ms: dict[ServerConnection, int] = {}  # by connections in use
         self._concurrency = ConcurrencyLimit()
 
     @property
@@ -92,7 +94,25 @@
     @property
     def waiting(self) -> int:
         """Return the number of statements waiting for a connection."""
-        return len(self._waiters)
+        return self._gate.waiting
+
+    def waiting_by_priority(self) -> dict[int, int]:
+        """Return the number of waiting statements by the priority of their route."""
+        return self._gate.waiting_by_priority()
+
+    def expected_wait_ms(self, demand: Demand) -> float:
+        """Return the expected time until a statement begins, 0 if it finds a free slot."""
+        if not self.waiting and self._room() > 0:
+            return 0.0
+        return self._gate.expected_wait_ms(demand, self._slots())
+
+    def _slots(self) -> int:
+        return max(1, min(self.max_in_flight, self.limit))
+
+    def _room(self) -> int:
+        """Return how many statements may begin now, beside those that are admitted already."""
+        room = min(self.max_in_flight - self.in_flight, self.limit - self.busy)
+        return room - self._gate.admitted
 
     @property
     def is_unused(self) -> bool:
@@ -103,23 +123,27 @@
         """Return whether a workspace has an idle connection."""
         return any(connection.workspace == workspace for connection in self._idle)
 
-    def acquire(
-        self, workspace: str, priority: int, variables: dict[str, str], deadline_ms: int
-    ) -> ServerConnection:
-        """Return a connection of a workspace, waiting for one until the deadline.
+    def acquire(self, demand: Demand, variables: dict[str, str]) -> ServerConnection:
+        """Return a connection of a workspace, waiting for a free slot if there is none.
 
         :param variables: session variables; a connection with the same ones is preferred.
-        :raises OpenError: if none is available by the deadline or opening one fails.
+        :raises AdmissionError: if the statement can't end before its deadline.
+        :raises OpenError: if opening a connection fails or the server became unusable.
         """
-        waiter = Waiter(workspace, priority, deadline_ms, next(self._sequence))
-        while True:
-            if self.in_flight < self.max_in_flight:
-                connection = self._take_idle(workspace, variables)
-                if connection is not None:
-                    return connection
-                if self._has_room():
-                    return self._open(workspace)
-            self._wait(waiter)
+        workspace = demand.workspace
+        if self.waiting:
+            self.admit_waiters()
+        if self.waiting or self._room() <= 0:
+            connects = not self.has_idle(workspace)
+            ticket = self._gate.wait(demand, self.entry, self._slots(), connects)
+            while self.busy >= self.limit:  # the limit fell after the statement was admitted
+                self._gate.wait_again(ticket, self.entry)
+        connection = self._take_idle(workspace, variables)
+        if connection is None:
+            self._make_room()
+            connection = self._open(workspace)
+        self._kinds[connection] = demand.kind
+        return connection
 
     def _take_idle(self, workspace: str, variables: dict[str, str]) -> ServerConnection | None:
         best = None
@@ -135,13 +159,10 @@
             self._busy.add(best)
         return best
 
-    def _has_room(self) -> bool:
-        if len(self._idle) + self.busy < self.limit:
-            return True
-        if not self._idle or self.busy >= self.limit:
-            return False
-        self._idle.pop(0).close()  # least recently used
-        return True
+    def _make_room(self) -> None:
+        """Close the least recently used idle connection if the limit is reached."""
+        if self._idle and len(self._idle) + self.busy >= self.limit:
+            self._idle.pop(0).close()
 
     def _open(self, workspace: str) -> ServerConnection:
         self._opening[workspace] = self._opening.get(workspace, 0) + 1
@@ -165,6 +186,7 @@
             if error.failure in (SessionFailure.UNREACHABLE, SessionFailure.WRONG_SERVER):
                 refused = error.refused or error.failure is SessionFailure.WRONG_SERVER
                 self.health.record_failure(self._clock.now_ms(), refused)
+                self.send_waiters_elsewhere("the server can't be reached")
             raise
         finally:
             self._opening[workspace] -= 1
@@ -187,29 +209,22 @@
         if connection in self._idle:
             self._idle.remove(connection)
 
-    def _wait(self, waiter: Waiter) -> None:
-        left_ms = waiter.deadline_ms - self._clock.now_ms()
-        if left_ms <= 0:
-            raise OpenError(SessionFailure.BUSY, "no connection became available in time")
-        admitted = Event()
-        queue_item = (waiter, admitted)
-        self._waiters.append(queue_item)
-        with eventlet.Timeout(left_ms / 1_000, False):
-            admitted.wait()
-            self._admitted -= 1
-            return
-        if queue_item in self._waiters:
-            self._waiters.remove(queue_item)
-        else:
-            self._admitted -= 1
-            self.admit_waiters()  # admitted too late; admit the next waiter
-        raise OpenError(SessionFailure.BUSY, "no connection became available in time")
+    def record_service(self, connection: ServerConnection, took_ms: int) -> None:
+        """Add the time of a statement that ran to the service time of its operation."""
+        self._service_ms[connection] = self._service_ms.get(connection, 0) + took_ms
+
+    def _end_use(self, connection: ServerConnection) -> None:
+        self._busy.discard(connection)
+        kind = self._kinds.pop(connection, None)
+        service_ms = self._service_ms.pop(connection, None)
+        if kind is not None and service_ms is not None:
+            self._gate.service_times.record(kind, service_ms)
 
     def release(self, connection: ServerConnection) -> None:
         """Return a connection that has no open statement or transaction to the pool."""
-        self._busy.discard(connection)
+        self._end_use(connection)
         if not connection.closed:
-            max_connections = self.limit if self._waiters else max_retained_connections(self.limit)
+            max_connections = self.limit if self.waiting else max_retained_connections(self.limit)
             if len(self._idle) + self.busy >= max_connections:
                 connection.close()
             else:
@@ -218,34 +233,36 @@
 
     def discard(self, connection: ServerConnection) -> None:
         """Close a connection that can't be reused."""
-        self._busy.discard(connection)
+        self._end_use(connection)
         connection.close()
         self.admit_waiters()
 
     def admit_waiters(self) -> None:
-        """Admit as many waiters as there is capacity for."""
-        while self._waiters:
-            room = min(self.max_in_flight - self.in_flight, self.limit - self.busy)
-            if room <= self._admitted:
-                return
-            self._admit_next()
-
-    def _admit_next(self) -> None:
-        busy: dict[str, int] = {}
-        for connection in self._busy:
-            busy[connection.workspace] = busy.get(connection.workspace, 0) + 1
-        index = next_waiter([waiter for waiter, _ in self._waiters], busy)
-        _, admitted = self._waiters.pop(index)
-        self._admitted += 1
-        admitted.send(None)
+        """Admit as many waiting statements as there is capacity for."""
+        while self.waiting and self._room() > 0:
+            self._gate.admit_next(self.entry, self._slots())
+
+    def tick(self) -> None:
+        """Admit what has capacity, and reject what waits and can't end in time any more."""
+        self.admit_waiters()
+        self._gate.tick(self.entry)
+
+    def send_waiters_elsewhere(self, detail: str) -> None:
+        """Make all waiting statements look for a server anew.
+
+        :param detail: why this server can't run them.
+        """
+        self._gate.send_elsewhere(detail)
 
     def close_all(self) -> None:
         """Close every connection because the server is gone or must receive no more statements."""
+        self.send_waiters_elsewhere("the server is not in use any more")
         busy, self._busy = self._busy, set()
+        self._kinds.clear()
+        self._service_ms.clear()
         for connection in [*self._idle, *busy]:
             connection.close()
         self._idle.clear()
-        self.admit_waiters()
 
     def close_idle(self) -> None:
         """Close the connections that are not in use."""
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_relayed_session.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_relayed_session.py
@@ -174,7 +174,11 @@
         if sent:
             message = encode_request(request, self._services.owners.seen_version)
             timeout_ms = self._timeout_ms or DEFAULT_REPLY_TIMEOUT_MS
-            reply = connection.send_and_wait(message, timeout_ms + REPLY_MARGIN_MS)
+            reply = connection.send_and_wait(
+                message, timeout_ms + REPLY_MARGIN_MS, self.is_connected
+            )
+        if reply is None and not self.is_connected():
+            raise EOFError  # ends the session; its statement leaves the owner's queue
         if reply is None:
             failure = after_lost_owner(request, self._state, may_write, self._wrote, sent)
             self._report_lost_owner(request, failure)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
@@ -3,13 +3,20 @@
 import eventlet
 from eventlet.event import Event
 
+from figcrank.coordination.admission import Demand
 from figcrank.coordination.fleet import FleetView, PrimaryUse
 from figcrank.coordination.placement import Candidate, connection_quota, rank
 from figcrank.protocol.heartbeats import PrimaryFailure
-from figcrank.protocol.sessions import ServerCodec, SessionFailure, StatementReply
+from figcrank.protocol.sessions import (
+    ServerCodec,
+    SessionFailure,
+    StatementReply,
+    TransactionState,
+)
 from figcrank.state._catalog import DatabaseRoute, ReadMode, ServerEntry
 from figcrank.state._clock import Clock
 from figcrank.state._positions import Position
+from figcrank.transport.streams._arrival_order import ArrivalOrder
 from figcrank.transport.streams._connection import OpenError, ServerConnection
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._metrics import Metrics
@@ -55,6 +62,13 @@
         # By group, when a read last lacked a position that replicas must have reached.
         self.position_lacking_ms: dict[str, int] = {}
         self._changed = Event()
+        self._primary_arrivals: dict[str, ArrivalOrder] = {}  # by group
+        self._serving_primaries: set[str] = set()
+
+    def workspace_priority(self, workspace: str) -> int:
+        """Return the priority of a workspace, 0 is served first."""
+        catalog = self.view.catalog
+        return catalog.workspace_priorities.get(workspace, 0) if catalog else 0
 
     def pool(self, server_id: str) -> ServerPool | None:
         """Return the pool of a server, ``None`` if it is not registered."""
@@ -66,7 +80,7 @@
             pool.close_all()
             pool = None
         if pool is None:
-            pool = ServerPool(entry, self.codec, self._clock, self._metrics)
+            pool = ServerPool(entry, self.codec, self._clock, self._metrics, self._log)
             self._set_limit(pool)
             self._pools[server_id] = pool
         pool.entry = entry
@@ -91,32 +105,70 @@
 
     def notify_primary_change(self) -> None:
         """Wake all waiters for a change of a primary."""
+        self._release_replaced_primaries()
         changed, self._changed = self._changed, Event()
         changed.send(None)
 
-    def await_primary(self, group: str, deadline_ms: int) -> ServerPool:
+    def _release_replaced_primaries(self) -> None:
+        """Make statements that wait at a primary leave it when it ceases to serve."""
+        records = self.view.primary_table.all().values()
+        serving = {record.server_id for record in records if not record.moving}
+        for server_id in self._serving_primaries - serving:
+            pool = self._pools.get(server_id)
+            if pool is not None:
+                pool.send_waiters_elsewhere("the primary is being replaced")
+        self._serving_primaries = serving
+
+    def await_primary(self, group: str, deadline_ms: int, arrived_ms: int) -> ServerPool:
         """Return the primary's pool once the primary is usable.
 
+        Statements that have to wait go on in the order of their arrival.
+
+        :param arrived_ms: time at which the statement's operation arrived.
         :raises OpenError: if the primary is not usable by the deadline.
         """
-        while True:
-            now_ms = self._clock.now_ms()
-            use = self.view.primary_use(group, now_ms)
-            if use is PrimaryUse.USABLE:
-                pool = self.pool(self.view.primary_table.get(group).server_id)
-                if pool is not None and pool.health.usable(now_ms):
+        order = self._primary_arrivals.setdefault(group, ArrivalOrder())
+        arrival = None
+        try:
+            while True:
+                pool = self._usable_primary(group, deadline_ms)
+                if pool is not None and order.first() is arrival:
                     return pool
-            if use is PrimaryUse.NO_LEASE and self.view.lease_renewal_timed_out(now_ms):
-                lost_ms = self.view.lease_lost_ms(now_ms)
-                detail = f"this host has reached neither a majority nor the store for {lost_ms} ms"
-                raise OpenError(SessionFailure.BUSY, detail)
-            if self.view.primary_is_irreplaceable(group, now_ms):
-                detail = "the primary does not answer and can't be replaced without the store"
-                raise OpenError(SessionFailure.BUSY, f"{detail}; retry after {RETRY_AFTER_MS} ms")
-            left_ms = deadline_ms - now_ms
-            if left_ms <= 0:
-                raise OpenError(SessionFailure.BUSY, f"the primary is {use.name.lower()}")
-            self.wait_for_primary_change(min(left_ms, PRIMARY_RECHECK_MS))
+                if arrival is None:
+                    arrival = order.join(arrived_ms)
+                wait_ms = min(deadline_ms - self._clock.now_ms(), PRIMARY_RECHECK_MS)
+                if wait_ms <= 0:
+                    detail = "the primary did not become usable in time"
+                    raise OpenError(SessionFailure.BUSY, detail)
+                if order.first() is not arrival:
+                    arrival.wait_for_turn(wait_ms)
+                elif pool is None:
+                    self.wait_for_primary_change(wait_ms)
+        finally:
+            if arrival is not None:
+                order.leave(arrival)
+
+    def _usable_primary(self, group: str, deadline_ms: int) -> ServerPool | None:
+        """Return the primary's pool if the primary is usable.
+
+        :raises OpenError: if there is no use in waiting for it.
+        """
+        now_ms = self._clock.now_ms()
+        use = self.view.primary_use(group, now_ms)
+        if use is PrimaryUse.USABLE:
+            pool = self.pool(self.view.primary_table.get(group).server_id)
+            if pool is not None and pool.health.usable(now_ms):
+                return pool
+        if use is PrimaryUse.NO_LEASE and self.view.lease_renewal_timed_out(now_ms):
+            lost_ms = self.view.lease_lost_ms(now_ms)
+            detail = f"this host has reached neither a majority nor the store for {lost_ms} ms"
+            raise OpenError(SessionFailure.BUSY, detail)
+        if self.view.primary_is_irreplaceable(group, now_ms):
+            detail = "the primary does not answer and can't be replaced without the store"
+            raise OpenError(SessionFailure.BUSY, f"{detail}; retry after {RETRY_AFTER_MS} ms")
+        if deadline_ms <= now_ms:
+            raise OpenError(SessionFailure.BUSY, f"the primary is {use.name.lower()}")
+        return None
 
     def wait_for_primary_change(self, wait_ms: float) -> None:
         """Wait at most ``wait_ms`` for a change of any primary."""
@@ -138,11 +190,12 @@
         return self.view.has_lease(self._clock.now_ms())
 
     def read_pools(
-        self, route: DatabaseRoute, last_commit: Position | None, workspace: str, tried: set[str]
+        self, route: DatabaseRoute, last_commit: Position | None, demand: Demand, tried: set[str]
     ) -> list[tuple[ServerPool, Position | None]]:
         """Return the servers that may run a read, best first, with the minimum position for each.
 
         :param last_commit: position of the session's last commit in this group.
+        :param demand: what the read asks for.
         :param tried: servers to skip because this read failed there.
         """
         now_ms = self._clock.now_ms()
@@ -164,7 +217,7 @@
             if not at_primary and self._lags(pool, min_position, now_ms):
                 continue
             pools[entry.server_id] = (pool, None if at_primary else min_position)
-            candidates.append(self._candidate(pool, at_primary, workspace))
+            candidates.append(self._candidate(pool, at_primary, demand))
         return [pools[candidate.server_id] for candidate in rank(candidates)]
 
     def entries_of(self, group: str) -> list[ServerEntry]:
@@ -197,16 +250,16 @@
             return False
         return pool.position is None or min_position is None or pool.position < min_position
 
-    def _candidate(self, pool: ServerPool, at_primary: bool, workspace: str) -> Candidate:
+    def _candidate(self, pool: ServerPool, at_primary: bool, demand: Demand) -> Candidate:
         entry = pool.entry
         return Candidate(
             entry.server_id,
             pool.health.latency_ms,
             pool.busy,
-            pool.waiting,
+            pool.expected_wait_ms(demand),
             entry.slots,
             entry.availability_zone == self._zone,
-            pool.has_idle(workspace),
+            pool.has_idle(demand.workspace),
             pool.health.failed_share,
             at_primary,
         )
@@ -228,6 +281,8 @@
             pool.record_rejection()
         if reply.failure is SessionFailure.LAGGING:
             pool.lagging_until_ms = now_ms + LAGGING_RETRY_MS
+        if reply.state is TransactionState.OPEN:
+            pool.admit_waiters()  # the transaction occupies no slot until its next statement
         if reply.position is None:
             return
         pool.position = reply.position
@@ -256,9 +311,10 @@
         for record in self.view.primary_table.all().values():
             # Creates the pool, so that hosts without traffic to the primary probe it too.
             self.pool(record.server_id)
+        self._release_replaced_primaries()
         for pool in self.pools():
             self._set_limit(pool)
-            pool.admit_waiters()
+            pool.tick()
             self._check_registration(pool, now_ms)
             self._probe_if_suspect(pool, now_ms)
         self._close_drained_primaries(now_ms)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_runner.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_runner.py
@@ -3,24 +3,20 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
-import eventlet
 from eventlet.queue import Empty, LightQueue
 
-from figcrank.coordination.sessions import (
-    RetryAction,
-    after_failed_connect,
-    after_read,
-    after_write,
-)
+from figcrank.coordination.admission import Demand
+from figcrank.coordination.sessions import RetryAction, after_read, after_write
 from figcrank.protocol.sessions import (
     Request,
     SessionFailure,
     StatementReply,
     TransactionState,
 )
-from figcrank.state._catalog import DatabaseRoute, ReadMode
+from figcrank.state._catalog import DatabaseRoute
 from figcrank.state._clock import Clock
 from figcrank.state._positions import Position
+from figcrank.transport.streams._acquirer import RETRY_PAUSE_MS, Attempt, ConnectionAcquirer
 from figcrank.transport.streams._connection import OpenError, ServerConnection
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._metrics import Metrics
@@ -31,10 +27,7 @@
 if TYPE_CHECKING:
     from figcrank.transport.streams._session import CallerSession, Transaction
 
-RETRY_PAUSE_MS = 25  # about one statement's duration; then a slot or connection is likely free
 SLOW_ANSWER_MS = 300  # ten times a usual read; the answer is lost or the server is stuck
-HEDGE_ACQUIRE_MS = 40  # a hedged read only helps if a connection is free at once
-ANSWER_MARGIN_MS = 20  # time to send the answer before the caller's timeout
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,11 +66,12 @@
     required: Position | None = None
 
 
-@dataclass(slots=True)
-class _Attempt:
-    pool: ServerPool
-    connection: ServerConnection
-    min_position: Position | None
+def _not_run(unanswered: bool) -> SessionFailure:
+    """Return the failure of a read that no server accepts now.
+
+    ``BUSY`` says that nothing has run, which is unknown after an attempt without a reply.
+    """
+    return SessionFailure.TIMEOUT if unanswered else SessionFailure.BUSY
 
 
 class StatementRunner:
@@ -95,18 +89,19 @@
         self._codec = router.codec
         self._clock = clock
         self._preparer = ConnectionPreparer(router.codec, metrics)
+        self._acquirer = ConnectionAcquirer(router, clock, self._preparer)
 
     def run_single(
         self, session: "CallerSession", statement: Statement, route: DatabaseRoute, workspace: str
     ) -> Answer:
         """Run a statement outside a transaction."""
-        started_ms = self._clock.now_ms()
-        deadline_ms = started_ms + route.timeout_ms - ANSWER_MARGIN_MS
+        form = "write" if statement.is_write else "read"
+        demand = self._acquirer.demand(session, route, workspace, form)
         if statement.is_write:
-            answer = self._run_write(session, statement, route, workspace, deadline_ms)
+            answer = self._run_write(session, statement, route, demand)
         else:
-            answer = self._run_read(session, statement, route, workspace, deadline_ms)
-        return self._with_duration(answer, started_ms)
+            answer = self._run_read(session, statement, route, demand)
+        return self._with_duration(answer, demand.arrived_ms)
 
     def _with_duration(self, answer: Answer, started_ms: int) -> Answer:
         took_ms = self._clock.now_ms() - started_ms
@@ -117,13 +112,13 @@
         session: "CallerSession",
         statement: Statement,
         route: DatabaseRoute,
-        workspace: str,
-        deadline_ms: int,
+        demand: Demand,
     ) -> Answer:
+        deadline_ms = demand.deadline_ms
         tries = 0
         while True:
             try:
-                pool, connection = self._acquire_primary(session, route, workspace, deadline_ms)
+                pool, connection = self._acquirer.acquire_primary(session, route, demand)
             except OpenError as error:
                 return Answer(b"", SessionFailure.BUSY, str(error), tries)
             if connection.is_lost():
@@ -136,7 +131,7 @@
                 self._router.discard_failed_connection(pool, connection)
                 continue
             # The lease may have expired while the connection was prepared.
-            if not self._is_usable_primary(pool, route.group):
+            if not self._acquirer.is_usable_primary(pool, route.group):
                 pool.release(connection)
                 continue
             tries += 1
@@ -166,34 +161,6 @@
             self._router.wait_for_primary_change(RETRY_PAUSE_MS)
         return True
 
-    def _acquire_primary(
-        self, session: "CallerSession", route: DatabaseRoute, workspace: str, deadline_ms: int
-    ) -> tuple[ServerPool, ServerConnection]:
-        """Return a connection to the primary with the session's variables set.
-
-        :raises OpenError: if no connection is available by the deadline.
-        """
-        while True:
-            pool = self._router.await_primary(route.group, deadline_ms)
-            try:
-                connection = pool.acquire(workspace, route.priority, session.variables, deadline_ms)
-            except OpenError as error:
-                if self._clock.now_ms() + RETRY_PAUSE_MS >= deadline_ms:
-                    raise
-                if after_failed_connect(error.failure) is RetryAction.WAIT_AND_RETRY:
-                    eventlet.sleep(RETRY_PAUSE_MS / 1_000)
-                continue
-            # The primary may have been fenced while the connection was opened.
-            if not self._is_usable_primary(pool, route.group):
-                pool.release(connection)
-                continue
-            if self._preparer.apply_variables(session, connection):
-                return pool, connection
-            self._router.discard_failed_connection(pool, connection)
-
-    def _is_usable_primary(self, pool: ServerPool, group: str) -> bool:
-        return self._router.is_primary(pool) and self._router.primary_usable(group)
-
     def _await_lease(self, pool: ServerPool, deadline_ms: int) -> bool:
         """Wait until this host has a lease on a transaction's primary; return whether it has one.
 
@@ -220,6 +187,8 @@
     def _observe_reply(
         self, pool: ServerPool, connection: ServerConnection, reply: StatementReply
     ) -> None:
+        if reply.failure in (None, SessionFailure.FAILED):
+            pool.record_service(connection, self._clock.now_ms() - connection.sent_ms)
         self._router.observe_reply(pool, connection.sent_ms, reply)
 
     def _record_commit_position(
@@ -239,26 +208,25 @@
         session: "CallerSession",
         statement: Statement,
         route: DatabaseRoute,
-        workspace: str,
-        deadline_ms: int,
+        demand: Demand,
     ) -> Answer:
+        deadline_ms = demand.deadline_ms
         tried: set[str] = set()
         results: LightQueue = LightQueue()
         running = 0
         tries = 0
+        unanswered = False  # an attempt without a reply may have run
         failure, detail = SessionFailure.BUSY, "no server is available"
         force_primary = False
         while self._clock.now_ms() < deadline_ms:
-            acquire_deadline_ms = deadline_ms
-            if running:
-                acquire_deadline_ms = min(deadline_ms, self._clock.now_ms() + HEDGE_ACQUIRE_MS)
+            attempt_demand = self._acquirer.hedge(demand) if running else demand
             try:
-                attempt = self._acquire_server(
-                    session, route, workspace, acquire_deadline_ms, tried, force_primary
+                attempt = self._acquirer.acquire_server(
+                    session, route, attempt_demand, tried, force_primary
                 )
             except OpenError as error:
                 if not running:
-                    return Answer(b"", SessionFailure.BUSY, str(error), tries)
+                    return Answer(b"", _not_run(unanswered), str(error), tries)
                 attempt = None
             if attempt is not None:
                 tries += 1
@@ -285,6 +253,7 @@
             running -= 1
             server_id = finished_attempt.pool.entry.server_id
             if reply is None:
+                unanswered = True
                 failure, detail = SessionFailure.UNREACHABLE, "the server did not answer"
             elif reply.failure is None:
                 return Answer(
@@ -296,6 +265,8 @@
             self._log_failed_attempt(statement, finished_attempt, failure, detail, action)
             if action is RetryAction.TELL:
                 payload = reply.payload if reply else b""
+                if failure is SessionFailure.BUSY and unanswered:
+                    payload, failure = b"", SessionFailure.TIMEOUT
                 return Answer(
                     payload, failure, detail, tries, server_id, 0, finished_attempt.min_position
                 )
@@ -310,12 +281,12 @@
         if running:
             detail = "no server answered within the statement timeout"
             return Answer(b"", SessionFailure.TIMEOUT, detail, tries)
-        return Answer(b"", SessionFailure.BUSY, detail, tries)
+        return Answer(b"", _not_run(unanswered), detail, tries)
 
     def _log_failed_attempt(
         self,
         statement: Statement,
-        finished_attempt: _Attempt,
+        finished_attempt: Attempt,
         failure: SessionFailure,
         detail: str,
         action: RetryAction,
@@ -332,7 +303,7 @@
             next=action.name.lower(),
         )
 
-    def _reply_handler(self, results: LightQueue, attempt: _Attempt):  # noqa: ANN202
+    def _reply_handler(self, results: LightQueue, attempt: Attempt):  # noqa: ANN202
         def handle(connection: ServerConnection, reply: StatementReply | None) -> None:
             if reply is None:
                 self._router.discard_failed_connection(attempt.pool, connection)
@@ -343,73 +314,37 @@
 
         return handle
 
-    def _acquire_server(
-        self,
-        session: "CallerSession",
-        route: DatabaseRoute,
-        workspace: str,
-        deadline_ms: int,
-        tried: set[str],
-        force_primary: bool,
-    ) -> _Attempt:
-        """Return a connection for a read, on which the read has not been sent yet.
-
-        :raises OpenError: if no connection is available by the deadline.
-        """
-        while True:
-            if route.mode is ReadMode.PRIMARY or force_primary:
-                pool, connection = self._acquire_primary(session, route, workspace, deadline_ms)
-                return _Attempt(pool, connection, None)
-            last_commit = session.last_commit.get(route.group)
-            pools = self._router.read_pools(route, last_commit, workspace, tried)
-            if not pools and len(tried) > 0:
-                tried.clear()
-                pools = self._router.read_pools(route, last_commit, workspace, tried)
-            if not pools:
-                force_primary = True
-                continue
-            pool, min_position = pools[0]
-            try:
-                connection = pool.acquire(workspace, route.priority, session.variables, deadline_ms)
-            except OpenError as error:
-                if after_failed_connect(error.failure) is RetryAction.TRY_ELSEWHERE:
-                    tried.add(pool.entry.server_id)
-                if self._clock.now_ms() + RETRY_PAUSE_MS >= deadline_ms:
-                    raise
-                if after_failed_connect(error.failure) is RetryAction.WAIT_AND_RETRY:
-                    eventlet.sleep(RETRY_PAUSE_MS / 1_000)
-                continue
-            if min_position is None and not self._router.primary_usable(route.group):
-                pool.release(connection)
-                continue
-            if self._preparer.apply_variables(session, connection):
-                return _Attempt(pool, connection, min_position)
-            self._router.discard_failed_connection(pool, connection)
-
     def run_in_transaction(
         self, session: "CallerSession", statement: Statement, transaction: "Transaction"
     ) -> Answer:
         """Run a statement in a transaction; the first one also begins it on a server."""
-        started_ms = self._clock.now_ms()
-        deadline_ms = started_ms + transaction.route.timeout_ms - ANSWER_MARGIN_MS
-        answer = self._try_in_transaction(session, statement, transaction, deadline_ms)
-        return self._with_duration(answer, started_ms)
+        demand = self._transaction_demand(session, transaction)
+        answer = self._try_in_transaction(session, statement, transaction, demand)
+        return self._with_duration(answer, demand.arrived_ms)
+
+    def _transaction_demand(self, session: "CallerSession", transaction: "Transaction") -> Demand:
+        return self._acquirer.demand(
+            session, transaction.route, transaction.workspace, "transaction"
+        )
 
     def _try_in_transaction(
         self,
         session: "CallerSession",
         statement: Statement,
         transaction: "Transaction",
-        deadline_ms: int,
+        demand: Demand,
     ) -> Answer:
+        deadline_ms = demand.deadline_ms
         tries = 0
         while True:
             first = transaction.connection is None
             if first:
-                failure = self._open_transaction(session, transaction, deadline_ms)
-                if failure is not None:
+                detail = self._open_transaction(session, transaction, demand)
+                if detail is not None:
                     transaction.failed = True
-                    return Answer(b"", failure, "the transaction could not be started", tries)
+                    # A first statement whose answer was lost may have run.
+                    failure = SessionFailure.ABORTED if tries else SessionFailure.BUSY
+                    return Answer(b"", failure, detail, tries)
             tries += 1
             pool, connection = transaction.pool, transaction.connection
             transaction.wrote = transaction.wrote or statement.is_write
@@ -445,18 +380,19 @@
             return None  # aborts the transaction, as a lost connection does
 
     def _open_transaction(
-        self, session: "CallerSession", transaction: "Transaction", deadline_ms: int
-    ) -> SessionFailure | None:
-        route = transaction.route
+        self, session: "CallerSession", transaction: "Transaction", demand: Demand
+    ) -> str | None:
+        """Begin a transaction at a server; return why it failed, ``None`` on success."""
+        deadline_ms = demand.deadline_ms
         tried: set[str] = set()
         force_primary = not transaction.read_only
         while self._clock.now_ms() < deadline_ms:
             try:
-                attempt = self._acquire_server(
-                    session, route, transaction.workspace, deadline_ms, tried, force_primary
+                attempt = self._acquirer.acquire_server(
+                    session, transaction.route, demand, tried, force_primary
                 )
-            except OpenError:
-                return SessionFailure.BUSY
+            except OpenError as error:
+                return f"the transaction could not be started: {error}"
             text = self._codec.begin(transaction.read_only)
             data = self._codec.query(transaction.begin.request_id, text, attempt.min_position)
             transaction.sent = True
@@ -477,7 +413,7 @@
                 force_primary = True
             else:
                 self._router.wait_for_primary_change(RETRY_PAUSE_MS)
-        return SessionFailure.BUSY
+        return "the transaction could not be started"
 
     def commit(
         self, session: "CallerSession", statement: Statement, transaction: "Transaction"
@@ -487,13 +423,13 @@
         The failure is ``UNREACHABLE`` if the commit was sent but not answered; the caller of this
         method derives the failure to report from it.
         """
-        started_ms = self._clock.now_ms()
         route = transaction.route
-        deadline_ms = started_ms + route.timeout_ms - ANSWER_MARGIN_MS
+        demand = self._transaction_demand(session, transaction)
+        started_ms, deadline_ms = demand.arrived_ms, demand.deadline_ms
         if transaction.connection is None:
-            failure = self._open_transaction(session, transaction, deadline_ms)
-            if failure is not None:
-                return Answer(b"", failure, "the transaction could not be started")
+            detail = self._open_transaction(session, transaction, demand)
+            if detail is not None:
+                return Answer(b"", SessionFailure.BUSY, detail)
         pool, connection = transaction.pool, transaction.connection
         server_id = pool.entry.server_id
         transaction.connection = None
--- a/packages/figcrank-transport/tests/test_relayed_session.py
+++ b/packages/figcrank-transport/tests/test_relayed_session.py
@@ -18,6 +18,7 @@
     Verb,
 )
 from figcrank.transport import MonotonicClock
+from figcrank.transport.streams import _connection
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._metrics import Metrics
 from figcrank.transport.streams._owner_tracker import SILENT_OWNER_MS, SLOW_REPLY_MS, OwnerTracker
@@ -171,6 +172,39 @@
     assert relay.serving() is not first
 
 
+def test_session_at_the_owner_ends_when_the_caller_disconnects_during_a_statement(
+    relay, monkeypatch
+):
+    """Guards against statements of callers that are gone, which wait at the owner for a slot."""
+    monkeypatch.setattr(_connection, "CALLER_CHECK_MS", 1)
+    caller = relay.call()
+    caller.recv(200)
+    owner = relay.serving()
+    owner.silent = True
+    caller.sendall(b"READ\n")
+    caller.close()
+    with eventlet.Timeout(10):
+        while relay.sessions:
+            eventlet.sleep(0.001)
+    with eventlet.Timeout(10):
+        assert not owner.socks[0].recv(200)  # the relay closed its connection
+
+
+def test_input_sent_in_advance_is_no_disconnect(relay, monkeypatch):
+    """Guards against a session that ends because its caller sends requests without waiting."""
+    monkeypatch.setattr(_connection, "CALLER_CHECK_MS", 1)
+    caller = relay.call()
+    caller.recv(200)
+    owner = relay.serving()
+    owner.silent = True
+    caller.sendall(b"READ\n")
+    eventlet.sleep(0.01)
+    caller.sendall(b"READ\n")
+    eventlet.sleep(0.05)
+    assert relay.sessions
+    owner.lose()
+
+
 @pytest.mark.parametrize(
     ("before", "last", "failure"),
     [
--- a/packages/figcrank-transport/tests/test_router.py
+++ b/packages/figcrank-transport/tests/test_router.py
@@ -1,3 +1,5 @@
+import eventlet
+
 from figcrank.coordination.fleet import FleetView
 from figcrank.protocol.heartbeats import PrimaryRecord
 from figcrank.state import ManualClock, revision_of
@@ -71,3 +73,71 @@
     pool._opening["w"] = 0
     scenario.router.tick()
     assert scenario.view.quiesced_groups == {"g"}
+
+
+class PrimaryScenario:
+    """Statements that wait for the primary of a group, which is being replaced."""
+
+    def __init__(self):
+        self.scenario = Scenario()
+        self.router = self.scenario.router
+        self.view = self.scenario.view
+        self.table = self.view.primary_table
+        self.view.has_lease = lambda _now_ms: True
+        self.table.merge("g", PrimaryRecord(4, 2, "s1", moving=True), 0)
+        self.gone_on = []
+        self.greenlets = []
+
+    def wait(self, arrived_ms):
+        self.greenlets.append(eventlet.spawn(self._wait, arrived_ms))
+        eventlet.sleep(0)
+
+    def _wait(self, arrived_ms):
+        pool = self.router.await_primary("g", 100_000, arrived_ms)
+        self.gone_on.append((arrived_ms, pool.entry.server_id))
+
+    def replace(self):
+        self.table.merge("g", PrimaryRecord(5, 3, "s1"), 0)
+        self.router.notify_primary_change()
+
+    def settle(self):
+        with eventlet.Timeout(10):
+            for greenlet in self.greenlets:
+                greenlet.wait()
+
+
+def test_statements_go_on_in_the_order_of_their_arrival_when_the_primary_is_replaced():
+    """Guards against statements that waited for a primary and go on in any order."""
+    primary = PrimaryScenario()
+    for arrived_ms in (30, 10, 50, 20, 40):
+        primary.wait(arrived_ms)
+    primary.replace()
+    primary.wait(60)
+    primary.settle()
+    assert primary.gone_on == [(ms, "s1") for ms in (10, 20, 30, 40, 50, 60)]
+
+
+def test_statement_that_gives_up_does_not_hold_back_the_others():
+    primary = PrimaryScenario()
+    for arrived_ms in (10, 20, 30):
+        primary.wait(arrived_ms)
+    primary.greenlets.pop(0).kill()
+    primary.replace()
+    primary.settle()
+    assert primary.gone_on == [(20, "s1"), (30, "s1")]
+
+
+def test_statements_leave_the_queue_of_a_primary_that_is_being_replaced():
+    """Guards against statements that wait at the old primary until it is closed."""
+    scenario = Scenario()
+    table, pool = scenario.view.primary_table, scenario.router.pool("s1")
+    left = []
+    pool.send_waiters_elsewhere = left.append
+    table.merge("g", PrimaryRecord(4, 2, "s1"), 0)
+    scenario.router.tick()
+    scenario.router.notify_primary_change()
+    assert left == []
+    table.merge("g", PrimaryRecord(5, 2, "s1", moving=True), 0)
+    scenario.router.notify_primary_change()
+    scenario.router.notify_primary_change()
+    assert len(left) == 1
--- a/packages/figcrank-transport/tests/test_statement_runner.py
+++ b/packages/figcrank-transport/tests/test_statement_runner.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from figcrank.coordination.admission import Rejection, RejectionReason
 from figcrank.protocol.sessions import (
     Request,
     SessionFailure,
@@ -11,6 +12,7 @@
 )
 from figcrank.state import ManualClock
 from figcrank.state._catalog import DatabaseRoute, ReadMode, ServerEntry
+from figcrank.transport.streams._admission_gate import AdmissionError
 from figcrank.transport.streams._connection import OpenError
 from figcrank.transport.streams._metrics import Metrics
 from figcrank.transport.streams._runner import Statement, StatementRunner
@@ -31,6 +33,9 @@
     def query(self, _request_id, text, _min_position=None):
         return text
 
+    def begin(self, _read_only):
+        return "BEGIN"
+
     def set_value(self, name, value):
         return f"SET {name} {value}"
 
@@ -63,10 +68,18 @@
     def __init__(self, connection):
         self.entry = ENTRY
         self.connection = connection
+        self.demands = []
+        self.rejects = False
 
-    def acquire(self, _workspace, _priority, _variables, _deadline_ms):
+    def acquire(self, demand, _variables):
+        self.demands.append(demand)
+        if self.rejects:
+            raise AdmissionError(Rejection(RejectionReason.DEADLINE, 70))
         return self.connection
 
+    def record_service(self, _connection, _took_ms):
+        pass
+
     def release(self, _connection):
         pass
 
@@ -95,7 +108,10 @@
     def is_primary(self, _pool):
         return not self.replaced
 
-    def await_primary(self, _group, _deadline_ms):
+    def workspace_priority(self, workspace):
+        return {"w": 3}.get(workspace, 0)
+
+    def await_primary(self, _group, _deadline_ms, _arrived_ms):
         if not self.primary_usable("g"):
             raise OpenError(SessionFailure.BUSY, "the primary is no_lease")
         return self._pool
@@ -103,9 +119,12 @@
     def wait_for_primary_change(self, wait_ms):
         self._clock.advance_to(self._clock.now_ms() + wait_ms)
 
-    def observe_reply(self, _pool, _sent_ms, _reply):
+    def observe_reply(self, _pool, _sent_ms, _reply, measured=True):
         pass
 
+    def discard_failed_connection(self, pool, connection):
+        pool.discard(connection)
+
 
 class Session:
     """Session with one variable."""
@@ -113,6 +132,10 @@
     def __init__(self):
         self.variables = {"v": "1"}
         self.last_commit = {}
+        self.prepared = {}
+
+    def is_connected(self):
+        return True
 
 
 class Scenario:
@@ -185,3 +208,49 @@
 def test_commit_of_a_transaction_that_wrote_nothing_needs_no_lease(scenario):
     scenario.end_lease()
     assert scenario.commit(wrote=False).failure is None
+
+
+def test_demand_holds_the_target_and_the_deadline_from_the_arrival_of_the_statement(scenario):
+    scenario.clock.advance_to(50)
+    scenario.write()
+    (demand,) = scenario.pool.demands
+    assert (demand.workspace, demand.priority) == ("w", (0, 3))
+    assert demand.arrived_ms == 50
+    assert demand.target_ms == 50 + ROUTE.target_latency_ms
+    assert demand.deadline_ms <= 50 + ROUTE.timeout_ms
+
+
+def test_statement_that_is_not_admitted_is_refused_at_once(scenario):
+    """Guards against statements that try again at the same queue until their timeouts."""
+    scenario.pool.rejects = True
+    answer = scenario.write()
+    assert (answer.failure, answer.tries) == (SessionFailure.BUSY, 0)
+    assert answer.detail.endswith("; retry after 70 ms")
+    assert scenario.connection.sent == []
+    assert scenario.clock.now_ms() == 0
+
+
+def test_transaction_that_is_not_admitted_is_refused_with_the_time_to_retry(scenario):
+    scenario.pool.rejects = True
+    transaction = Transaction(WRITE.request, False, ROUTE, "w")
+    answer = scenario.runner.run_in_transaction(Session(), WRITE, transaction)
+    assert answer.failure is SessionFailure.BUSY
+    assert answer.detail.endswith("; retry after 70 ms")
+    assert transaction.failed
+    assert not transaction.sent
+
+
+def test_transaction_whose_first_statement_got_no_answer_is_not_reported_as_not_run(scenario):
+    """Guards against BUSY, which says that nothing has run, after a statement was sent."""
+    read = Statement(Request("1", Verb.READ, "READ x"), False)
+
+    def lose_reply(data, wait_ms):
+        scenario.pool.rejects = True
+        scenario.connection.sent.append(data)
+        return None if data == "READ x" else answered(data, wait_ms)
+
+    answered = scenario.connection.send_and_wait
+    scenario.connection.send_and_wait = lose_reply
+    transaction = Transaction(WRITE.request, False, ROUTE, "w")
+    answer = scenario.runner.run_in_transaction(Session(), read, transaction)
+    assert answer.failure is SessionFailure.ABORTED
