Compute how much each owner may have in flight at a server

Cause: in overload, one primary has 28 statements in flight for 4 slots, since each of its twelve owners limits only itself, and only after rejections. Change: SlotAllotment shares 1.5 statements a slot by the demand that owners report (max-min).

--- a/packages/figcrank-coordination/src/figcrank/coordination/placement/__init__.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/placement/__init__.py
@@ -1,5 +1,8 @@
 """Choice of the server and connection for a statement, and of the position a replica must have."""
 
+from figcrank.coordination.placement._allotment import OwnerReport as OwnerReport
+from figcrank.coordination.placement._allotment import SlotAllotment as SlotAllotment
+from figcrank.coordination.placement._allotment import share_slots as share_slots
 from figcrank.coordination.placement._concurrency import ConcurrencyLimit as ConcurrencyLimit
 from figcrank.coordination.placement._connections import Waiter as Waiter
 from figcrank.coordination.placement._connections import connection_quota as connection_quota
@@ -8,6 +11,7 @@
 )
 from figcrank.coordination.placement._connections import next_waiter as next_waiter
 from figcrank.coordination.placement._health import ServerHealth as ServerHealth
+from figcrank.coordination.placement._load_meter import LoadMeter as LoadMeter
 from figcrank.coordination.placement._position_history import PositionHistory as PositionHistory
 from figcrank.coordination.placement._ranking import Candidate as Candidate
 from figcrank.coordination.placement._ranking import rank as rank
