Limit what all owners have in flight at each server

Change: each owner of a fleet with relays reports its loads in heartbeats (FleetView.server_loads, every 100 ms) and sets ServerPool.allotment; max_in_flight is the least of it, the connection limit and the limit after rejections. Router(has_relays=True) enables it; ServerLoads.group_owners narrows the owners of a group. An owner's own demand counts late for its share, what others report at once: an owner that lost its demand held its share for up to 1.1 s before, now for 0.5 s. With each guard switched off (raise delay, late, silent, stale, spare, slot guard and its growth, group owners, limit after rejections, early ticks, flag, earlier release) at least one test failed.

--- a/packages/figcrank-coordination/src/figcrank/coordination/placement/_allotment.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/placement/_allotment.py
@@ -7,9 +7,10 @@
 
 Every owner computes the shares of all from the demand that each reports in its heartbeats. Shares
 are equal up to each one's demand (max-min), so that an owner with little demand is served at once.
-A lower share is in force at once, a higher one only when the others must have heard of the demand
-that it comes from. An owner whose heartbeat is late is taken to need as much as any other, since
-its report of a higher demand may be lost. A silent one counts for 1.2 s, then its share is free.
+An owner's demand counts for its own share only when the others must have heard of it; what they
+report counts at once. The shares of all thus never exceed the total while heartbeats arrive. An
+owner whose heartbeat is late is taken to need as much as any other, since its report of a higher
+demand may be lost. A silent one counts for 1.2 s, then its share is free.
 """
 
 import math
@@ -24,8 +25,9 @@
 IN_FLIGHT_PER_SLOT = 1.5
 # One heartbeat and one update of the receiver, each at its longest.
 RAISE_DELAY_MS = 400
-# Updates come every 100 ms. An owner that missed some was paused, and others may use its share.
-STALE_MS = 350
+# Updates come every 100 ms. Others use the share of an owner that is silent for 1,200 ms, which may
+# have sent its last heartbeat 300 ms before it was paused.
+STALE_MS = 600
 # An owner doesn't always use its whole share. Up to a third more, one for each owner with demand,
 # keeps the slots full meanwhile.
 SPARE_DIVISOR = 3
@@ -78,7 +80,9 @@
         self._server_id = server_id
         self._guard = SlotGuard()
         self._updated_ms: int | None = None
-        self._shares: deque[tuple[int, int]] = deque()
+        self._demands: deque[tuple[int, int]] = deque()  # own ones, with their times
+        self._resumed_ms = 0
+        self._share = MIN_SHARE
 
     def update(self, reports: Mapping[str, OwnerReport], slots: int, now_ms: int) -> None:
         """Compute the allotment anew; called every 100 ms.
@@ -87,24 +91,30 @@
         :param slots: number of statements that the server says it runs at once.
         """
         if self._is_stale(now_ms):
-            self._shares.clear()
-            self._shares.append((now_ms, MIN_SHARE))
+            self._resumed_ms = now_ms
         self._updated_ms = now_ms
         counted = {owner: r for owner, r in reports.items() if r.age_ms <= SILENT_MS}
         total = math.floor(IN_FLIGHT_PER_SLOT * max(1, slots))
         known = [report.load for report in counted.values() if report.load is not None]
         total = self._guard.bounded(total, known, now_ms)
         demands = {owner: _demand(report, total) for owner, report in counted.items()}
+        self._demands.append((now_ms, demands[self._owner]))
+        while self._demands[0][0] <= now_ms - RAISE_DELAY_MS:
+            self._demands.popleft()
+        demands[self._owner] = min(demand for _, demand in self._demands)
         order = rendezvous_order(self._server_id, counted)
-        self._shares.append((now_ms, share_slots(total, demands, order)[self._owner]))
-        while self._shares[0][0] <= now_ms - RAISE_DELAY_MS:
-            self._shares.popleft()
+        self._share = share_slots(total, demands, order)[self._owner]
+
+    @property
+    def is_bounded(self) -> bool:
+        """Return whether service times or rejections bound the server below its reported slots."""
+        return self._guard.is_bounded
 
     def max_in_flight(self, now_ms: int) -> int:
         """Return how many statements and new connections this owner may have in flight."""
-        if self._is_stale(now_ms):
+        if self._is_stale(now_ms) or now_ms - self._resumed_ms < RAISE_DELAY_MS:
             return MIN_SHARE
-        return min(share for _, share in self._shares)
+        return self._share
 
     def _is_stale(self, now_ms: int) -> bool:
         return self._updated_ms is None or now_ms - self._updated_ms > STALE_MS
--- a/packages/figcrank-coordination/src/figcrank/coordination/placement/_slot_guard.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/placement/_slot_guard.py
@@ -29,6 +29,7 @@
         self._checked_ms = -CHECK_INTERVAL_MS
         self._means: deque[tuple[int, float]] = deque()
         self._rejections = 0
+        self.is_bounded = False  # since the last check that lowered the bound
 
     def bounded(self, total: int, loads: Collection[ServerLoad], now_ms: int) -> int:
         """Return the total that the server bears.
@@ -41,7 +42,9 @@
         if now_ms - self._checked_ms >= CHECK_INTERVAL_MS:
             self._checked_ms = now_ms
             self._check(loads, now_ms)
-        self._bound = min(self._bound, float(total))
+        if self._bound >= total:
+            self.is_bounded = False
+            self._bound = float(total)
         return int(self._bound)
 
     def _check(self, loads: Collection[ServerLoad], now_ms: int) -> None:
@@ -57,5 +60,6 @@
             rise = mean_ms / max(0.1, min(mean for _, mean in self._means))
         if rejected or rise > MAX_RISE:
             self._bound = max(float(MIN_BOUND), self._bound / max(2.0, rise))
+            self.is_bounded = True
         elif sum(load.in_flight for load in loads) >= self._bound / 2:
             self._bound *= GROWTH
--- a/packages/figcrank-coordination/tests/placement/test_allotment.py
+++ b/packages/figcrank-coordination/tests/placement/test_allotment.py
@@ -44,8 +44,8 @@
         self._concurrency.record_rejection(in_flight, now_ms)
 
     def allowed(self, now_ms):
-        maximum = min(QUOTA, self._allotment.max_in_flight(now_ms))
-        return self._concurrency.max_in_flight(maximum, now_ms)
+        limit = self._concurrency.max_in_flight(QUOTA, now_ms)
+        return min(limit, self._allotment.max_in_flight(now_ms))
 
 
 class RejectionOwner(AllottedOwner):
@@ -303,8 +303,12 @@
 def test_demand_that_moves_is_followed_within_two_heartbeats(seed):
     """Guards against shares that stay where the demand was."""
     replay = Replay(seed=seed)
-    replay.arrivals(0, 500, 3_000, 6.0)
+    replay.arrivals(0, 500, 3_000, 3.5)
     replay.arrivals(1, 3_000, 6_000, 6.0)
+    replay.run(2_900)
+    assert replay.owners[0].policy.allowed(2_900) >= 5 * replay.owners[1].policy.allowed(2_900)
+    replay.run(3_000 + 2 * HEARTBEAT_MS + TICK_MS)
+    assert replay.owners[1].policy.allowed(3_700) >= 5 * replay.owners[0].policy.allowed(3_700)
     replay.run(6_000)
     assert replay.busy_share(3_000 + 2 * HEARTBEAT_MS + TICK_MS, 6_000) >= 0.95
     assert replay.over_bound(500, 6_000) == 0
@@ -318,8 +322,13 @@
         replay.arrivals(owner, 500, 8_000, 3.0)
     replay.run(3_000)
     replay.owners[2].dead = True
+    others = [owner.policy for owner in replay.owners[:2]]
+    replay.run(3_000 + 1_200 - HEARTBEAT_MS)
+    assert sum(policy.allowed(int(replay.now_ms)) for policy in others) <= 6
+    back_ms = 3_000 + 1_200 + 2 * TICK_MS
+    replay.run(back_ms)
+    assert sum(policy.allowed(back_ms) for policy in others) == 8
     replay.run(8_000)
-    back_ms = 3_000 + 1_200 + 400 + 2 * TICK_MS
     assert replay.busy_share(back_ms, 8_000) >= 0.97
     # Meanwhile the others have two thirds of the 8 in flight.
     assert replay.busy_share(3_200, 4_100) >= 0.8
@@ -417,6 +426,6 @@
     for now_ms in range(0, 1_000, 100):
         allotment.update({"a": BUSY}, SLOTS, now_ms)
     assert allotment.max_in_flight(900) == 7
-    assert allotment.max_in_flight(1_300) == 1
-    allotment.update({"a": BUSY}, SLOTS, 1_300)
-    assert allotment.max_in_flight(1_300) == 1
+    assert allotment.max_in_flight(1_600) == 1
+    allotment.update({"a": BUSY}, SLOTS, 1_600)
+    assert allotment.max_in_flight(1_600) == 1
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
@@ -310,6 +310,7 @@
             values[f"server_waiting{server}"] = pool.waiting
             values[f"server_limit{server}"] = pool.limit
             values[f"server_latency_ms{server}"] = pool.health.latency_ms
+        values.update(self._router.loads.gauges(self._router.pools()))
         for group, record in view.primary_table.all().items():
             values[f'primary_term{{group="{group}"}}'] = record.term
         return values
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_pool.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_pool.py
@@ -7,7 +7,9 @@
 
 from figcrank.coordination.placement import (
     ConcurrencyLimit,
+    LoadMeter,
     ServerHealth,
+    SlotAllotment,
     Waiter,
     max_retained_connections,
     next_waiter,
@@ -62,6 +64,8 @@
         self._sequence = itertools.count()
         self._admitted = 0  # waiters that were admitted and have not resumed yet
         self._concurrency = ConcurrencyLimit()
+        self.meter = LoadMeter(clock.now_ms())
+        self.allotment: SlotAllotment | None = None  # in fleets with relays
 
     @property
     def busy(self) -> int:
@@ -82,11 +86,20 @@
     @property
     def max_in_flight(self) -> int:
         """Return the current limit for :attr:`in_flight`."""
-        return self._concurrency.max_in_flight(self.limit, self._clock.now_ms())
+        limit = self._concurrency.max_in_flight(self.limit, self._clock.now_ms())
+        return min(limit, self.max_allotted)
+
+    @property
+    def max_allotted(self) -> int:
+        """Return this host's allotment of what all owners may have in flight at the server."""
+        if self.allotment is None:
+            return self.limit
+        return self.allotment.max_in_flight(self._clock.now_ms())
 
     def record_rejection(self) -> None:
         """Record a statement or connection that the server rejected because its queue was full."""
         self._concurrency.record_rejection(self.in_flight, self._clock.now_ms())
+        self.meter.record_rejection()
         self._metrics.count("server_rejections", server=self.entry.server_id)
 
     @property
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
@@ -14,6 +14,7 @@
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._metrics import Metrics
 from figcrank.transport.streams._pool import LAGGING_RETRY_MS, ServerPool, split_address
+from figcrank.transport.streams._server_loads import ServerLoads
 
 PRIMARY_RECHECK_MS = 100  # a lease can expire and be renewed without an event
 UNREGISTERED_GRACE_MS = 2_500  # after a store outage, expired entries return within 2 s
@@ -34,6 +35,7 @@
     :param availability_zone: availability zone of this host.
     :param log: event log.
     :param metrics: metrics registry.
+    :param has_relays: whether the fleet has relays; owners then share the slots of each server.
     """
 
     def __init__(
@@ -44,6 +46,7 @@
         availability_zone: str,
         log: EventLog,
         metrics: Metrics,
+        has_relays: bool = False,
     ) -> None:
         self.view = view
         self.codec = codec
@@ -54,6 +57,7 @@
         self._pools: dict[str, ServerPool] = {}
         # By group, when a read last lacked a position that replicas must have reached.
         self.position_lacking_ms: dict[str, int] = {}
+        self.loads = ServerLoads(view, clock, log, has_relays)
         self._changed = Event()
 
     def pool(self, server_id: str) -> ServerPool | None:
@@ -222,6 +226,8 @@
         now_ms = self._clock.now_ms()
         succeeded = reply.failure is None
         pool.health.record_answer(now_ms, now_ms - sent_ms if measured and succeeded else None)
+        if measured and succeeded:
+            pool.meter.record_reply(now_ms - sent_ms)
         if succeeded or reply.failure is SessionFailure.FAILED:
             pool.health.record_statement(succeeded)
         if reply.failure is SessionFailure.BUSY:
@@ -256,6 +262,7 @@
         for record in self.view.primary_table.all().values():
             # Creates the pool, so that hosts without traffic to the primary probe it too.
             self.pool(record.server_id)
+        self.loads.tick(self.pools())
         for pool in self.pools():
             self._set_limit(pool)
             pool.admit_waiters()
--- /dev/null
+++ b/packages/figcrank-transport/tests/test_server_loads.py
@@ -0,0 +1,146 @@
+"""Owners of a fleet with relays report their loads and share the slots of each server."""
+
+from figcrank.coordination.fleet import FleetView
+from figcrank.protocol.heartbeats import Heartbeat, HeartbeatExtension, ServerLoad
+from figcrank.state import ManualClock
+from figcrank.state._catalog import Catalog, GroupPolicy, Registry, ServerEntry
+from figcrank.transport.streams._log import EventLog
+from figcrank.transport.streams._metrics import Metrics
+from figcrank.transport.streams._router import Router
+
+ENTRY = ServerEntry("s1", "g", "10.1.0.1:80", "zone-a", 4, False, False)
+PEER = ("10.0.0.2", 7000)
+
+
+class Scenario:
+    """Router of owner ``a``, and heartbeats of owner ``b``."""
+
+    def __init__(self, has_relays=True):
+        self.clock = ManualClock(1_000)
+        self.view = FleetView("a", 1, ("10.0.0.1", 7000))
+        self.view.catalog = Catalog(1, groups={"g": GroupPolicy("g", 56)})
+        self.view.registry = Registry(1, {"s1": ENTRY})
+        self.events = []
+        log = EventLog("a", self.clock, len)
+        log.event = lambda event, **fields: self.events.append((event, fields))
+        self.router = Router(self.view, None, self.clock, "zone-a", log, Metrics(), has_relays)
+        self.pool = self.router.pool("s1")
+
+    def hear(self, load, extends=True):
+        loads = {"s1": load} if load else {}
+        extension = HeartbeatExtension(server_loads=loads) if extends else None
+        heartbeat = Heartbeat("b", 2, self.clock.now_ms(), extension=extension)
+        self.view.receive(heartbeat, PEER, self.clock.now_ms())
+
+    def run(self, ticks, load=None, hears=True, extends=True):
+        for number in range(ticks):
+            self.clock.advance_to(self.clock.now_ms() + 100)
+            if hears and number % 3 == 0:
+                self.hear(load, extends)
+            self.router.tick()
+
+    def use(self, statements):
+        """Let statements be in flight."""
+        self.pool._opening["w"] = statements
+
+
+def test_load_is_published_in_heartbeats_while_the_server_is_used():
+    """Guards against owners that don't learn of each other's demand."""
+    scenario = Scenario()
+    scenario.use(3)
+    scenario.run(3)
+    assert scenario.view.server_loads == {"s1": ServerLoad(3)}
+    scenario.use(0)
+    scenario.run(14)
+    assert scenario.view.server_loads == {}
+
+
+def test_owners_in_demand_share_the_slots():
+    """Guards against each owner using its whole connection limit: 27 each for 4 slots."""
+    scenario = Scenario()
+    scenario.use(9)
+    scenario.run(6, ServerLoad(9, 20))
+    assert scenario.pool.max_in_flight == 4
+
+
+def test_owner_without_demand_costs_the_others_nothing():
+    scenario = Scenario()
+    scenario.use(9)
+    scenario.run(6, None)
+    assert scenario.pool.max_in_flight == 7
+
+
+def test_owner_that_neither_serves_the_group_nor_uses_the_server_gets_no_share():
+    """Guards against late heartbeats of other groups' owners that take a share."""
+    scenario = Scenario()
+    scenario.router.loads.group_owners = lambda _group: {"a"}
+    scenario.use(9)
+    scenario.run(6, None)
+    scenario.run(6, hears=False)
+    assert scenario.pool.max_in_flight == 7
+
+
+def test_share_of_a_silent_owner_is_kept_and_then_returns():
+    scenario = Scenario()
+    scenario.use(9)
+    scenario.run(7, ServerLoad(9, 20))
+    scenario.run(11, hears=False)
+    assert scenario.pool.max_in_flight == 4
+    scenario.run(6, hears=False)
+    assert scenario.pool.max_in_flight == 7
+
+
+def test_owner_of_an_earlier_release_gets_an_equal_share():
+    """It sends no extension, and its statements reach the server all the same."""
+    scenario = Scenario()
+    scenario.use(9)
+    scenario.run(6, extends=False)
+    assert scenario.pool.max_in_flight == 4
+
+
+def test_ticks_between_the_regular_ones_are_no_samples():
+    """Guards against a burst of primary changes that shortens the time averaged over."""
+    scenario = Scenario()
+    scenario.use(9)
+    scenario.run(3)
+    scenario.use(0)
+    for _ in range(5):
+        scenario.router.tick()
+    assert scenario.view.server_loads["s1"].in_flight == 9
+
+
+def test_rejections_still_lower_the_limit():
+    """Guards against an allotment that replaces the limit after rejections."""
+    scenario = Scenario()
+    scenario.use(6)
+    scenario.run(6)
+    scenario.pool.record_rejection()
+    assert scenario.pool.max_in_flight == 3
+
+
+def test_fleet_without_relays_works_as_before():
+    scenario = Scenario(has_relays=False)
+    scenario.use(9)
+    scenario.run(6, ServerLoad(9, 20))
+    assert scenario.view.server_loads == {}
+    assert scenario.pool.max_in_flight == scenario.pool.limit == 27
+    assert scenario.router.loads.gauges(scenario.router.pools()) == {}
+
+
+def test_allotment_is_a_gauge_and_a_bound_below_the_reported_slots_an_event():
+    scenario = Scenario()
+    scenario.use(9)
+    scenario.run(2)
+    gauges = scenario.router.loads.gauges(scenario.router.pools())
+    assert gauges == {'server_allotment{server="s1"}': 1}
+    scenario.view.registry = Registry(2, {"s1": _with_slots(40)})
+    scenario.router.pool("s1")
+    for _ in range(3):
+        scenario.pool.meter.record_rejection()
+        scenario.run(6, ServerLoad(6, 9))
+    names = [event for event, _ in scenario.events if event == "server_allotment_bounded"]
+    assert names == ["server_allotment_bounded"]
+
+
+def _with_slots(slots):
+    return ServerEntry("s1", "g", ENTRY.address, "zone-a", slots, False, False)
--- a/packages/figcrank-transport/tests/test_statement_runner.py
+++ b/packages/figcrank-transport/tests/test_statement_runner.py
@@ -1,5 +1,7 @@
 """Writes and commits are sent to a primary only while this host has a lease on it."""
 
+from dataclasses import replace
+
 import pytest
 
 from figcrank.protocol.sessions import (
@@ -185,3 +187,30 @@
 def test_commit_of_a_transaction_that_wrote_nothing_needs_no_lease(scenario):
     scenario.end_lease()
     assert scenario.commit(wrote=False).failure is None
+
+
+class OpenTransactionConnection(Connection):
+    """Connection whose transaction is open until the commit."""
+
+    def send_and_wait(self, data, wait_ms):
+        reply = super().send_and_wait(data, wait_ms)
+        state = TransactionState.IDLE if data == "COMMIT" else TransactionState.OPEN
+        return replace(reply, state=state)
+
+
+class ExhaustedPool(Pool):
+    """Pool whose allotment is used up."""
+
+    def acquire(self, _workspace, _priority, _variables, _deadline_ms):
+        raise OpenError(SessionFailure.BUSY, "no connection became available in time")
+
+
+def test_open_transaction_and_its_commit_need_no_allotment(scenario):
+    """Guards against a transaction that holds locks while it waits for its host's allotment."""
+    connection = OpenTransactionConnection()
+    pool = ExhaustedPool(connection)
+    transaction = Transaction(WRITE.request, False, ROUTE, "w", pool, connection)
+    runner = scenario.runner
+    assert runner.run_in_transaction(Session(), WRITE, transaction).failure is None
+    assert runner.commit(Session(), COMMIT, transaction).failure is None
+    assert connection.sent == ["SET v 1", "WRITE 1 x", "COMMIT"]
