Send cold servers only what they bear, and don't promote them needlessly

Cause: a server that has just started is slow, and the reads of all hosts return to it at once. Change: ColdServers divides the limit of coldPerS, coldOverage and coldHeadroom among owners without messages; what it doesn't allow goes elsewhere or is refused with the time to retry. Without the bounds a cold server's expected time is doubled. Of servers with the same position, a warm one is promoted. Not kept: counting a statement before it waits for its connection (waiting ones would leave together).

--- a/packages/figcrank-coordination/src/figcrank/coordination/placement/_ranking.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/placement/_ranking.py
@@ -11,6 +11,8 @@
 ZONE_COST_MS = 4.0  # a round trip between availability zones, and the price of the traffic
 FAILURE_COST_MS = 400.0  # a failed read costs its own time and the time of the retry
 
+COLD_FACTOR = 2.0  # a server that has just started takes about twice as long
+
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
@@ -25,6 +27,7 @@
     :param connected: whether the workspace has an idle open connection to it.
     :param failed_share: share of its recent statements that failed.
     :param is_primary: whether it is the group's primary, the only server for writes.
+    :param cold: whether it is slow because it started a short time ago.
     """
 
     server_id: str
@@ -36,6 +39,7 @@
     connected: bool
     failed_share: float
     is_primary: bool
+    cold: bool = False
 
 
 PRIMARY_COST_MS = 12.0  # keeps the primary's slots free for writes while replicas have capacity
@@ -53,4 +57,5 @@
     cost += 0.0 if candidate.connected else CONNECT_COST_MS
     cost += 0.0 if candidate.same_zone else ZONE_COST_MS
     cost += PRIMARY_COST_MS if candidate.is_primary else 0.0
-    return cost + FAILURE_COST_MS * candidate.failed_share
+    cost += FAILURE_COST_MS * candidate.failed_share
+    return COLD_FACTOR * cost if candidate.cold else cost
--- a/packages/figcrank-coordination/src/figcrank/coordination/primaries/_replacement.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/primaries/_replacement.py
@@ -141,18 +141,23 @@
 
 
 def rank_candidates(
-    reports: Iterable[tuple[str, ServerReport]], leaving: Set[str]
+    reports: Iterable[tuple[str, ServerReport]],
+    leaving: Set[str],
+    cold: Set[str] = frozenset(),
 ) -> list[tuple[str, ServerReport]]:
     """Return the candidates for promotion, the one with the most complete log first.
 
-    Servers that are about to leave come last, however complete their logs are.
+    Servers that are about to leave come last, however complete their logs are. Of those with the
+    same position, the ones that have just started come last.
 
     :param reports: ``(server id, status report)`` of each candidate.
     :param leaving: ids of the servers that are about to leave.
+    :param cold: ids of the servers that are slow because they started a short time ago.
     """
 
     def rank(item: tuple[str, ServerReport]) -> tuple:
         server_id, report = item
-        return server_id not in leaving, report.position or ORIGIN, server_id
+        position = report.position or ORIGIN
+        return server_id not in leaving, position, server_id not in cold, server_id
 
     return sorted(reports, key=rank, reverse=True)
--- a/packages/figcrank-coordination/tests/primaries/test_replacement.py
+++ b/packages/figcrank-coordination/tests/primaries/test_replacement.py
@@ -159,3 +159,15 @@
 def test_leaving_server_is_ranked_last():
     reports = [("a", report(10)), ("b", report(10))]
     assert [server_id for server_id, _ in rank_candidates(reports, {"b"})] == ["a", "b"]
+
+
+def test_cold_server_is_not_promoted_while_a_warm_one_has_the_same_position():
+    """Guards against a primary that serves a tenth of its load because it has just started."""
+    reports = [("a", report(10)), ("b", report(10))]
+    assert [server_id for server_id, _ in rank_candidates(reports, set(), {"b"})] == ["a", "b"]
+
+
+def test_cold_server_with_the_most_complete_log_is_promoted():
+    """Guards against a lost commit for the sake of a warm server."""
+    reports = [("a", report(10)), ("b", report(11))]
+    assert rank_candidates(reports, set(), {"b"})[0][0] == "b"
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
@@ -100,6 +100,8 @@
             settings.availability_zone,
             self._log,
             self._metrics,
+            cold_overage=settings.cold_overage,
+            cold_headroom=settings.cold_headroom,
         )
         self._link = PeerLink(
             settings.peer_address, self._view, self._router, store, self._clock, self._log
@@ -311,6 +313,7 @@
             values[f"server_limit{server}"] = pool.limit
             values[f"server_latency_ms{server}"] = pool.health.latency_ms
         values.update(self._router.loads.gauges(self._router.pools()))
+        values.update(self._router.cold.gauges())
         for group, record in view.primary_table.all().items():
             values[f'primary_term{{group="{group}"}}'] = record.term
         return values
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
@@ -489,7 +489,8 @@
     def _candidates(self, group: str, old_id: str) -> list[tuple[str, ServerReport]]:
         """Return the servers that can become primary, best first."""
         leaving = {e.server_id for e in self._router.entries_of(group) if e.draining}
-        return rank_candidates(self._collect_reports(group, old_id), leaving)
+        cold = self._router.cold.server_ids()
+        return rank_candidates(self._collect_reports(group, old_id), leaving, cold)
 
     def _collect_reports(self, group: str, old_id: str) -> list[tuple[str, ServerReport]]:
         """Return the status reports of the group's other servers."""
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
@@ -4,12 +4,13 @@
 from eventlet.event import Event
 
 from figcrank.coordination.fleet import FleetView, PrimaryUse
-from figcrank.coordination.placement import Candidate, connection_quota, rank
+from figcrank.coordination.placement import Candidate, ColdServers, connection_quota, rank
 from figcrank.protocol.heartbeats import PrimaryFailure
 from figcrank.protocol.sessions import ServerCodec, SessionFailure, StatementReply
 from figcrank.state._catalog import DatabaseRoute, ReadMode, ServerEntry
 from figcrank.state._clock import Clock
 from figcrank.state._positions import Position
+from figcrank.transport.streams._cold_admission import ColdAdmission
 from figcrank.transport.streams._connection import OpenError, ServerConnection
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._metrics import Metrics
@@ -36,6 +37,9 @@
     :param log: event log.
     :param metrics: metrics registry.
     :param has_relays: whether the fleet has relays; owners then share the slots of each server.
+    :param cold_overage: factor by which the load of a cold server may exceed what it bears;
+        ``None`` if it is not limited.
+    :param cold_headroom: statements per second allowed to a cold server besides.
     """
 
     def __init__(
@@ -47,6 +51,8 @@
         log: EventLog,
         metrics: Metrics,
         has_relays: bool = False,
+        cold_overage: float | None = None,
+        cold_headroom: float = 0.0,
     ) -> None:
         self.view = view
         self.codec = codec
@@ -58,6 +64,8 @@
         # By group, when a read last lacked a position that replicas must have reached.
         self.position_lacking_ms: dict[str, int] = {}
         self.loads = ServerLoads(view, clock, log, has_relays)
+        cold_servers = ColdServers(view.host, cold_overage, cold_headroom)
+        self.cold = ColdAdmission(cold_servers, view, clock, log, metrics)
         self._changed = Event()
 
     def pool(self, server_id: str) -> ServerPool | None:
@@ -101,7 +109,8 @@
     def await_primary(self, group: str, deadline_ms: int) -> ServerPool:
         """Return the primary's pool once the primary is usable.
 
-        :raises OpenError: if the primary is not usable by the deadline.
+        :raises OpenError: if the primary is not usable by the deadline, or is cold and this host
+            has sent it what it may.
         """
         while True:
             now_ms = self._clock.now_ms()
@@ -109,6 +118,7 @@
             if use is PrimaryUse.USABLE:
                 pool = self.pool(self.view.primary_table.get(group).server_id)
                 if pool is not None and pool.health.usable(now_ms):
+                    self.cold.check(pool)
                     return pool
             if use is PrimaryUse.NO_LEASE and self.view.lease_renewal_timed_out(now_ms):
                 lost_ms = self.view.lease_lost_ms(now_ms)
@@ -160,6 +170,8 @@
             pool = self.pool(entry.server_id)
             if entry.server_id in tried or not pool.health.usable(now_ms):
                 continue
+            if self.cold.is_exhausted(pool):
+                continue
             at_primary = self.is_primary(pool)
             if at_primary and not usable:
                 continue
@@ -213,8 +225,17 @@
             pool.has_idle(workspace),
             pool.health.failed_share,
             at_primary,
+            self.cold.ranks_lower(pool),
         )
 
+    def admit_to_cold(self, pool: ServerPool) -> bool:
+        """Return whether a statement may be sent to a server; count it if the server is cold."""
+        return self.cold.admit(pool)
+
+    def record_at_cold(self, pool: ServerPool) -> None:
+        """Count a statement of an open transaction if the server is cold."""
+        self.cold.record(pool)
+
     def observe_reply(
         self, pool: ServerPool, sent_ms: int, reply: StatementReply, measured: bool = True
     ) -> None:
@@ -263,6 +284,7 @@
             # Creates the pool, so that hosts without traffic to the primary probe it too.
             self.pool(record.server_id)
         self.loads.tick(self.pools())
+        self.cold.tick()
         for pool in self.pools():
             self._set_limit(pool)
             pool.admit_waiters()
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_runner.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_runner.py
@@ -187,6 +187,9 @@
             if not self._is_usable_primary(pool, route.group):
                 pool.release(connection)
                 continue
+            if not self._router.admit_to_cold(pool):
+                pool.release(connection)
+                continue
             if self._preparer.apply_variables(session, connection):
                 return pool, connection
             self._router.discard_failed_connection(pool, connection)
@@ -382,6 +385,9 @@
             if min_position is None and not self._router.primary_usable(route.group):
                 pool.release(connection)
                 continue
+            if not self._router.admit_to_cold(pool):
+                pool.release(connection)
+                continue
             if self._preparer.apply_variables(session, connection):
                 return _Attempt(pool, connection, min_position)
             self._router.discard_failed_connection(pool, connection)
@@ -413,6 +419,7 @@
             tries += 1
             pool, connection = transaction.pool, transaction.connection
             transaction.wrote = transaction.wrote or statement.is_write
+            self._router.record_at_cold(pool)
             reply = self._send_in_transaction(session, connection, statement, deadline_ms)
             server_id = pool.entry.server_id
             if reply is None:
@@ -505,6 +512,7 @@
             self._router.discard_failed_connection(pool, connection)
             detail = "the connection to the server was lost before the commit was sent"
             return Answer(b"", SessionFailure.ABORTED, detail, 0, server_id)
+        self._router.record_at_cold(pool)
         reply = self._send(connection, statement, deadline_ms)
         if reply is None:
             self._router.discard_failed_connection(pool, connection)
--- a/packages/figcrank-transport/tests/test_statement_runner.py
+++ b/packages/figcrank-transport/tests/test_statement_runner.py
@@ -108,6 +108,12 @@
     def observe_reply(self, _pool, _sent_ms, _reply):
         pass
 
+    def admit_to_cold(self, _pool):
+        return True
+
+    def record_at_cold(self, _pool):
+        pass
+
 
 class Session:
     """Session with one variable."""
