--- a/packages/figcrank-transport/src/figcrank/transport/streams/_acquirer.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_acquirer.py
@@ -98,6 +98,9 @@
             if not self.is_usable_primary(pool, route.group):
                 pool.release(connection)
                 continue
+            if not self._router.admit_to_cold(pool):
+                pool.release(connection)
+                continue
             if self._preparer.apply_variables(session, connection):
                 return pool, connection
             self._router.discard_failed_connection(pool, connection)
@@ -151,6 +154,9 @@
             if min_position is None and not self._router.primary_usable(route.group):
                 pool.release(connection)
                 continue
+            if not self._router.admit_to_cold(pool):
+                pool.release(connection)
+                continue
             if self._preparer.apply_variables(session, connection):
                 return Attempt(pool, connection, min_position)
             self._router.discard_failed_connection(pool, connection)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_pool.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_pool.py
@@ -3,7 +3,9 @@
 from figcrank.coordination.admission import Demand
 from figcrank.coordination.placement import (
     ConcurrencyLimit,
+    LoadMeter,
     ServerHealth,
+    SlotAllotment,
     max_retained_connections,
 )
 from figcrank.protocol.sessions import (
@@ -64,6 +66,8 @@
         self._kinds: dict[ServerConnection, str] = {}  # of what the connections in use run
         self._service_ms: dict[ServerConnection, int] = {}  # by connections in use
         self._concurrency = ConcurrencyLimit()
+        self.meter = LoadMeter(clock.now_ms())
+        self.allotment: SlotAllotment | None = None  # in fleets with relays
 
     @property
     def busy(self) -> int:
@@ -84,11 +88,20 @@
     @property
     def max_in_flight(self) -> int:
         """Return the current limit for :attr:`in_flight`."""
-        return self._concurrency.max_in_flight(self.limit, self._clock.now_ms())
+        limit = self._concurrency.max_in_flight(self.limit, self._clock.now_ms())
+        return min(limit, self.max_allotted)
+
+    @property
+    def max_allotted(self) -> int:
+        """Return this host's allotment of what all owners may have in flight at the server."""
+        if self.allotment is None:
+            return self.limit
+        return self.allotment.max_in_flight(self._clock.now_ms())
 
     def record_rejection(self) -> None:
         """Record a statement or connection that the server rejected because its queue was full."""
         self._concurrency.record_rejection(self.in_flight, self._clock.now_ms())
+        self.meter.record_rejection()
         self._metrics.count("server_rejections", server=self.entry.server_id)
 
     @property
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
@@ -5,7 +5,7 @@
 
 from figcrank.coordination.admission import Demand
 from figcrank.coordination.fleet import FleetView, PrimaryUse
-from figcrank.coordination.placement import Candidate, connection_quota, rank
+from figcrank.coordination.placement import Candidate, ColdServers, connection_quota, rank
 from figcrank.protocol.heartbeats import PrimaryFailure
 from figcrank.protocol.sessions import (
     ServerCodec,
@@ -17,10 +17,12 @@
 from figcrank.state._clock import Clock
 from figcrank.state._positions import Position
 from figcrank.transport.streams._arrival_order import ArrivalOrder
+from figcrank.transport.streams._cold_admission import ColdAdmission
 from figcrank.transport.streams._connection import OpenError, ServerConnection
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._metrics import Metrics
 from figcrank.transport.streams._pool import LAGGING_RETRY_MS, ServerPool, split_address
+from figcrank.transport.streams._server_loads import ServerLoads
 
 PRIMARY_RECHECK_MS = 100  # a lease can expire and be renewed without an event
 UNREGISTERED_GRACE_MS = 2_500  # after a store outage, expired entries return within 2 s
@@ -41,6 +43,10 @@
     :param availability_zone: availability zone of this host.
     :param log: event log.
     :param metrics: metrics registry.
+    :param has_relays: whether the fleet has relays; owners then share the slots of each server.
+    :param cold_overage: factor by which the load of a cold server may exceed what it bears;
+        ``None`` if it is not limited.
+    :param cold_headroom: statements per second allowed to a cold server besides.
     """
 
     def __init__(
@@ -51,6 +57,9 @@
         availability_zone: str,
         log: EventLog,
         metrics: Metrics,
+        has_relays: bool = False,
+        cold_overage: float | None = None,
+        cold_headroom: float = 0.0,
     ) -> None:
         self.view = view
         self.codec = codec
@@ -61,6 +70,9 @@
         self._pools: dict[str, ServerPool] = {}
         # By group, when a read last lacked a position that replicas must have reached.
         self.position_lacking_ms: dict[str, int] = {}
+        self.loads = ServerLoads(view, clock, log, has_relays)
+        cold_servers = ColdServers(view.host, cold_overage, cold_headroom)
+        self.cold = ColdAdmission(cold_servers, view, clock, log, metrics)
         self._changed = Event()
         self._primary_arrivals: dict[str, ArrivalOrder] = {}  # by group
         self._serving_primaries: set[str] = set()
@@ -125,7 +137,8 @@
         Statements that have to wait go on in the order of their arrival.
 
         :param arrived_ms: time at which the statement's operation arrived.
-        :raises OpenError: if the primary is not usable by the deadline.
+        :raises OpenError: if the primary is not usable by the deadline, or is cold and this host
+            has sent it what it may.
         """
         order = self._primary_arrivals.setdefault(group, ArrivalOrder())
         arrival = None
@@ -158,6 +171,7 @@
         if use is PrimaryUse.USABLE:
             pool = self.pool(self.view.primary_table.get(group).server_id)
             if pool is not None and pool.health.usable(now_ms):
+                self.cold.check(pool)
                 return pool
         if use is PrimaryUse.NO_LEASE and self.view.lease_renewal_timed_out(now_ms):
             lost_ms = self.view.lease_lost_ms(now_ms)
@@ -209,6 +223,8 @@
             pool = self.pool(entry.server_id)
             if entry.server_id in tried or not pool.health.usable(now_ms):
                 continue
+            if self.cold.is_exhausted(pool):
+                continue
             at_primary = self.is_primary(pool)
             if at_primary and not usable:
                 continue
@@ -262,8 +278,17 @@
             pool.has_idle(demand.workspace),
             pool.health.failed_share,
             at_primary,
+            self.cold.ranks_lower(pool),
         )
 
+    def admit_to_cold(self, pool: ServerPool) -> bool:
+        """Return whether a statement may be sent to a server; count it if the server is cold."""
+        return self.cold.admit(pool)
+
+    def record_at_cold(self, pool: ServerPool) -> None:
+        """Count a statement of an open transaction if the server is cold."""
+        self.cold.record(pool)
+
     def observe_reply(
         self, pool: ServerPool, sent_ms: int, reply: StatementReply, measured: bool = True
     ) -> None:
@@ -275,6 +300,8 @@
         now_ms = self._clock.now_ms()
         succeeded = reply.failure is None
         pool.health.record_answer(now_ms, now_ms - sent_ms if measured and succeeded else None)
+        if measured and succeeded:
+            pool.meter.record_reply(now_ms - sent_ms)
         if succeeded or reply.failure is SessionFailure.FAILED:
             pool.health.record_statement(succeeded)
         if reply.failure is SessionFailure.BUSY:
@@ -312,6 +339,8 @@
             # Creates the pool, so that hosts without traffic to the primary probe it too.
             self.pool(record.server_id)
         self._release_replaced_primaries()
+        self.loads.tick(self.pools())
+        self.cold.tick()
         for pool in self.pools():
             self._set_limit(pool)
             pool.tick()
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_runner.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_runner.py
@@ -348,6 +348,7 @@
             tries += 1
             pool, connection = transaction.pool, transaction.connection
             transaction.wrote = transaction.wrote or statement.is_write
+            self._router.record_at_cold(pool)
             reply = self._send_in_transaction(session, connection, statement, deadline_ms)
             server_id = pool.entry.server_id
             if reply is None:
@@ -441,6 +442,7 @@
             self._router.discard_failed_connection(pool, connection)
             detail = "the connection to the server was lost before the commit was sent"
             return Answer(b"", SessionFailure.ABORTED, detail, 0, server_id)
+        self._router.record_at_cold(pool)
         reply = self._send(connection, statement, deadline_ms)
         if reply is None:
             self._router.discard_failed_connection(pool, connection)
--- a/packages/figcrank-transport/tests/test_acquirer.py
+++ b/packages/figcrank-transport/tests/test_acquirer.py
@@ -90,6 +90,9 @@
     def primary_usable(self, _group):
         return False
 
+    def admit_to_cold(self, _pool):
+        return True
+
     def observe_reply(self, _pool, _sent_ms, _reply):
         pass
 
--- a/packages/figcrank-transport/tests/test_statement_runner.py
+++ b/packages/figcrank-transport/tests/test_statement_runner.py
@@ -1,5 +1,7 @@
 """Writes and commits are sent to a primary only while this host has a lease on it."""
 
+from dataclasses import replace
+
 import pytest
 
 from figcrank.coordination.admission import Rejection, RejectionReason
@@ -125,6 +127,12 @@
     def discard_failed_connection(self, pool, connection):
         pool.discard(connection)
 
+    def admit_to_cold(self, _pool):
+        return True
+
+    def record_at_cold(self, _pool):
+        pass
+
 
 class Session:
     """Session with one variable."""
@@ -254,3 +262,30 @@
     transaction = Transaction(WRITE.request, False, ROUTE, "w")
     answer = scenario.runner.run_in_transaction(Session(), read, transaction)
     assert answer.failure is SessionFailure.ABORTED
+
+
+class OpenTransactionConnection(Connection):
+    """Connection whose transaction is open until the commit."""
+
+    def send_and_wait(self, data, wait_ms):
+        reply = super().send_and_wait(data, wait_ms)
+        state = TransactionState.IDLE if data == "COMMIT" else TransactionState.OPEN
+        return replace(reply, state=state)
+
+
+class ExhaustedPool(Pool):
+    """Pool whose allotment is used up."""
+
+    def acquire(self, _demand, _variables):
+        raise OpenError(SessionFailure.BUSY, "no connection became available in time")
+
+
+def test_open_transaction_and_its_commit_need_no_allotment(scenario):
+    """Guards against a transaction that holds locks while it waits for its host's allotment."""
+    connection = OpenTransactionConnection()
+    pool = ExhaustedPool(connection)
+    transaction = Transaction(WRITE.request, False, ROUTE, "w", pool, connection)
+    runner = scenario.runner
+    assert runner.run_in_transaction(Session(), WRITE, transaction).failure is None
+    assert runner.commit(Session(), COMMIT, transaction).failure is None
+    assert connection.sent == ["SET v 1", "WRITE 1 x", "COMMIT"]
