Assign each group to one owner of each availability zone

Cause: twelve owners of a server with 56 connections have four each for 87 workspaces, and open one for most requests. Change: rendezvous hashing with bounded load over the live owners of a zone (at most ceil(groups / owners) each), from the view that heartbeats give. An owner holds one connection to the servers of a group that it does not serve; the rest, less two in reserve, is divided among the zones. Zones count while their owners are silent, so that an owner that is cut off from all others does not take their shares. While an owner leaves, it and the owner that takes over have half a share each. Owners of an earlier release count with the equal part that they use. All of this holds only while a relay was seen in the last 120 s, by this owner or by a peer, which says so in the heartbeat's extension; nothing uses it yet. Weighed and not taken: counting only live group owners as sharers; an owner cut off from the others then takes nearly all connections of a server.

--- a/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 
+from figcrank.coordination.fleet._group_ownership import GroupOwnership
 from figcrank.coordination.owners import HostRole
 from figcrank.coordination.peers import ChangeTracker, Peer, PeerTable
 from figcrank.coordination.placement import PositionHistory
@@ -117,6 +118,7 @@
         self.evacuations = Evacuations()
         self.busy_zones: tuple[str, ...] = ()  # evacuated ones in which this host still has work
         self.server_loads: dict[str, ServerLoad] = {}  # of this host
+        self.ownership = GroupOwnership(self)
         self._removed_ms: dict[tuple[str, int], int] = {}
         self._state_changes = ChangeTracker()
         self._spent_changes = ChangeTracker()
@@ -131,6 +133,13 @@
         peers = (Owner(p.name, p.address, p.availability_zone) for p in self.peers.all())
         return [self.itself, *peers]
 
+    def group_owners(self, group: str, now_ms: int) -> list[str]:
+        """Return the names of the hosts that serve a group, one for each zone with live owners.
+
+        :returns: an empty list in fleets without relays, where every host serves it.
+        """
+        return self.ownership.group_owners(group, now_ms)
+
     def adopt_catalog(self, catalog: Catalog, now_ms: int) -> bool:
         """Apply a configuration if it is newer than the current one; return whether it is."""
         if self.catalog is not None and catalog.version <= self.catalog.version:
@@ -372,12 +381,17 @@
             spent=spent,
             partial=partial,
             unchanged=tuple(name for name in OMITTABLE_FIELDS if name not in state),
-            extension=self._extension() if peer.reads_extension else None,
+            extension=self._extension(now_ms) if peer.reads_extension else None,
             **state,
         )
 
-    def _extension(self) -> HeartbeatExtension:
-        return HeartbeatExtension(self.evacuations, self.busy_zones, self.server_loads)
+    def _extension(self, now_ms: int) -> HeartbeatExtension:
+        return HeartbeatExtension(
+            self.evacuations,
+            self.busy_zones,
+            self.server_loads,
+            sees_relays=self.ownership.sees_relays(now_ms),
+        )
 
     def _observed_positions(self, now_ms: int) -> dict:
         observed = {}
--- a/packages/figcrank-coordination/src/figcrank/coordination/owners/__init__.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/owners/__init__.py
@@ -6,6 +6,10 @@
 
 from figcrank.coordination.owners._directory import OwnerDirectory as OwnerDirectory
 from figcrank.coordination.owners._failures import after_lost_owner as after_lost_owner
+from figcrank.coordination.owners._group_owners import assign_groups as assign_groups
+from figcrank.coordination.owners._group_owners import serving_zone as serving_zone
+from figcrank.coordination.owners._group_owners import zone_distance as zone_distance
+from figcrank.coordination.owners._memory import OwnerMemory as OwnerMemory
 from figcrank.coordination.owners._seats import HostRole as HostRole
 from figcrank.coordination.owners._seats import Seat as Seat
 from figcrank.coordination.owners._seats import choose_seat as choose_seat
--- a/packages/figcrank-coordination/src/figcrank/coordination/owners/_directory.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/owners/_directory.py
@@ -5,9 +5,10 @@
 """
 
 import hashlib
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 
+from figcrank.coordination.owners._group_owners import zone_distance
 from figcrank.protocol.heartbeats import NEVER_MS
 from figcrank.protocol.owners import Owner
 
@@ -25,22 +26,26 @@
     :param avoided_until_ms: time until which new sessions go to other owners, if there are any.
     :param failures: failures since its last answer.
     :param queried_ms: time at which it was last asked for its status.
+    :param reads_options: whether it has shown that it reads the options of a session's start.
     """
 
     owner: Owner
     avoided_until_ms: int = 0
     failures: int = 0
     queried_ms: int = NEVER_MS
+    reads_options: bool = False
 
 
 class OwnerDirectory:
     """Owners known to one relay.
 
     :param availability_zone: availability zone of the relay.
+    :param regions: region of each availability zone.
     """
 
-    def __init__(self, availability_zone: str) -> None:
+    def __init__(self, availability_zone: str, regions: Mapping[str, str] | None = None) -> None:
         self._zone = availability_zone
+        self._regions = regions or {}
         self._states: dict[Address, _OwnerState] = {}
 
     def update(self, owners: Iterable[Owner]) -> None:
@@ -56,16 +61,22 @@
         """Return every known owner."""
         return [state.owner for state in self._states.values()]
 
-    def record_answer(self, address: Address, accepts_sessions: bool, now_ms: int) -> None:
+    def record_answer(
+        self, address: Address, accepts_sessions: bool, now_ms: int, reads_options: bool = False
+    ) -> None:
         """Record an answer of an owner.
 
         :param accepts_sessions: whether it accepts new sessions.
+        :param reads_options: whether it reads the options of a session's start; known only of an
+            owner that accepts sessions.
         """
         state = self._states.get(address)
         if state is None:
             return
         state.failures = 0
         state.avoided_until_ms = 0 if accepts_sessions else now_ms + AVOID_MS
+        if accepts_sessions:
+            state.reads_options = reads_options
 
     def record_failure(self, address: Address, now_ms: int) -> None:
         """Avoid an owner that did not answer, or that refused a session, for some time."""
@@ -75,6 +86,16 @@
             state.avoided_until_ms = now_ms + avoid_ms
             state.failures += 1
 
+    def is_avoided(self, address: Address, now_ms: int) -> bool:
+        """Return whether new sessions go to other owners than this one."""
+        state = self._states.get(address)
+        return state is not None and now_ms < state.avoided_until_ms
+
+    def reads_options(self, address: Address) -> bool:
+        """Return whether an owner has shown that it reads the options of a session's start."""
+        state = self._states.get(address)
+        return state is not None and state.reads_options
+
     def is_usable(self, now_ms: int) -> bool:
         """Return whether any owner is known that is not avoided."""
         return any(now_ms >= state.avoided_until_ms for state in self._states.values())
@@ -84,16 +105,19 @@
     ) -> Owner | None:
         """Return the owner for a session by rendezvous hashing, ``None`` if every one was tried.
 
+        Owners that read options come first: they send the session on to the group owner.
+
         :param session_key: identifies the workspace and database of the session.
         :param tried: owners to skip.
         """
         left = [state for state in self._states.values() if state.owner.address not in tried]
 
-        def rank(state: _OwnerState) -> tuple[bool, bool, bytes]:
+        def rank(state: _OwnerState) -> tuple[bool, int, bool, bytes]:
             name = state.owner.name
             return (
                 now_ms < state.avoided_until_ms,
-                state.owner.availability_zone != self._zone,
+                zone_distance(self._zone, state.owner.availability_zone, self._regions),
+                not state.reads_options,
                 _hash(f"{session_key}|{name}"),
             )
 
@@ -106,9 +130,9 @@
         its answer has the list of owners, and the avoided ones of the zone.
         """
 
-        def rank(state: _OwnerState) -> tuple[bool, bool, int]:
-            other_zone = state.owner.availability_zone != self._zone
-            return now_ms < state.avoided_until_ms, other_zone, state.queried_ms
+        def rank(state: _OwnerState) -> tuple[bool, int, int]:
+            distance = zone_distance(self._zone, state.owner.availability_zone, self._regions)
+            return now_ms < state.avoided_until_ms, distance, state.queried_ms
 
         states = sorted(self._states.values(), key=rank)
         avoided = [
--- a/packages/figcrank-coordination/src/figcrank/coordination/placement/__init__.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/placement/__init__.py
@@ -1,11 +1,18 @@
 """Choice of the server and connection for a statement, and of the position a replica must have."""
 
 from figcrank.coordination.placement._concurrency import ConcurrencyLimit as ConcurrencyLimit
+from figcrank.coordination.placement._connections import OwnerCounts as OwnerCounts
 from figcrank.coordination.placement._connections import Waiter as Waiter
 from figcrank.coordination.placement._connections import connection_quota as connection_quota
+from figcrank.coordination.placement._connections import (
+    group_connection_quota as group_connection_quota,
+)
 from figcrank.coordination.placement._connections import (
     max_retained_connections as max_retained_connections,
 )
+from figcrank.coordination.placement._connections import (
+    max_retained_group_connections as max_retained_group_connections,
+)
 from figcrank.coordination.placement._connections import next_waiter as next_waiter
 from figcrank.coordination.placement._health import ServerHealth as ServerHealth
 from figcrank.coordination.placement._position_history import PositionHistory as PositionHistory
--- a/packages/figcrank-protocol/src/figcrank/protocol/heartbeats.py
+++ b/packages/figcrank-protocol/src/figcrank/protocol/heartbeats.py
@@ -129,11 +129,13 @@
     :param evacuations: the sender's list of evacuated availability zones.
     :param busy_zones: evacuated availability zones in which the sender still has work.
     :param server_loads: the sender's load on servers that it used recently, by server id.
+    :param sees_relays: whether a relay has shown itself to the sender recently.
     """
 
     evacuations: Evacuations = field(default_factory=Evacuations)
     busy_zones: tuple[str, ...] = ()
     server_loads: dict[str, ServerLoad] = field(default_factory=dict)
+    sees_relays: bool = False
 
     def to_fields(self) -> dict:
         """Return the extension as an object to encode as JSON, without its empty parts."""
@@ -142,6 +144,8 @@
             fields["evacuations"] = [self.evacuations.revision, sorted(self.evacuations.zones)]
         if self.busy_zones:
             fields["busy_zones"] = list(self.busy_zones)
+        if self.sees_relays:
+            fields["relays"] = 1
         if self.server_loads:
             fields["loads"] = {
                 server_id: [
@@ -169,7 +173,8 @@
             for server_id, (n, w, ms, samples, rejections) in fields.get("loads", {}).items()
         }
         evacuations = Evacuations(int(revision), frozenset(map(str, zones)))
-        return cls(evacuations, tuple(map(str, fields.get("busy_zones", ()))), loads)
+        busy_zones = tuple(map(str, fields.get("busy_zones", ())))
+        return cls(evacuations, busy_zones, loads, sees_relays=bool(fields.get("relays")))
 
 
 @dataclass(frozen=True, slots=True)
