Send sessions to the group owner of their zone

Cause: a relay spread the sessions of a group over all owners of its zone, and an owner ran those of its own callers, so that each owner had a queue and a few connections for every group. Change: the start of a relayed session may have options (zone, final, sent by an owner). An owner that is not the group owner for that zone answers with a redirect, which names the group owner and two successors. Owners forward the sessions of their own callers by the same code, and run them themselves where that fails. A router takes its limits from the view, and closes idle connections beyond a lowered one. Compatibility: options go only to owners whose status answer has 2 for 'accepts', which earlier releases read as 1, and redirects only answer starts with options. Relays show themselves by a datagram that earlier releases ignore. Fleets without relays have no group owners and work as before. Weighed and not taken: a second kind of status query (twice the datagrams), and options learned from replies (the first session of each owner would stay at the wrong one).

--- a/packages/figcrank-coordination/tests/fleet/test_group_ownership.py
+++ b/packages/figcrank-coordination/tests/fleet/test_group_ownership.py
@@ -123,6 +123,19 @@
     assert set(sum(fleet.group_owners(0).values(), [])) == {"h0"}
 
 
+def test_leaving_owner_and_its_successor_have_half_of_the_connections_each():
+    """Guards against sessions that wait for a single connection while their owner stops."""
+    fleet = Fleet("abcabc")
+    fleet.show_relay()
+    before = fleet.limits("north", 56)
+    (leaving,) = [n for n, limit in enumerate(before) if limit > 1 and n % 3 == 0]
+    fleet.views[leaving].leaving = True
+    fleet.exchange()
+    after = fleet.limits("north", 56)
+    assert after[leaving] == after[(leaving + 3) % 6] == before[leaving] // 2
+    assert sum(after) <= 56
+
+
 def test_returned_owner_serves_its_groups_again():
     fleet = Fleet("aaa")
     fleet.show_relay()
--- a/packages/figcrank-coordination/tests/owners/test_group_owners.py
+++ b/packages/figcrank-coordination/tests/owners/test_group_owners.py
@@ -66,6 +66,9 @@
     assert serving_zone("a", ["a", "b", "c"], regions) == "a"
     assert serving_zone("a", ["b", "c", "d"], regions) == "b"
     assert serving_zone("a", ["c", "d"], regions) in ("c", "d")
+    for number in range(20):
+        zones = [f"other-{number}", f"same-{number}"]
+        assert serving_zone("a", zones, {"a": "east", zones[1]: "east"}) == zones[1]
     assert serving_zone("a", [], regions) is None
 
 
--- a/packages/figcrank-protocol/src/figcrank/protocol/relays.py
+++ b/packages/figcrank-protocol/src/figcrank/protocol/relays.py
@@ -2,12 +2,17 @@
 
 A relayed session is one TCP connection. Each message of the caller is a line of JSON. Each reply is
 a line of JSON with the reply's length and state, followed by the reply in the caller's wire format.
+
+The start of a session has options if the owner has shown that it reads them. Only a start with
+options is answered with a redirect, as hosts of earlier releases send no options and read no
+redirect.
 """
 
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+from figcrank.protocol.owners import Owner, decode_owners, encode_owners
 from figcrank.protocol.sessions import (
     CallerCodec,
     CallerMessage,
@@ -16,6 +21,7 @@
     Request,
     SessionFailure,
     SessionStart,
+    StartOptions,
     TransactionState,
     Verb,
 )
@@ -38,6 +44,8 @@
     :param ended: whether the owner ends the session with this reply.
     :param catalog_version: version of the owner's configuration; 0 while it has none.
     :param timeout_ms: statement timeout of the session's route; 0 if it is unknown.
+    :param redirect: owners at which to open the session instead, best first; empty in all replies
+        but that to a start.
     """
 
     body: bytes
@@ -45,6 +53,7 @@
     ended: bool
     catalog_version: int
     timeout_ms: int
+    redirect: tuple[Owner, ...] = ()
 
     @property
     def failure(self) -> SessionFailure | None:
@@ -52,12 +61,21 @@
         return None
 
 
-def encode_start(start: SessionStart, seen_version: int) -> bytes:
+def encode_start(
+    start: SessionStart, seen_version: int, options: StartOptions | None = None
+) -> bytes:
     """Return the message that opens a relayed session.
 
     :param seen_version: newest configuration version that the relay has seen in use.
+    :param options: options of the start; ``None`` for an owner that may not read them.
     """
-    return _encode_line([seen_version, "start", start.database, start.key])
+    fields = [seen_version, "start", start.database, start.key]
+    if options is not None:
+        flags = {"final": options.final, "owner": options.from_owner}
+        fields.append(
+            {"zone": options.availability_zone, **{name: 1 for name, on in flags.items() if on}}
+        )
+    return _encode_line(fields)
 
 
 def encode_request(request: Request, seen_version: int) -> bytes:
@@ -92,22 +110,31 @@
         return [message for line in lines for message in _decode_line(line)]
 
 
-def _decode_line(line: bytes) -> tuple[CallerMessage, CallerMessage]:
+def _decode_line(line: bytes) -> tuple[CallerMessage, ...]:
     try:
         seen_version, kind, *fields = json.loads(line)
         seen = ConfigurationSeen(int(seen_version))
         if kind == "start":
-            database, key = fields
-            return seen, SessionStart(str(database), str(key))
+            database, key, *more = fields
+            return seen, *_decode_options(more), SessionStart(str(database), str(key))
         request_id, verb, text, name, argument, prepares_write = fields
         texts = str(request_id), Verb[verb], str(text), str(name), str(argument)
         return seen, Request(*texts, bool(prepares_write))
-    except (ValueError, TypeError, KeyError, RecursionError) as error:
+    except (ValueError, TypeError, KeyError, AttributeError, RecursionError) as error:
         # The line may hold a caller's key, so it is not quoted.
         detail = f"{len(line)} bytes are not a relayed message: {type(error).__name__}"
         raise RelayProtocolError(detail) from None
 
 
+def _decode_options(fields: list) -> tuple[StartOptions, ...]:
+    """Return the options of a start, if it has any; unknown ones are ignored."""
+    if not fields:
+        return ()
+    (options,) = fields
+    final, from_owner = bool(options.get("final")), bool(options.get("owner"))
+    return (StartOptions(str(options["zone"]), final, from_owner),)
+
+
 class _ReplyDecoder(Decoder):
     """Decodes the replies of an owner."""
 
@@ -130,16 +157,17 @@
         if not found:
             return None
         try:
-            size, state, ended, version, timeout_ms = json.loads(head)
+            size, state, ended, version, timeout_ms, *more = json.loads(head)
             size, state = int(size), TransactionState[state]
             numbers = int(version), int(timeout_ms)
+            redirect = decode_owners(more[0]) if more else ()
         except (ValueError, TypeError, KeyError, RecursionError) as error:
             detail = f"{len(head)} bytes are not a reply of an owner: {type(error).__name__}"
             raise RelayProtocolError(detail) from error
         if len(rest) < size:
             return None
         self._pending = rest[size:]
-        return RelayReply(rest[:size], state, bool(ended), *numbers)
+        return RelayReply(rest[:size], state, bool(ended), *numbers, redirect)
 
 
 def relay_reply_decoder() -> Decoder:
@@ -172,6 +200,11 @@
         body = self._inner.failure(failure, detail)
         return self._encode(body, TransactionState.IDLE, ended=True)
 
+    def redirect(self, owners: Iterable[Owner]) -> bytes:
+        """Return the reply that sends a relay to other owners; its start must have had options."""
+        fields = [0, TransactionState.IDLE.name, True, *self._facts(), encode_owners(owners)]
+        return _encode_line(fields)
+
     def completion(self) -> bytes:
         """Return the completion of a request that was handled without a backend server."""
         return self._inner.completion()
--- a/packages/figcrank-protocol/src/figcrank/protocol/sessions.py
+++ b/packages/figcrank-protocol/src/figcrank/protocol/sessions.py
@@ -121,7 +121,23 @@
     version: int
 
 
-CallerMessage = SessionStart | Request | SessionClose | MalformedMessage | ConfigurationSeen
+@dataclass(frozen=True, slots=True)
+class StartOptions:
+    """Options of the start of a relayed session; their sender understands redirects.
+
+    :param availability_zone: availability zone of the sender.
+    :param final: whether the owner must run the session itself.
+    :param from_owner: whether the sender is an owner, rather than a relay.
+    """
+
+    availability_zone: str
+    final: bool = False
+    from_owner: bool = False
+
+
+CallerMessage = (
+    SessionStart | Request | SessionClose | MalformedMessage | ConfigurationSeen | StartOptions
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/figcrank-protocol/tests/test_relays.py
+++ b/packages/figcrank-protocol/tests/test_relays.py
@@ -1,3 +1,5 @@
+import json
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -16,6 +18,7 @@
     Request,
     SessionFailure,
     SessionStart,
+    StartOptions,
     TransactionState,
     Verb,
 )
@@ -56,6 +59,46 @@
     assert messages == [seen, SessionStart("db", "key"), seen, request]
 
 
+OWNERS = Owner("a", ("10.0.0.1", 7000), "zone-a"), Owner("b", ("10.0.0.2", 7000), "zone-b")
+
+
+@given(st.builds(StartOptions, st.text(), st.booleans(), st.booleans()), st.integers(1, 40))
+def test_options_of_a_start_are_received_as_they_were_sent(options, size):
+    start = SessionStart("db", "key")
+    messages = feed_in_pieces(owner_codec().decoder(), encode_start(start, 3, options), size)
+    assert messages == [ConfigurationSeen(3), options, start]
+
+
+def test_start_without_options_is_what_an_earlier_release_reads():
+    """Guards against an owner of an earlier release that refuses the sessions of new relays."""
+    seen_version, kind, *fields = json.loads(encode_start(SessionStart("db", "key"), 3))
+    assert (seen_version, kind, fields) == (3, "start", ["db", "key"])
+
+
+def test_unknown_options_of_a_later_release_are_ignored():
+    line = b'[3,"start","db","key",{"zone":"z","later":[1]}]\n'
+    assert owner_codec().decoder().feed(line)[1] == StartOptions("z")
+
+
+@given(st.integers(1, 40))
+def test_redirect_is_received_as_it_was_sent(size):
+    data = owner_codec().redirect(OWNERS)
+    (reply,) = feed_in_pieces(relay_reply_decoder(), data, size)
+    assert reply == RelayReply(b"", TransactionState.IDLE, True, 7, 300, OWNERS)
+
+
+@pytest.mark.parametrize("accepts", [True, False])
+def test_reply_that_is_no_redirect_is_what_an_earlier_release_reads(accepts):
+    """Guards against relays of an earlier release that can't read the replies of a new owner."""
+    codec = owner_codec()
+    data = (
+        codec.reply(b"", TransactionState.IDLE)
+        if accepts
+        else codec.rejection(SessionFailure.BUSY, "db")
+    )
+    assert len(json.loads(data.partition(b"\n")[0])) == 5
+
+
 @given(st.lists(st.binary()), st.sampled_from(TransactionState), st.integers(1, 40))
 def test_replies_are_received_as_they_were_sent(bodies, state, size):
     data = b"".join(owner_codec().reply(body, state) for body in bodies)
@@ -91,6 +134,15 @@
     assert decode_status(encode_status(status)) == status
 
 
+@pytest.mark.parametrize("accepts", [True, False])
+def test_status_of_an_owner_that_reads_options_is_what_an_earlier_release_reads(accepts):
+    """Guards against relays of an earlier release that find no owner among new ones."""
+    data = encode_status(OwnerStatus("a", accepts, 12, OWNERS, reads_options=True))
+    host, accepts_sessions, version, owners = json.loads(data)  # as the earlier release does
+    assert (host, bool(accepts_sessions), version, len(owners)) == ("a", accepts, 12, 2)
+    assert decode_status(data).reads_options is accepts
+
+
 @given(st.binary(max_size=200))
 def test_unreadable_status_is_an_error(data):
     with pytest.raises(ValueError, match="is not a status"):
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_caller_connection.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_caller_connection.py
@@ -81,6 +81,15 @@
             self._release()
             self._sock.close()
 
+    def take_over(self, other: "CallerConnection", *read: CallerMessage) -> None:
+        """Serve the connection of another session, which ends.
+
+        :param read: messages that the other session has read, to be handled by this one.
+        """
+        self._decoder = other._decoder
+        self._pending_messages = [*read, *other._pending_messages]
+        self._closing = other._closing
+
     def close_when_idle(self) -> None:
         """Close the session once no operation or transaction is in progress."""
         self._closing = True
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
@@ -17,14 +17,17 @@
 from figcrank.transport._clock import BootClock
 from figcrank.transport.streams._caller_connection import CallerConnection
 from figcrank.transport.streams._connection import TCP_USER_TIMEOUT_MS
+from figcrank.transport.streams._entry_session import EntrySession
+from figcrank.transport.streams._group_owner_monitor import GroupOwnerMonitor
 from figcrank.transport.streams._http import serve_http
 from figcrank.transport.streams._interfaces import FailoverService, Store
 from figcrank.transport.streams._isolation import BALANCER_REMOVAL_MS, IsolationMonitor
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._membership import Membership
 from figcrank.transport.streams._metrics import Metrics
+from figcrank.transport.streams._owner_opener import OwnerOpener
 from figcrank.transport.streams._owner_session import OwnerSession
-from figcrank.transport.streams._owner_tracker import CHECK_INTERVAL_MS, OwnerTracker
+from figcrank.transport.streams._owner_tracker import OwnerTracker
 from figcrank.transport.streams._peer_link import VIEW_PATH, PeerLink
 from figcrank.transport.streams._position_prober import PositionProber
 from figcrank.transport.streams._relayed_session import RelayedSession, RelayServices
@@ -82,16 +85,22 @@
             self._clock.now_ms(),
             settings.availability_zone,
         )
+        self._view.ownership.regions = settings.regions
         ip = settings.peer_address[0]
         self._tracker = OwnerTracker(
-            OwnerDirectory(settings.availability_zone),
+            OwnerDirectory(settings.availability_zone, settings.regions),
             settings.relay_port,
             ip,
             self._clock,
             self._log,
         )
         self._responder = StatusResponder(
-            (ip, settings.relay_port), self._view, self._tracker, self._accepts_sessions, self._log
+            (ip, settings.relay_port),
+            self._view,
+            self._tracker,
+            self._accepts_sessions,
+            self._clock,
+            self._log,
         )
         self._router = Router(
             self._view,
@@ -149,6 +158,10 @@
             self._log,
             self._metrics,
             self._services.sessions,
+            OwnerOpener(settings.availability_zone, self._tracker, self._clock, self._metrics),
+        )
+        self._group_owner_monitor = GroupOwnerMonitor(
+            self._view, self._tracker, self._clock, self._log, self._metrics
         )
         self._isolation = IsolationMonitor(
             self._view, self._services.sessions, self._clock, self._log
@@ -167,7 +180,7 @@
             self._link.run_receiver,
             self._responder.run,
             self._tracker.run_receiver,
-            self._run_tracker_checks,
+            self._group_owner_monitor.run,
             self._run_membership,
             self._run_reloads,
         ):
@@ -182,12 +195,6 @@
         own_ip = self._settings.peer_address[0]
         self._membership.run([ip for ip, _ in self._settings.seeds if ip != own_ip])
 
-    def _run_tracker_checks(self) -> None:
-        """Watch the owners while this host is not one itself."""
-        while not self._view.is_owner or self._tracker.has_sessions:
-            eventlet.sleep(CHECK_INTERVAL_MS / 1_000)
-            self._tracker.check(self._clock.now_ms())
-
     def _run_as_owner(self) -> None:
         """Start the loops that only owners run."""
         for loop in (
@@ -235,6 +242,8 @@
         self._await_role()
         if self._view.role is HostRole.RELAY:
             self._run_session(RelayedSession(sock, self._relay_services))
+        elif self._view.ownership.has_relays(self._clock.now_ms()):
+            self._run_session(EntrySession(sock, self._services, self._relay_services))
         else:
             self._run_session(CallerSession(sock, self._services))
 
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_membership.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_membership.py
@@ -169,6 +169,7 @@
         if self._view.role is HostRole.UNDECIDED:
             self._view.role = HostRole.RELAY
             self._log.event("role_decided", role="relay", owners=len(owners), source=source)
+            self._tracker.announce_relay()
 
     def check_seats(self, now_ms: int) -> None:
         """Take a seat that has become free; read the listing if no owner is usable.
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_owner_tracker.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_owner_tracker.py
@@ -4,8 +4,14 @@
 from eventlet.event import Event
 from eventlet.green import socket
 
-from figcrank.coordination.owners import OwnerDirectory
-from figcrank.protocol.owners import STATUS_QUERY, Owner, OwnerStatus, decode_status
+from figcrank.coordination.owners import OwnerDirectory, OwnerMemory
+from figcrank.protocol.owners import (
+    RELAY_NOTICE,
+    STATUS_QUERY,
+    Owner,
+    OwnerStatus,
+    decode_status,
+)
 from figcrank.state._clock import Clock
 from figcrank.transport.streams._connection import ServerConnection
 from figcrank.transport.streams._log import EventLog
@@ -45,6 +51,7 @@
         self._queried_ms = 0
         self._changed = Event()
         self.seen_version = 0
+        self.memory = OwnerMemory()
 
     def wait(self, wait_ms: float) -> None:
         """Wait at most ``wait_ms`` for an answer of any owner."""
@@ -90,18 +97,43 @@
 
     def record_reply(self, owner: Owner, catalog_version: int) -> None:
         """Record an owner's reply to a session."""
-        self.seen_version = max(self.seen_version, catalog_version)
+        self.record_version(catalog_version)
         self._answered_ms[owner.address] = self._clock.now_ms()
 
+    def record_version(self, catalog_version: int) -> None:
+        """Record the configuration version that this host or an owner has in use."""
+        self.seen_version = max(self.seen_version, catalog_version)
+
     def record_failure(self, owner: Owner, reason: str) -> None:
         """Record that an owner did not open a session."""
         self._log.event("owner_refused_session", owner=owner.name, reason=reason)
         self._directory.record_failure(owner.address, self._clock.now_ms())
+        self.memory.forget_address(owner.address)
+
+    def is_avoided(self, owner: Owner) -> bool:
+        """Return whether new sessions go to other owners than this one."""
+        return self._directory.is_avoided(owner.address, self._clock.now_ms())
+
+    def reads_options(self, owner: Owner) -> bool:
+        """Return whether an owner has shown that it reads the options of a session's start."""
+        return self._directory.reads_options(owner.address)
+
+    def announce_relay(self) -> None:
+        """Tell every known owner that this host is a relay, and ask what it reads.
+
+        Group owners exist only in fleets with relays, and should before the first session.
+        """
+        for owner in self._directory.owners():
+            self._send(RELAY_NOTICE, owner.address[0])
+            self.query(owner.address[0])
 
     def query(self, ip: str) -> None:
         """Ask a host for its status; the answer is processed when it arrives."""
+        self._send(STATUS_QUERY, ip)
+
+    def _send(self, datagram: bytes, ip: str) -> None:
         try:
-            self._socket.sendto(STATUS_QUERY, (ip, self._relay_port))
+            self._socket.sendto(datagram, (ip, self._relay_port))
         except OSError as error:
             self._log.event("owner_query_failed", peer=ip, reason=str(error))
 
@@ -122,11 +154,14 @@
         is_owner = any(owner.address[0] == ip for owner in status.owners)
         if is_owner or not self._directory.owners():  # a relay's list may be outdated
             self._directory.update(status.owners)
-        for owner in self._directory.owners():
-            if owner.address[0] == ip:
-                self._answered_ms[owner.address] = now_ms
-                self._suspected_ms.pop(owner.address, None)
-                self._directory.record_answer(owner.address, status.accepts_sessions, now_ms)
+        listed = {owner.address for owner in self._directory.owners()}
+        for address in listed | self._connections.keys():
+            if address[0] == ip:
+                self._answered_ms[address] = now_ms
+                self._suspected_ms.pop(address, None)
+                self._directory.record_answer(
+                    address, status.accepts_sessions, now_ms, status.reads_options
+                )
         changed, self._changed = self._changed, Event()
         changed.send(None)
 
@@ -136,6 +171,7 @@
             self._queried_ms = now_ms
             for owner in self._directory.owners_to_query(now_ms):
                 self.query(owner.address[0])
+                self._send(RELAY_NOTICE, owner.address[0])
         self.check_sessions(now_ms)
 
     def check_sessions(self, now_ms: int) -> None:
@@ -155,6 +191,7 @@
         self._suspected_ms.pop(address)
         self._log.event("owner_silent", owner=address, sessions=len(connections))
         self._directory.record_failure(address, now_ms)
+        self.memory.forget_address(address)
         for connection in connections:
             _close(connection)
 
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_pool.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_pool.py
@@ -9,7 +9,6 @@
     ConcurrencyLimit,
     ServerHealth,
     Waiter,
-    max_retained_connections,
     next_waiter,
 )
 from figcrank.protocol.sessions import (
@@ -48,6 +47,7 @@
         self.entry = entry
         self.health = ServerHealth()
         self.limit = 1
+        self.max_retained = 1  # connections above which idle ones are closed
         self.position: Position | None = None
         self.lagging_until_ms = 0
         self.missing_since_ms: int | None = None
@@ -209,7 +209,7 @@
         """Return a connection that has no open statement or transaction to the pool."""
         self._busy.discard(connection)
         if not connection.closed:
-            max_connections = self.limit if self._waiters else max_retained_connections(self.limit)
+            max_connections = self.limit if self._waiters else self.max_retained
             if len(self._idle) + self.busy >= max_connections:
                 connection.close()
             else:
@@ -247,6 +247,11 @@
         self._idle.clear()
         self.admit_waiters()
 
+    def close_excess_idle(self) -> None:
+        """Close idle connections beyond a limit that was lowered; other owners may use them now."""
+        while self._idle and len(self._idle) + self.busy > self.limit:
+            self._idle.pop(0).close()
+
     def close_idle(self) -> None:
         """Close the connections that are not in use."""
         for connection in self._idle:
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_relayed_session.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_relayed_session.py
@@ -6,12 +6,7 @@
 
 from figcrank.coordination.owners import after_lost_owner
 from figcrank.protocol.owners import Owner
-from figcrank.protocol.relays import (
-    RelayReply,
-    encode_request,
-    encode_start,
-    relay_reply_decoder,
-)
+from figcrank.protocol.relays import RelayReply, encode_request
 from figcrank.protocol.sessions import (
     CallerCodec,
     Request,
@@ -26,13 +21,12 @@
     SESSION_START_TIMEOUT_MS,
     CallerConnection,
 )
-from figcrank.transport.streams._connection import OpenError, ServerConnection
+from figcrank.transport.streams._connection import ServerConnection
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._metrics import Metrics
+from figcrank.transport.streams._owner_opener import OpenedSession, OwnerOpener
 from figcrank.transport.streams._owner_tracker import OwnerTracker
 
-START_TIMEOUT_MS = 1_800  # callers close a session that does not start within 2 s
-NO_OWNER_RETRY_MS = 100
 # Beyond the statement timeout, which the owner itself enforces; covers a busy link.
 REPLY_MARGIN_MS = 250
 DEFAULT_REPLY_TIMEOUT_MS = 10_000  # while the route's statement timeout is unknown
@@ -48,6 +42,7 @@
     :param log: event log.
     :param metrics: metrics registry.
     :param sessions: the open sessions of the host.
+    :param opener: opens sessions at owners.
     """
 
     codec: CallerCodec
@@ -56,6 +51,7 @@
     log: EventLog
     metrics: Metrics
     sessions: set[CallerConnection]
+    opener: OwnerOpener
 
 
 class RelayedSession(CallerConnection):
@@ -65,11 +61,15 @@
 
     :param sock: connected socket of the caller.
     :param services: services shared by all relayed sessions.
+    :param opened: the session, if it was opened at an owner already.
     """
 
-    def __init__(self, sock: socket.socket, services: RelayServices) -> None:
+    def __init__(
+        self, sock: socket.socket, services: RelayServices, opened: OpenedSession | None = None
+    ) -> None:
         super().__init__(sock, services.codec, services.sessions, services.metrics)
         self._services = services
+        self._opened = opened
         self._owner: Owner | None = None
         self._connection: ServerConnection | None = None
         self._state = TransactionState.IDLE
@@ -93,8 +93,12 @@
             self._connection.close()
 
     def _serve(self) -> None:
-        start = self._next_message(SESSION_START_TIMEOUT_MS)
-        if not isinstance(start, SessionStart) or not self._open(start):
+        if self._opened is not None:
+            is_open = self._accept(self._opened)
+        else:
+            start = self._next_message(SESSION_START_TIMEOUT_MS)
+            is_open = isinstance(start, SessionStart) and self._open(start)
+        if not is_open:
             return
         while True:
             message = self._next_message(None)
@@ -110,45 +114,19 @@
 
     def _open(self, start: SessionStart) -> bool:
         """Open the session at an owner; return whether it was accepted."""
-        clock = self._services.clock
-        deadline_ms = clock.now_ms() + START_TIMEOUT_MS
-        tried: set[tuple[str, int]] = set()
-        while clock.now_ms() < deadline_ms:
-            owner = self._services.owners.choose(f"{start.key} {start.database}", tried)
-            if owner is None:
-                tried.clear()
-                self._services.owners.wait(NO_OWNER_RETRY_MS)
-                continue
-            reply = self._open_at(owner, start)
-            if reply is not None:
-                return self._accept(reply)
-            tried.add(owner.address)
+        opened = self._services.opener.open(start)
+        if opened is not None:
+            return self._accept(opened)
         self._record_refusal("", SessionFailure.BUSY, "no owner accepted the session")
         self._send(self._codec.rejection(SessionFailure.BUSY, "no owner accepted the session"))
         return False
 
-    def _open_at(self, owner: Owner, start: SessionStart) -> RelayReply | None:
-        owners = self._services.owners
-        message = encode_start(start, owners.seen_version)
-        try:
-            connection, reply = ServerConnection.open(
-                owners.session_address(owner),
-                relay_reply_decoder(),
-                message,
-                "",
-                self._services.clock,
-            )
-        except OpenError as error:
-            owners.record_failure(owner, str(error))
-            return None
-        self._owner, self._connection = owner, connection
-        connection.on_idle_close = self._handle_owner_close
-        owners.attach(owner, connection)
-        self._services.metrics.count("sessions_relayed", owner=owner.name)
+    def _accept(self, opened: OpenedSession) -> bool:
+        reply = opened.reply
+        self._owner, self._connection = opened.owner, opened.connection
+        opened.connection.on_idle_close = self._handle_owner_close
+        self._services.owners.attach(opened.owner, opened.connection)
         self._observe(reply)
-        return reply
-
-    def _accept(self, reply: RelayReply) -> bool:
         if reply.ended:
             self._send(reply.body)
             return False
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
@@ -4,7 +4,12 @@
 from eventlet.event import Event
 
 from figcrank.coordination.fleet import FleetView, PrimaryUse
-from figcrank.coordination.placement import Candidate, connection_quota, rank
+from figcrank.coordination.placement import (
+    Candidate,
+    connection_quota,
+    max_retained_connections,
+    rank,
+)
 from figcrank.protocol.heartbeats import PrimaryFailure
 from figcrank.protocol.sessions import ServerCodec, SessionFailure, StatementReply
 from figcrank.state._catalog import DatabaseRoute, ReadMode, ServerEntry
@@ -87,7 +92,15 @@
         catalog = self.view.catalog
         policy = catalog.groups.get(pool.entry.group) if catalog else None
         max_connections = policy.max_connections if policy else DEFAULT_MAX_CONNECTIONS
-        pool.limit = connection_quota(max_connections, self.view.host_count())
+        limits = self.view.ownership.connection_limits(
+            pool.entry.group, max_connections, self._clock.now_ms()
+        )
+        if limits is None:
+            pool.limit = connection_quota(max_connections, self.view.host_count())
+            pool.max_retained = max_retained_connections(pool.limit)
+        else:
+            pool.limit, pool.max_retained = limits
+            pool.close_excess_idle()
 
     def notify_primary_change(self) -> None:
         """Wake all waiters for a change of a primary."""
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
@@ -120,11 +120,12 @@
         self._transaction: Transaction | None = None
         self.last_commit: dict[str, Position] = {}  # by group
 
+    def require_version(self, version: int) -> None:
+        """Use no configuration older than one that this host has seen in use elsewhere."""
+        self._seen_version = max(self._seen_version, version)
+
     def _serve(self) -> None:
-        session_start = self._next_message(SESSION_START_TIMEOUT_MS)
-        if isinstance(session_start, ConfigurationSeen):
-            self._seen_version = session_start.version
-            session_start = self._next_message(SESSION_START_TIMEOUT_MS)
+        session_start = self._read_start()
         if not isinstance(session_start, SessionStart) or not self._accept_session_start(
             session_start
         ):
@@ -143,6 +144,10 @@
             if self._may_close:
                 return
 
+    def _read_start(self) -> CallerMessage | None:
+        """Return the first message of the session, after what a relay sends before it."""
+        return self._next_message(SESSION_START_TIMEOUT_MS)
+
     def _next_request(self) -> CallerMessage | None:
         idle_ms = None
         transaction = self._transaction
@@ -171,9 +176,15 @@
             self._record_refusal("", failure, "during the handshake")
             self._send(self._codec.rejection(failure, session_start.database))
             return False
+        if self._is_redirected():
+            return False
         self._reply(b"")
         return True
 
+    def _is_redirected(self) -> bool:
+        """Return whether the session was sent to another owner instead of being accepted."""
+        return False
+
     def _await_catalog(self) -> Catalog | None:
         view = self._services.router.view
         deadline_ms = self._services.clock.now_ms() + CATALOG_WAIT_MS
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_status_responder.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_status_responder.py
@@ -6,7 +6,8 @@
 from eventlet.green import socket
 
 from figcrank.coordination.fleet import FleetView
-from figcrank.protocol.owners import STATUS_QUERY, OwnerStatus, encode_status
+from figcrank.protocol.owners import RELAY_NOTICE, STATUS_QUERY, OwnerStatus, encode_status
+from figcrank.state._clock import Clock
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._owner_tracker import OwnerTracker
 
@@ -21,6 +22,7 @@
     :param view: this host's view of the fleet.
     :param tracker: the owners that this host knows as a relay.
     :param accepts_sessions: returns whether this host accepts relayed sessions now.
+    :param clock: this host's clock.
     :param log: event log.
     """
 
@@ -30,11 +32,13 @@
         view: FleetView,
         tracker: OwnerTracker,
         accepts_sessions: Callable[[], bool],
+        clock: Clock,
         log: EventLog,
     ) -> None:
         self._view = view
         self._tracker = tracker
         self._accepts_sessions = accepts_sessions
+        self._clock = clock
         self._log = log
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind(address)
@@ -44,6 +48,8 @@
         while True:
             try:
                 data, sender = self._socket.recvfrom(MAX_QUERY_BYTES)
+                if data == RELAY_NOTICE:
+                    self._view.ownership.record_relay(self._clock.now_ms())
                 if data == STATUS_QUERY:
                     self._socket.sendto(encode_status(self.status()), sender)
             except OSError as error:
@@ -55,4 +61,5 @@
         view = self._view
         owners = view.owners() if view.is_owner else self._tracker.owners()
         version = view.catalog.version if view.catalog else 0
-        return OwnerStatus(view.host, self._accepts_sessions(), version, tuple(owners))
+        accepts = self._accepts_sessions()
+        return OwnerStatus(view.host, accepts, version, tuple(owners), reads_options=True)
--- a/packages/figcrank-transport/tests/test_membership.py
+++ b/packages/figcrank-transport/tests/test_membership.py
@@ -103,6 +103,9 @@
     def is_usable(self):
         return self.usable
 
+    def announce_relay(self):
+        self.announced = True
+
 
 class Scenario:
     """Host ``h1`` of four hosts, the last of which never sends a heartbeat by default."""
--- a/packages/figcrank-transport/tests/test_owner_session.py
+++ b/packages/figcrank-transport/tests/test_owner_session.py
@@ -1,12 +1,24 @@
-"""An owner never serves a relay with an older configuration than the relay has seen in use."""
+"""An owner never serves a relay with an older configuration than the relay has seen in use.
+
+It also sends a relay to the group owner of its zone.
+"""
 
 import eventlet
 import pytest
 from eventlet.green import socket
 
 from figcrank.coordination.fleet import FleetView
+from figcrank.coordination.owners import HostRole
+from figcrank.protocol.heartbeats import Heartbeat
 from figcrank.protocol.relays import encode_request, encode_start, relay_reply_decoder
-from figcrank.protocol.sessions import CallerCodec, Request, SessionStart, TransactionState, Verb
+from figcrank.protocol.sessions import (
+    CallerCodec,
+    Request,
+    SessionStart,
+    StartOptions,
+    TransactionState,
+    Verb,
+)
 from figcrank.state._catalog import Catalog, DatabaseRoute, ReadMode
 from figcrank.transport import MonotonicClock
 from figcrank.transport.streams import _session
@@ -54,7 +66,8 @@
 
     def __init__(self):
         self.clock = MonotonicClock()
-        self.view = FleetView("owner", 1, ("127.0.0.1", 7000))
+        self.view = FleetView("owner", 1, ("127.0.0.1", 7000), availability_zone="zone-a")
+        self.view.role = HostRole.OWNER
         self.view.adopt_catalog(catalog(4), 0)
         log = EventLog("owner", self.clock, len)
         router = FakeRouter(self.view)
@@ -76,8 +89,16 @@
             if replies:
                 return replies[0]
 
-    def start(self, seen):
-        return self.ask(encode_start(SessionStart("db", "key"), seen))
+    def start(self, seen, options=None, database="db"):
+        return self.ask(encode_start(SessionStart(database, "key"), seen, options))
+
+    def add_peers(self, zone="zone-a"):
+        """Add live owners to the view; with 20 of them, one serves the group rather than it."""
+        now_ms = self.clock.now_ms()
+        for number in range(2, 22):
+            peer_address = (f"127.0.0.{number}", 7000)
+            self.view.peers.register(f"h{number}", peer_address, now_ms, zone)
+            self.view.receive(Heartbeat(f"h{number}", number, 1), peer_address, now_ms)
 
     def run(self, verb, seen):
         reply = self.ask(encode_request(Request("id", verb, "text", "name", "1"), seen))
@@ -129,3 +150,54 @@
     scenario.start(seen=4)
     scenario.run(Verb.BEGIN, seen=4)
     assert scenario.run(Verb.COMMIT, seen=5) == (b"ABORTED", TransactionState.IDLE)
+
+
+RELAY = StartOptions("zone-a")
+
+
+def test_relay_is_sent_to_the_group_owner_of_its_zone(scenario):
+    """Guards against sessions of one group at every owner, with a few connections each."""
+    scenario.add_peers()
+    reply = scenario.start(4, RELAY)
+    assert reply.ended
+    first, *successors = (owner.name for owner in reply.redirect)
+    assert first == scenario.view.group_owners("g", scenario.clock.now_ms())[0]
+    assert len(successors) == 2
+
+
+def test_first_relay_makes_the_fleet_one_with_group_owners(scenario):
+    scenario.add_peers()
+    assert not scenario.view.ownership.sees_relays(scenario.clock.now_ms())
+    scenario.start(4, RELAY)
+    assert scenario.view.ownership.sees_relays(scenario.clock.now_ms())
+
+
+@pytest.mark.parametrize("options", [None, StartOptions("zone-a", final=True)])
+def test_relay_that_reads_no_redirect_or_needs_an_owner_now_is_accepted(scenario, options):
+    """Guards against an earlier release that is redirected, and against loops of redirects."""
+    scenario.add_peers()
+    scenario.view.ownership.record_relay(scenario.clock.now_ms())
+    reply = scenario.start(4, options)
+    assert not reply.ended
+    assert scenario.run(Verb.SET, seen=4) == (b"done", TransactionState.IDLE)
+
+
+def test_session_is_accepted_while_no_owner_of_this_release_is_known(scenario):
+    assert not scenario.start(4, RELAY).ended
+
+
+def test_session_of_another_owners_caller_does_not_show_a_relay(scenario):
+    """Guards against owners that keep each other's groups assigned when the relays are gone."""
+    scenario.start(4, StartOptions("zone-a", from_owner=True))
+    assert not scenario.view.ownership.sees_relays(scenario.clock.now_ms())
+
+
+def test_unknown_database_is_rejected_rather_than_redirected(scenario):
+    scenario.add_peers()
+    assert scenario.start(4, RELAY, "absent").body == b"UNKNOWN_DATABASE"
+
+
+def test_relay_of_another_zone_is_sent_to_the_owner_of_that_zone(scenario):
+    scenario.add_peers("zone-b")
+    reply = scenario.start(4, StartOptions("zone-b"))
+    assert {owner.availability_zone for owner in reply.redirect} == {"zone-b"}
--- a/packages/figcrank-transport/tests/test_relayed_session.py
+++ b/packages/figcrank-transport/tests/test_relayed_session.py
@@ -5,7 +5,7 @@
 from eventlet.green import socket
 
 from figcrank.coordination.owners import OwnerDirectory
-from figcrank.protocol.owners import Owner
+from figcrank.protocol.owners import Owner, OwnerStatus
 from figcrank.protocol.relays import RelayCallerCodec
 from figcrank.protocol.sessions import (
     CallerCodec,
@@ -14,12 +14,14 @@
     Request,
     SessionFailure,
     SessionStart,
+    StartOptions,
     TransactionState,
     Verb,
 )
 from figcrank.transport import MonotonicClock
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._metrics import Metrics
+from figcrank.transport.streams._owner_opener import MAX_HOPS, OwnerOpener
 from figcrank.transport.streams._owner_tracker import SILENT_OWNER_MS, SLOW_REPLY_MS, OwnerTracker
 from figcrank.transport.streams._relayed_session import RelayedSession, RelayServices
 
@@ -74,6 +76,7 @@
         self.received = []
         self.version = 5
         self.silent = False
+        self.redirect = ()  # answer to each start that is not final
         self.socks = []
         self.state = IDLE
         self._greenlets = [eventlet.spawn(self._accept)]
@@ -90,8 +93,13 @@
         while data := sock.recv(4_096):
             for message in decoder.feed(data):
                 self.received.append(message)
-                if isinstance(message, ConfigurationSeen) or self.silent:
+                if isinstance(message, ConfigurationSeen | StartOptions) or self.silent:
                     continue
+                if isinstance(message, SessionStart) and self.redirect:
+                    options = self.received[-2]
+                    if not (isinstance(options, StartOptions) and options.final):
+                        sock.sendall(codec.redirect(self.redirect))
+                        continue
                 verb = getattr(message, "verb", None)
                 if verb in (Verb.BEGIN, Verb.COMMIT):
                     self.state = OPEN if verb is Verb.BEGIN else IDLE
@@ -106,11 +114,13 @@
 
 
 class Relay:
-    """A relay that knows two owners, and one caller of it."""
+    """A relay that knows several owners, and one caller of it."""
 
-    def __init__(self):
+    def __init__(self, owners=2):
         first = FakeOwner("127.0.0.1")
-        self.owners = [first, FakeOwner("127.0.0.2", first.address[1])]
+        port = first.address[1]
+        others = [FakeOwner(f"127.0.0.{number}", port) for number in range(2, owners + 1)]
+        self.owners = [first, *others]
         self.clock = MonotonicClock()
         directory = OwnerDirectory("zone-a")
         directory.update([owner.owner for owner in self.owners])
@@ -120,7 +130,13 @@
         self.callers = []
         self.listener = eventlet.listen(("127.0.0.1", 0))
         self.services = RelayServices(
-            WordCodec(), self.tracker, self.clock, log, Metrics(), self.sessions
+            WordCodec(),
+            self.tracker,
+            self.clock,
+            log,
+            Metrics(),
+            self.sessions,
+            OwnerOpener("zone-a", self.tracker, self.clock, Metrics()),
         )
 
     def call(self, key="key"):
@@ -138,9 +154,9 @@
         return next(owner for owner in self.owners if owner.received)
 
 
-@pytest.fixture
-def relay():
-    relay = Relay()
+@pytest.fixture(params=[2])
+def relay(request):
+    relay = Relay(request.param)
     yield relay
     for caller in relay.callers:
         caller.close()
@@ -154,6 +170,32 @@
     relay.tracker._socket.close()
 
 
+def starts(owner):
+    """Return the options of the starts that an owner has received, ``None`` for those without."""
+    before = zip([None, *owner.received], owner.received, strict=False)
+    return [
+        earlier if isinstance(earlier, StartOptions) else None
+        for earlier, message in before
+        if isinstance(message, SessionStart)
+    ]
+
+
+def let_answer(relay, *owners):
+    """Let owners answer a status query, and show that they read options."""
+    listed = tuple(owner.owner for owner in relay.owners)
+    for owner in owners or relay.owners:
+        status = OwnerStatus(owner.owner.name, True, 5, listed, reads_options=True)
+        relay.tracker._receive(status, owner.owner.address[0])
+
+
+def redirect_to_last(relay):
+    """Let all owners but the last one redirect to it, and return it."""
+    *others, group_owner = relay.owners
+    for owner in others:
+        owner.redirect = (group_owner.owner,)
+    return group_owner
+
+
 def ask(caller, *words):
     """Send requests one after the other and return the last reply."""
     for word in words:
@@ -256,3 +298,135 @@
     assert idle.recv(200) == b""
     assert ask(busy, "COMMIT") == ["ok", "IDLE"]
     assert busy.recv(200) == b""
+
+
+THREE_OWNERS = pytest.mark.parametrize("relay", [3], indirect=True)
+
+
+def test_owner_that_has_not_shown_that_it_reads_options_gets_none(relay):
+    """Guards against an owner of an earlier release, which can't read a start with options."""
+    relay.call().recv(200)
+    assert starts(relay.serving()) == [None]
+
+
+@THREE_OWNERS
+def test_session_is_opened_where_it_was_redirected_and_the_next_ones_there_at_once(relay):
+    let_answer(relay)
+    group_owner = redirect_to_last(relay)
+    for number in range(12):
+        assert relay.call(f"key-{number}").recv(200) == b"ok IDLE\n"
+    assert starts(group_owner) == [StartOptions("zone-a")] * 12
+    assert sum(len(starts(owner)) for owner in relay.owners[:-1]) <= 1
+
+
+@THREE_OWNERS
+@pytest.mark.parametrize("fault", ["dead", "paused"])
+def test_session_is_accepted_elsewhere_if_the_group_owner_is(relay, fault):
+    """Guards against callers without an owner while the other owners still redirect to it."""
+    let_answer(relay)
+    group_owner = redirect_to_last(relay)
+    relay.call().recv(200)
+    if fault == "dead":
+        group_owner.lose()
+    else:
+        group_owner.silent = True
+    assert relay.call("other").recv(200) == b"ok IDLE\n"
+    assert StartOptions("zone-a", final=True) in sum(map(starts, relay.owners[:-1]), [])
+
+
+@THREE_OWNERS
+def test_successors_are_tried_in_the_order_of_the_redirect(relay):
+    let_answer(relay)
+    group_owner = redirect_to_last(relay)
+    successor = relay.owners[1]
+    relay.owners[0].redirect = (group_owner.owner, successor.owner)
+    successor.redirect = relay.owners[0].redirect
+    group_owner.lose()
+    keys = (f"first-{number}" for number in range(100))
+    key = next(k for k in keys if relay.tracker.choose(f"{k} db", set()) != group_owner.owner)
+    assert relay.call(key).recv(200) == b"ok IDLE\n"
+    others = sum(map(starts, relay.owners[:-1]), [])
+    assert others.count(StartOptions("zone-a")) == 1  # the failure leads to no second redirect
+    for number in range(5):
+        assert relay.call(f"key-{number}").recv(200) == b"ok IDLE\n"
+    assert starts(relay.owners[0]).count(StartOptions("zone-a", final=True)) == 0
+    assert starts(successor).count(StartOptions("zone-a", final=True)) == 6
+
+
+@THREE_OWNERS
+def test_avoided_group_owner_is_not_waited_for_by_each_session(relay):
+    """Guards against the wait for an owner that is cut off from this relay only, at each start."""
+    let_answer(relay)
+    group_owner = redirect_to_last(relay)
+    group_owner.silent = True
+    relay.call().recv(200)
+    tried = len(starts(group_owner))
+    for number in range(5):
+        relay.call(f"key-{number}").recv(200)
+    assert len(starts(group_owner)) == tried
+    others = sum(map(starts, relay.owners[:-1]), [])
+    assert others.count(StartOptions("zone-a")) == 6  # one redirect for each session
+
+
+def test_owners_that_redirect_to_each_other_are_told_that_the_start_is_final(relay):
+    """Guards against a loop between owners with different views."""
+    let_answer(relay)
+    first, second = relay.owners
+    first.redirect, second.redirect = (second.owner,), (first.owner,)
+    assert relay.call().recv(200) == b"ok IDLE\n"
+    options = starts(first) + starts(second)
+    assert len(options) == MAX_HOPS + 1
+    assert [o.final for o in options].count(True) == 1
+
+
+def test_final_start_makes_no_owner_the_remembered_one(relay):
+    let_answer(relay)
+    first, second = relay.owners
+    first.redirect, second.redirect = (second.owner,), (first.owner,)
+    relay.call().recv(200)
+    assert relay.tracker.memory.get("db") is None
+
+
+def test_remembered_owner_that_redirects_is_replaced(relay):
+    """Replays a group that moves to another owner of the zone."""
+    let_answer(relay)
+    group_owner = redirect_to_last(relay)
+    relay.call().recv(200)
+    first = relay.owners[0]
+    first.redirect, group_owner.redirect = (), (first.owner,)
+    relay.call().recv(200)
+    assert relay.tracker.memory.get("db") == first.owner
+
+
+def test_session_is_redirected_to_an_owner_that_the_relay_does_not_know_yet(relay):
+    """Replays an owner that has just taken a seat; requests there must not end as unanswered."""
+    let_answer(relay)
+    group_owner = redirect_to_last(relay)
+    relay.tracker.update([relay.owners[0].owner])
+    caller = relay.call()
+    assert caller.recv(200) == b"ok IDLE\n"
+    assert starts(group_owner) == [StartOptions("zone-a")]
+    group_owner.silent = True
+    caller.sendall(b"READ\n")
+    eventlet.sleep(0.05)
+    now_ms = relay.clock.now_ms()
+    relay.tracker.check_sessions(now_ms + SLOW_REPLY_MS)
+    listed = (relay.owners[0].owner,)
+    relay.tracker._receive(OwnerStatus("o", True, 5, listed), group_owner.owner.address[0])
+    relay.tracker.check_sessions(now_ms + SLOW_REPLY_MS + SILENT_OWNER_MS)
+    assert relay.tracker.has_sessions
+    group_owner.lose()
+
+
+def test_group_owner_that_restarts_serves_the_next_sessions_again(relay):
+    let_answer(relay)
+    group_owner = redirect_to_last(relay)
+    relay.call().recv(200)
+    ip, port = group_owner.address
+    group_owner.lose()
+    relay.call().recv(200)
+    restarted = FakeOwner(ip, port)
+    relay.owners[-1] = restarted
+    let_answer(relay, restarted)
+    relay.call("third").recv(200)
+    assert starts(restarted) == [StartOptions("zone-a")]
