--- a/packages/figcrank-coordination/src/figcrank/coordination/placement/__init__.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/placement/__init__.py
@@ -6,11 +6,18 @@
 from figcrank.coordination.placement._cold_servers import ColdServers as ColdServers
 from figcrank.coordination.placement._cold_servers import cold_share as cold_share
 from figcrank.coordination.placement._concurrency import ConcurrencyLimit as ConcurrencyLimit
+from figcrank.coordination.placement._connections import OwnerCounts as OwnerCounts
 from figcrank.coordination.placement._connections import Waiter as Waiter
 from figcrank.coordination.placement._connections import connection_quota as connection_quota
+from figcrank.coordination.placement._connections import (
+    group_connection_quota as group_connection_quota,
+)
 from figcrank.coordination.placement._connections import (
     max_retained_connections as max_retained_connections,
 )
+from figcrank.coordination.placement._connections import (
+    max_retained_group_connections as max_retained_group_connections,
+)
 from figcrank.coordination.placement._connections import next_waiter as next_waiter
 from figcrank.coordination.placement._health import ServerHealth as ServerHealth
 from figcrank.coordination.placement._load_meter import LoadMeter as LoadMeter
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_pool.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_pool.py
@@ -6,7 +6,6 @@
     LoadMeter,
     ServerHealth,
     SlotAllotment,
-    max_retained_connections,
 )
 from figcrank.protocol.sessions import (
     ServerCodec,
@@ -52,6 +51,7 @@
         self.entry = entry
         self.health = ServerHealth()
         self.limit = 1
+        self.max_retained = 1  # connections above which idle ones are closed
         self.position: Position | None = None
         self.lagging_until_ms = 0
         self.missing_since_ms: int | None = None
@@ -237,7 +237,7 @@
         """Return a connection that has no open statement or transaction to the pool."""
         self._end_use(connection)
         if not connection.closed:
-            max_connections = self.limit if self.waiting else max_retained_connections(self.limit)
+            max_connections = self.limit if self.waiting else self.max_retained
             if len(self._idle) + self.busy >= max_connections:
                 connection.close()
             else:
@@ -277,6 +277,11 @@
             connection.close()
         self._idle.clear()
 
+    def close_excess_idle(self) -> None:
+        """Close idle connections beyond a limit that was lowered; other owners may use them now."""
+        while self._idle and len(self._idle) + self.busy > self.limit:
+            self._idle.pop(0).close()
+
     def close_idle(self) -> None:
         """Close the connections that are not in use."""
         for connection in self._idle:
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
@@ -5,7 +5,13 @@
 
 from figcrank.coordination.admission import Demand
 from figcrank.coordination.fleet import FleetView, PrimaryUse
-from figcrank.coordination.placement import Candidate, ColdServers, connection_quota, rank
+from figcrank.coordination.placement import (
+    Candidate,
+    ColdServers,
+    connection_quota,
+    max_retained_connections,
+    rank,
+)
 from figcrank.protocol.heartbeats import PrimaryFailure
 from figcrank.protocol.sessions import (
     ServerCodec,
@@ -43,7 +49,6 @@
     :param availability_zone: availability zone of this host.
     :param log: event log.
     :param metrics: metrics registry.
-    :param has_relays: whether the fleet has relays; owners then share the slots of each server.
     :param cold_overage: factor by which the load of a cold server may exceed what it bears;
         ``None`` if it is not limited.
     :param cold_headroom: statements per second allowed to a cold server besides.
@@ -57,7 +62,6 @@
         availability_zone: str,
         log: EventLog,
         metrics: Metrics,
-        has_relays: bool = False,
         cold_overage: float | None = None,
         cold_headroom: float = 0.0,
     ) -> None:
@@ -70,7 +74,7 @@
         self._pools: dict[str, ServerPool] = {}
         # By group, when a read last lacked a position that replicas must have reached.
         self.position_lacking_ms: dict[str, int] = {}
-        self.loads = ServerLoads(view, clock, log, has_relays)
+        self.loads = ServerLoads(view, clock, log)
         cold_servers = ColdServers(view.host, cold_overage, cold_headroom)
         self.cold = ColdAdmission(cold_servers, view, clock, log, metrics)
         self._changed = Event()
@@ -113,7 +117,15 @@
         catalog = self.view.catalog
         policy = catalog.groups.get(pool.entry.group) if catalog else None
         max_connections = policy.max_connections if policy else DEFAULT_MAX_CONNECTIONS
-        pool.limit = connection_quota(max_connections, self.view.host_count())
+        limits = self.view.ownership.connection_limits(
+            pool.entry.group, max_connections, self._clock.now_ms()
+        )
+        if limits is None:
+            pool.limit = connection_quota(max_connections, self.view.host_count())
+            pool.max_retained = max_retained_connections(pool.limit)
+        else:
+            pool.limit, pool.max_retained = limits
+            pool.close_excess_idle()
 
     def notify_primary_change(self) -> None:
         """Wake all waiters for a change of a primary."""
--- a/packages/figcrank-transport/tests/test_server_loads.py
+++ b/packages/figcrank-transport/tests/test_server_loads.py
@@ -23,7 +23,9 @@
         self.events = []
         log = EventLog("a", self.clock, len)
         log.event = lambda event, **fields: self.events.append((event, fields))
-        self.router = Router(self.view, None, self.clock, "zone-a", log, Metrics(), has_relays)
+        self.router = Router(self.view, None, self.clock, "zone-a", log, Metrics())
+        if has_relays:
+            self.view.ownership.record_relay(self.clock.now_ms())
         self.pool = self.router.pool("s1")
 
     def hear(self, load, extends=True):
@@ -73,7 +75,7 @@
 def test_owner_that_neither_serves_the_group_nor_uses_the_server_gets_no_share():
     """Guards against late heartbeats of other groups' owners that take a share."""
     scenario = Scenario()
-    scenario.router.loads.group_owners = lambda _group: {"a"}
+    scenario.view.group_owners = lambda _group, _now_ms: ["a"]
     scenario.use(9)
     scenario.run(6, None)
     scenario.run(6, hears=False)
