Decide which servers may be used during the evacuation of a zone

Cause: an operator can evacuate an availability zone, and no decision said which servers may then be used and until when. Change: the pure module coordination.evacuation. A host stops using a zone half of the bound after it adopted the list, and earlier if it did not know for some time that there was no evacuation: the bound counts from the store's acknowledgement, which no host observes. Lists of a new era of the store are provisional, revision number 0 of the era, until lost entries can have been written again; merging one keeps the zones of both. After a suspension a host is held until it hears what changed. Considered and not kept: a flag for provisional lists in the heartbeat, which needs a third element on the wire; and an age of the list in it, in place of the fixed 2 s.

--- a/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 
+from figcrank.coordination.evacuation import ZoneEvacuations
 from figcrank.coordination.owners import HostRole
 from figcrank.coordination.peers import ChangeTracker, Peer, PeerTable
 from figcrank.coordination.placement import PositionHistory
@@ -83,6 +84,7 @@
     :param headroom: operations by which a workspace's limit may be exceeded in any time span.
     :param started_ms: time at which this host started.
     :param availability_zone: availability zone of this host.
+    :param evacuation_ms: bound on an evacuation of a zone; 0 if zones can't be evacuated.
     """
 
     def __init__(
@@ -93,6 +95,7 @@
         headroom: float = 0.0,
         started_ms: int = 0,
         availability_zone: str = "",
+        evacuation_ms: int = 0,
     ) -> None:
         self.itself = Owner(host, address, availability_zone)
         self.role = HostRole.UNDECIDED
@@ -114,13 +117,18 @@
         self.limits: dict[str, SharedLimit] = {}
         self.primary_failures: dict[str, PrimaryFailure] = {}
         self.quiesced_groups: set[str] = set()
-        self.evacuations = Evacuations()
+        self.evacuation = ZoneEvacuations(evacuation_ms)
         self.busy_zones: tuple[str, ...] = ()  # evacuated ones in which this host still has work
         self.server_loads: dict[str, ServerLoad] = {}  # of this host
         self._removed_ms: dict[tuple[str, int], int] = {}
         self._state_changes = ChangeTracker()
         self._spent_changes = ChangeTracker()
 
+    @property
+    def evacuations(self) -> Evacuations:
+        """Return the list of evacuated zones that is in force."""
+        return self.evacuation.listed
+
     @property
     def is_owner(self) -> bool:
         """Return whether this host is an owner."""
--- a/packages/figcrank-coordination/src/figcrank/coordination/primaries/_replacement.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/primaries/_replacement.py
@@ -44,6 +44,12 @@
     LEAVING = auto()
     MISSING = auto()
     UNREACHABLE = auto()
+    EVACUATED = auto()
+
+    @property
+    def is_planned(self) -> bool:
+        """Return whether the primary goes on serving until the switch."""
+        return self in (ReplacementReason.LEAVING, ReplacementReason.EVACUATED)
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +63,7 @@
     :param registry_is_fresh: whether the registry is recent and the store had no recent outage.
     :param own_report: this host's report that the primary fails, if any.
     :param peer_reports: the reports of the live peers, ``None`` for each peer without one.
+    :param is_evacuated: whether the primary's availability zone is evacuated.
     """
 
     record: PrimaryRecord
@@ -66,6 +73,7 @@
     registry_is_fresh: bool
     own_report: PrimaryFailure | None
     peer_reports: tuple[PrimaryFailure | None, ...]
+    is_evacuated: bool = False
 
 
 def reason_to_replace(evidence: Evidence) -> ReplacementReason | None:
@@ -89,7 +97,7 @@
         return ReplacementReason.UNREACHABLE
     if evidence.registry_is_fresh and entry is None and evidence.missing_ms >= MISSING_THRESHOLD_MS:
         return ReplacementReason.MISSING
-    return None
+    return ReplacementReason.EVACUATED if evidence.is_evacuated else None
 
 
 def _exceeds_threshold(report: PrimaryFailure, primary_id: str) -> bool:
