Keep requests away from servers in evacuated availability zones

Cause: deployment C can evacuate a zone by an object in the store, after which no request may reach its servers once bounds.evacMs have passed. Nothing read these objects. Change: the first store reader lists them each 1.5 s, heartbeats and the view page carry the list, and an owner is ready only with one. From adoption on, the zone gets only what no other server can run; at the stop, connections are reset, and each message is checked right before it is sent. Primaries there are replaced as planned, and no server of an evacuated zone is promoted. The view page test lists one more key; fakes of the runner's and replacer's tests got the new methods and zones. What was tried: closing connections at the stop, replaced by resetting them, as the system resends what was not delivered for up to 2 s. BUSY for a transaction that can't begin now has its reason.

--- a/packages/figcrank-coordination/tests/primaries/test_replacement.py
+++ b/packages/figcrank-coordination/tests/primaries/test_replacement.py
@@ -1,3 +1,5 @@
+from dataclasses import replace
+
 import pytest
 
 from figcrank.coordination.primaries import (
@@ -159,3 +161,14 @@
 def test_leaving_server_is_ranked_last():
     reports = [("a", report(10)), ("b", report(10))]
     assert [server_id for server_id, _ in rank_candidates(reports, {"b"})] == ["a", "b"]
+
+
+def test_evacuated_primary_is_replaced_and_an_unreachable_one_without_the_planned_steps():
+    """A planned switch waits for the old primary, which an unreachable one would only delay."""
+    evacuated = replace(evidence(), is_evacuated=True)
+    assert reason_to_replace(evidence()) is None
+    assert reason_to_replace(evacuated) is ReplacementReason.EVACUATED
+    assert ReplacementReason.EVACUATED.is_planned
+    unreachable = replace(evacuated, own_report=SILENT, peer_reports=(SILENT, SILENT))
+    assert reason_to_replace(unreachable) is ReplacementReason.UNREACHABLE
+    assert not ReplacementReason.UNREACHABLE.is_planned
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_connection.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_connection.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket as std_socket
+import struct
 from collections.abc import Callable
 
 import eventlet
@@ -49,12 +50,22 @@
     :param decoder: decodes the replies.
     :param workspace: workspace that was sent in the handshake.
     :param clock: this host's clock.
+    :param may_send: asked right before each message; if it returns false, the connection is reset
+        and nothing is sent.
     """
 
-    def __init__(self, sock: socket.socket, decoder: Decoder, workspace: str, clock: Clock) -> None:
+    def __init__(
+        self,
+        sock: socket.socket,
+        decoder: Decoder,
+        workspace: str,
+        clock: Clock,
+        may_send: Callable[[], bool] | None = None,
+    ) -> None:
         self._sock = sock
         self._decoder = decoder
         self._clock = clock
+        self._may_send = may_send
         self._reply_handler: ReplyHandler | None = None
         self.workspace = workspace
         self.variables: dict[str, str] = {}
@@ -78,11 +89,13 @@
         start_message: bytes,
         workspace: str,
         clock: Clock,
+        may_send: Callable[[], bool] | None = None,
     ) -> "tuple[ServerConnection, Reply]":
         """Connect and wait for the server's handshake reply.
 
         :param decoder: decodes the replies.
         :param start_message: handshake message.
+        :param may_send: asked right before each message, also the handshake.
         :raises OpenError: if connecting or the handshake fails.
         """
         sock = socket.socket(std_socket.AF_INET, std_socket.SOCK_STREAM)
@@ -98,7 +111,10 @@
             sock.close()
             raise OpenError(SessionFailure.UNREACHABLE, str(error)) from error
         sock.settimeout(None)
-        connection = cls(sock, decoder, workspace, clock)
+        if may_send is not None and not may_send():
+            sock.close()
+            raise OpenError(SessionFailure.BUSY, "nothing may be sent to the server now")
+        connection = cls(sock, decoder, workspace, clock, may_send)
         eventlet.spawn_n(connection._receive)
         reply = connection.send_and_wait(start_message, HANDSHAKE_TIMEOUT_MS)
         if reply is None or reply.failure is not None:
@@ -130,6 +146,9 @@
         """
         self._reply_handler = reply_handler
         self.sent_ms = self._clock.now_ms()
+        if not self.closed and self._may_send is not None and not self._may_send():
+            self.reset()
+            return
         if self.closed:
             self._deliver(None)
             return
@@ -148,6 +167,17 @@
         self.close()
         return None
 
+    def reset(self) -> None:
+        """Close the connection and discard what has not been delivered yet.
+
+        The system would otherwise go on to resend it.
+        """
+        if not self.closed:
+            with contextlib.suppress(OSError):  # the server may have closed it already
+                linger = struct.pack("ii", 1, 0)
+                self._sock.setsockopt(std_socket.SOL_SOCKET, std_socket.SO_LINGER, linger)
+        self.close()
+
     def close(self) -> None:
         """Close the connection; the handler of an unanswered statement gets ``None``."""
         if self.closed:
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
@@ -17,6 +17,7 @@
 from figcrank.transport._clock import BootClock
 from figcrank.transport.streams._caller_connection import CallerConnection
 from figcrank.transport.streams._connection import TCP_USER_TIMEOUT_MS
+from figcrank.transport.streams._evacuation_reader import EvacuationReader
 from figcrank.transport.streams._http import serve_http
 from figcrank.transport.streams._interfaces import FailoverService, Store
 from figcrank.transport.streams._isolation import BALANCER_REMOVAL_MS, IsolationMonitor
@@ -81,6 +82,7 @@
             settings.limit_headroom,
             self._clock.now_ms(),
             settings.availability_zone,
+            settings.evacuation_ms,
         )
         ip = settings.peer_address[0]
         self._tracker = OwnerTracker(
@@ -107,6 +109,15 @@
         self._store = StoreReader(
             store, self._link, self._view, self._router, self._clock, self._log, self._metrics
         )
+        self._evacuation_reader = EvacuationReader(
+            self._store,
+            self._link,
+            self._view,
+            settings.availability_zones,
+            self._clock,
+            self._log,
+            self._metrics,
+        )
         self._membership = Membership(
             self._view.itself,
             seats_per_zone(len(settings.availability_zones)),
@@ -204,6 +215,8 @@
         """Run the loops that read the store and keep this host registered."""
         eventlet.spawn_n(self._store.run_catalog_reads)
         eventlet.spawn_n(self._store.run_server_reads)
+        if self._view.evacuation.enabled:
+            eventlet.spawn_n(self._evacuation_reader.run)
         while not self._store.confirm_primaries():
             pass  # a failed attempt sleeps before it returns
         self._store.run_confirmations()
@@ -284,10 +297,11 @@
         return self._has_view() and not self._stopping and not self._isolation.isolated
 
     def _has_view(self) -> bool:
-        """Return whether this host is an owner that knows the configuration and any primary."""
+        """Return whether this host is an owner that knows its lists and any primary."""
         view = self._view
         knows_servers = bool(view.registry.servers) and bool(view.primary_table.all())
-        return view.is_owner and view.catalog is not None and knows_servers
+        knows_lists = view.catalog is not None and view.evacuation.is_known
+        return view.is_owner and knows_lists and knows_servers
 
     def _metrics_page(self, _query: dict[str, str]) -> tuple[int, bytes]:
         return 200, self._metrics.render().encode()
@@ -303,7 +317,10 @@
             "hosts": view.host_count(),
             "is_owner": float(view.is_owner),
             "owners_known": len(self._tracker.owners()),
+            "evacuated_zones": len(view.evacuation.zones),
         }
+        for zone, count in self._router.guard.connection_counts(self._router.pools()).items():
+            values[f'evacuation_connections{{zone="{zone}"}}'] = count
         for pool in self._router.pools():
             server = f'{{server="{pool.entry.server_id}"}}'
             values[f"server_busy{server}"] = pool.busy
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_interfaces.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_interfaces.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 
+from figcrank.coordination.evacuation import EvacuationListing
 from figcrank.protocol.heartbeats import StoredPrimaries
 from figcrank.protocol.owners import Owner, SeatEntry
 from figcrank.state._catalog import Catalog, Registry
@@ -85,6 +86,10 @@
     def list_servers(self) -> Registry:
         """Return the registered backend servers, except invalid entries."""
 
+    @abstractmethod
+    def list_evacuations(self) -> EvacuationListing:
+        """Return the entries of the evacuated availability zones, including invalid ones."""
+
     @abstractmethod
     def list_seats(self) -> list[SeatEntry]:
         """Return the entries of the owners' seats."""
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_peer_link.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_peer_link.py
@@ -8,9 +8,12 @@
 from eventlet.green import socket
 from eventlet.green.http import client as http_client
 
+from figcrank.coordination.evacuation import EvacuationChange
 from figcrank.coordination.fleet import FleetView
 from figcrank.coordination.peers import Peer
 from figcrank.protocol.heartbeats import (
+    NEVER_MS,
+    Evacuations,
     Heartbeat,
     HeartbeatError,
     decode_heartbeat,
@@ -112,6 +115,7 @@
         )
         for group in self._view.receive(heartbeat, address, self._clock.now_ms()):
             self._handle_primary_change(group, heartbeat.host)
+        self._adopt_from_heartbeat(heartbeat, address)
         for removed in heartbeat.removed:
             self.remove(removed, heartbeat.host)
         if is_new:
@@ -122,6 +126,44 @@
             self._start_fetch(address)  # the peer may know hosts that this host doesn't
         self._fetch_if_newer(heartbeat.catalog_version, heartbeat.registry_revision, address)
 
+    def _adopt_from_heartbeat(self, heartbeat: Heartbeat, address: Address) -> None:
+        peer = self._view.peers.by_address(address)
+        if heartbeat.extension is None or peer is None or peer.heartbeat is None:
+            return
+        change = self._view.evacuation.adopt_from_peer(
+            heartbeat.extension.evacuations, peer.sent_after_ms, self._clock.now_ms()
+        )
+        self._apply_evacuations(change, heartbeat.host)
+
+    def adopt_evacuations(self, evacuations: Evacuations, as_of_ms: int, source: str) -> None:
+        """Adopt a list of evacuated zones if it is newer.
+
+        :param as_of_ms: time as of which the store had it; ``NEVER_MS`` if it is not known.
+        :param source: origin of the list, for the log.
+        """
+        change = self._view.evacuation.adopt(evacuations, as_of_ms, self._clock.now_ms())
+        self._apply_evacuations(change, source)
+
+    def _apply_evacuations(self, change: EvacuationChange, source: str) -> None:
+        if not change:
+            return
+        now_ms = self._clock.now_ms()
+        evacuation = self._view.evacuation
+        for zone in change.adopted:
+            self._log.event(
+                "evacuation_adopted",
+                zone=zone,
+                revision=evacuation.listed.revision,
+                source=source,
+                stop_in_ms=evacuation.stop_in_ms(zone, now_ms),
+            )
+        for zone in change.withdrawn:
+            revision = evacuation.listed.revision
+            self._log.event("evacuation_withdrawn", zone=zone, revision=revision, source=source)
+        self._router.tick()
+        self._router.notify_primary_change()
+        eventlet.spawn_n(self.broadcast_heartbeat)
+
     def log_primary(self, group: str, source: str) -> None:
         """Log a changed primary record.
 
@@ -218,10 +260,16 @@
             )
             for item in view["servers"]
         }
+        self._adopt_from_view(view)
         registry = Registry(view["revision"], servers)
         if view["registry_age_ms"] >= 0:
             self.adopt_registry(registry, as_of_ms - view["registry_age_ms"], "peer")
 
+    def _adopt_from_view(self, view: dict) -> None:
+        revision, zones = view.get("evacuations", (0, ()))  # earlier releases don't send it
+        # The page does not tell how old the list is.
+        self.adopt_evacuations(Evacuations(int(revision), frozenset(zones)), NEVER_MS, "peer")
+
     def adopt_catalog(self, content: bytes, source: str) -> None:
         """Adopt a configuration if it is newer.
 
@@ -292,6 +340,7 @@
                 for entry in view.registry.servers.values()
                 if entry.cold_remaining_ms
             },
+            "evacuations": [view.evacuations.revision, sorted(view.evacuations.zones)],
             "hosts": [[o.name, o.address, o.availability_zone] for o in view.owners()],
         }
         return 200, json.dumps(body, separators=(",", ":")).encode()
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_pool.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_pool.py
@@ -1,6 +1,7 @@
 """Connection pool to one backend server."""
 
 import itertools
+from collections.abc import Callable
 
 import eventlet
 from eventlet.event import Event
@@ -27,6 +28,10 @@
 LAGGING_RETRY_MS = 60  # about one replication delay; a lagging replica is skipped for this long
 
 
+def _always() -> bool:
+    return True
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Split ``ip:port`` into ``(ip, port)``."""
     ip, _, port = address.rpartition(":")
@@ -62,6 +67,7 @@
         self._sequence = itertools.count()
         self._admitted = 0  # waiters that were admitted and have not resumed yet
         self._concurrency = ConcurrencyLimit()
+        self.may_send: Callable[[], bool] = _always
 
     @property
     def busy(self) -> int:
@@ -99,6 +105,11 @@
         """Return whether no connection is in use or being opened."""
         return not self._busy and not any(self._opening.values())
 
+    @property
+    def connection_count(self) -> int:
+        """Return the number of connections, including those that are being opened."""
+        return len(self._idle) + self.busy
+
     def has_idle(self, workspace: str) -> bool:
         """Return whether a workspace has an idle connection."""
         return any(connection.workspace == workspace for connection in self._idle)
@@ -144,6 +155,7 @@
         return True
 
     def _open(self, workspace: str) -> ServerConnection:
+        self._require_open_zone()
         self._opening[workspace] = self._opening.get(workspace, 0) + 1
         start_message = self._codec.start(self.entry.group, workspace, self.entry.server_id)
         started_ms = self._clock.now_ms()
@@ -155,6 +167,7 @@
                 start_message,
                 workspace,
                 self._clock,
+                lambda: self.may_send(),
             )
             self._add_opened(connection, reply)
             return connection
@@ -175,6 +188,16 @@
                     "server_connect", "all", self._clock.now_ms() - started_ms
                 )
 
+    def _require_open_zone(self) -> None:
+        """Reject the caller, and then the next waiter, if nothing may be sent to the server.
+
+        :raises OpenError: if nothing may be sent.
+        """
+        if self.may_send():
+            return
+        self.admit_waiters()
+        raise OpenError(SessionFailure.BUSY, "nothing may be sent to the server now")
+
     def _add_opened(self, connection: ServerConnection, reply: StatementReply) -> None:
         connection.on_idle_close = self._remove_idle
         self._busy.add(connection)
@@ -247,6 +270,12 @@
         self._idle.clear()
         self.admit_waiters()
 
+    def reset_all(self) -> None:
+        """Reset every connection, so that nothing that is not delivered yet reaches the server."""
+        for connection in [*self._idle, *self._busy]:
+            connection.reset()
+        self.close_all()
+
     def close_idle(self) -> None:
         """Close the connections that are not in use."""
         for connection in self._idle:
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
@@ -27,6 +27,7 @@
 from figcrank.protocol.sessions import ServerCodec, ServerReport
 from figcrank.state._catalog import ServerEntry
 from figcrank.state._clock import Clock
+from figcrank.state._positions import Position
 from figcrank.transport.streams._interfaces import (
     FailoverService,
     PromoteOutcome,
@@ -149,6 +150,7 @@
             self._store.registry_is_fresh(now_ms),
             self._view.primary_failures.get(group),
             tuple(peer.heartbeat.primary_failures.get(group) for peer in live if peer.heartbeat),
+            self._is_evacuated(record.server_id),
         )
 
     def _start_replacement(
@@ -157,6 +159,8 @@
         if group in self._replacing:
             return
         others = [e for e in self._router.entries_of(group) if e.server_id != record.server_id]
+        if reason is not None:  # one that is taken over may have promoted a server already
+            others = [e for e in others if self._router.guard.is_open(e)]
         if not others:
             return
         self._replacing.add(group)
@@ -190,7 +194,7 @@
     def _run_replacement(
         self, group: str, record: PrimaryRecord, reason: ReplacementReason | None
     ) -> str:
-        planned = reason is ReplacementReason.LEAVING
+        planned = reason is not None and reason.is_planned
         if planned:  # the primary goes on serving while this host becomes the holder
             self._sleep_until(self._writer.hold().not_before_ms)
         era = self._store.era
@@ -267,6 +271,11 @@
         entry = self._entry(server_id)
         return entry.address if entry else ""
 
+    def _is_evacuated(self, server_id: str) -> bool:
+        """Return whether a server is in an availability zone that is evacuated."""
+        entry = self._entry(server_id)
+        return entry is not None and not self._router.guard.is_open(entry)
+
     def _entry(self, server_id: str) -> ServerEntry | None:
         pool = self._router.pool(server_id)
         return pool.entry if pool else None
@@ -308,16 +317,22 @@
 
     def _await_catch_up(self, group: str, old: ServerEntry) -> None:
         """Wait until a candidate that isn't leaving has applied every commit of the old primary."""
-        target = self._commands.status(old)
-        if target is None or target.position is None:
+        report = self._commands.status(old)
+        target = report.position if report else self._observed_position(group, old)
+        if target is None:
             return
         deadline_ms = self._clock.now_ms() + CATCH_UP_TIMEOUT_MS
         while self._clock.now_ms() < deadline_ms:
             candidates = self._candidates(group, old.server_id)
-            if candidates and (candidates[0][1].position or target.position) >= target.position:
+            if candidates and (candidates[0][1].position or target) >= target:
                 return
             eventlet.sleep(POLL_INTERVAL_MS / 1_000)
 
+    def _observed_position(self, group: str, old: ServerEntry) -> Position | None:
+        """Return the newest position of a primary that must not be queried, if hosts know it."""
+        newest = self._view.position_history(group).newest()
+        return newest[1] if newest and self._router.is_evacuated(old) else None
+
     def _await_fencing(
         self, group: str, record: PrimaryRecord, stored_ms: int, takes_over: bool, demoted: bool
     ) -> bool:
@@ -380,6 +395,8 @@
             entry = self._entry(server_id)
             if entry is None or self._view.primary_table.get(group).server_id == server_id:
                 return
+            if self._router.is_evacuated(entry):  # it receives nothing until the zone is used again
+                deadline_ms = self._clock.now_ms() + DEMOTE_TIMEOUT_MS
             if self._demote(entry, term):
                 return
             eventlet.sleep(DEMOTE_RETRY_MS / 1_000)
@@ -423,6 +440,8 @@
     ) -> tuple[str, int] | None:
         """Order one server's promotion, with retries, and return it once it is primary."""
         for _ in range(MAX_PROMOTION_ATTEMPTS):
+            if self._is_evacuated(server_id):
+                return None  # evacuated since it was chosen
             if right.needs_renewal(self._clock.now_ms()):
                 right = self._writer.write(group, record, renews=True)
             outcome = self._order_promotion(group, right, server_id, report)
@@ -442,7 +461,7 @@
     ) -> PromoteOutcome:
         def may_send() -> bool:
             now_ms = self._clock.now_ms()
-            permitted = right.permits(now_ms)
+            permitted = right.permits(now_ms) and not self._is_evacuated(server_id)
             self._log.event(
                 "promotion_sent" if permitted else "promotion_not_sent",
                 group=group,
@@ -489,7 +508,9 @@
     def _candidates(self, group: str, old_id: str) -> list[tuple[str, ServerReport]]:
         """Return the servers that can become primary, best first."""
         leaving = {e.server_id for e in self._router.entries_of(group) if e.draining}
-        return rank_candidates(self._collect_reports(group, old_id), leaving)
+        reports = self._collect_reports(group, old_id)
+        open_reports = [item for item in reports if not self._is_evacuated(item[0])]
+        return rank_candidates(open_reports, leaving)
 
     def _collect_reports(self, group: str, old_id: str) -> list[tuple[str, ServerReport]]:
         """Return the status reports of the group's other servers."""
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
@@ -1,5 +1,7 @@
 """Selects servers for statements and tracks their health and replication positions."""
 
+from dataclasses import replace
+
 import eventlet
 from eventlet.event import Event
 
@@ -11,6 +13,7 @@
 from figcrank.state._clock import Clock
 from figcrank.state._positions import Position
 from figcrank.transport.streams._connection import OpenError, ServerConnection
+from figcrank.transport.streams._evacuation_guard import EvacuationGuard
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._metrics import Metrics
 from figcrank.transport.streams._pool import LAGGING_RETRY_MS, ServerPool, split_address
@@ -55,6 +58,7 @@
         # By group, when a read last lacked a position that replicas must have reached.
         self.position_lacking_ms: dict[str, int] = {}
         self._changed = Event()
+        self.guard = EvacuationGuard(view, clock, log)
 
     def pool(self, server_id: str) -> ServerPool | None:
         """Return the pool of a server, ``None`` if it is not registered."""
@@ -65,10 +69,14 @@
         if pool is not None and pool.entry.address != entry.address:
             pool.close_all()
             pool = None
+        if pool is not None and not entry.availability_zone:
+            # The record of primaries has no zone; an evacuation of the last known one still holds.
+            entry = replace(entry, availability_zone=pool.entry.availability_zone)
         if pool is None:
             pool = ServerPool(entry, self.codec, self._clock, self._metrics)
             self._set_limit(pool)
             self._pools[server_id] = pool
+            pool.may_send = lambda: self.may_send_to(pool.entry)
         pool.entry = entry
         return pool
 
@@ -79,6 +87,18 @@
                 return ServerEntry(server_id, group, record.address, "", 1, False, True)
         return None
 
+    def may_send_to(self, entry: ServerEntry) -> bool:
+        """Return whether a message may be sent to a server now, by the evacuations in force."""
+        return self.guard.may_send_to(entry)
+
+    def is_evacuated(self, entry: ServerEntry) -> bool:
+        """Return whether a server receives nothing any more, as its zone is evacuated."""
+        return self.guard.is_closed(entry)
+
+    def await_evacuations(self) -> None:
+        """Wait after a suspension until this host knows which zones were evacuated meanwhile."""
+        self.guard.await_list()
+
     def pools(self) -> list[ServerPool]:
         """Return every pool."""
         return list(self._pools.values())
@@ -101,6 +121,7 @@
         """
         while True:
             now_ms = self._clock.now_ms()
+            self.guard.require_open_primary(group, self.entries_of(group))
             use = self.view.primary_use(group, now_ms)
             if use is PrimaryUse.USABLE:
                 pool = self.pool(self.view.primary_table.get(group).server_id)
@@ -156,6 +177,8 @@
             pool = self.pool(entry.server_id)
             if entry.server_id in tried or not pool.health.usable(now_ms):
                 continue
+            if self.guard.is_closed(entry):
+                continue
             at_primary = self.is_primary(pool)
             if at_primary and not usable:
                 continue
@@ -165,7 +188,7 @@
                 continue
             pools[entry.server_id] = (pool, None if at_primary else min_position)
             candidates.append(self._candidate(pool, at_primary, workspace))
-        return [pools[candidate.server_id] for candidate in rank(candidates)]
+        return self.guard.prefer_open([pools[found.server_id] for found in rank(candidates)])
 
     def entries_of(self, group: str) -> list[ServerEntry]:
         """Return the servers of a group, including those with an expired registration."""
@@ -246,8 +269,9 @@
 
     def discard_failed_connection(self, pool: ServerPool, connection: ServerConnection) -> None:
         """Discard a connection that broke or timed out during a statement; count the failure."""
-        pool.health.record_failure(self._clock.now_ms())
-        pool.health.record_statement(False)
+        if not self.guard.is_closed(pool.entry):  # else this host has closed it
+            pool.health.record_failure(self._clock.now_ms())
+            pool.health.record_statement(False)
         pool.discard(connection)
 
     def tick(self) -> None:
@@ -262,6 +286,7 @@
             self._check_registration(pool, now_ms)
             self._probe_if_suspect(pool, now_ms)
         self._close_drained_primaries(now_ms)
+        self.guard.update(self.pools())
         self._publish_observations(now_ms)
         for group in self.view.primary_failures:
             self.view.observe_failing_primary(group, now_ms)
@@ -292,6 +317,7 @@
         if (
             (unanswered or failing or reported_failing)
             and pool.health.usable(now_ms)
+            and self.may_send_to(pool.entry)
             and not pool.probe_running
         ):
             pool.probe_running = True
@@ -321,6 +347,7 @@
                 start_message,
                 self.view.host,
                 self._clock,
+                pool.may_send,
             )
         except OpenError as error:
             self._record_failed_probe(pool, error)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_runner.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_runner.py
@@ -174,6 +174,7 @@
         :raises OpenError: if no connection is available by the deadline.
         """
         while True:
+            self._router.await_evacuations()
             pool = self._router.await_primary(route.group, deadline_ms)
             try:
                 connection = pool.acquire(workspace, route.priority, session.variables, deadline_ms)
@@ -192,6 +193,8 @@
             self._router.discard_failed_connection(pool, connection)
 
     def _is_usable_primary(self, pool: ServerPool, group: str) -> bool:
+        if not self._router.may_send_to(pool.entry):
+            return False
         return self._router.is_primary(pool) and self._router.primary_usable(group)
 
     def _await_lease(self, pool: ServerPool, deadline_ms: int) -> bool:
@@ -208,13 +211,20 @@
         return False
 
     def _send(
-        self, connection: ServerConnection, statement: Statement, deadline_ms: int
+        self,
+        pool: ServerPool,
+        connection: ServerConnection,
+        statement: Statement,
+        deadline_ms: int,
     ) -> StatementReply | None:
         """Send a statement and return the reply, ``None`` if there was none.
 
-        :raises OpenError: if preparing the statement failed; it was not sent.
+        :raises OpenError: if preparing the statement failed or its server's zone is evacuated; it
+            was not sent.
         """
         data = self._preparer.encode(connection, statement, None)
+        if not self._router.may_send_to(pool.entry):
+            raise OpenError(SessionFailure.BUSY, "nothing may be sent to the server now")
         return connection.send_and_wait(data, deadline_ms - self._clock.now_ms())
 
     def _observe_reply(
@@ -270,6 +280,10 @@
                     self._router.discard_failed_connection(attempt.pool, attempt.connection)
                     tried.add(attempt.pool.entry.server_id)
                     continue
+                if not self._router.may_send_to(attempt.pool.entry):
+                    attempt.pool.discard(attempt.connection)
+                    tries -= 1
+                    continue
                 running += 1
                 attempt.connection.send(data, self._reply_handler(results, attempt))
             wait_ms = deadline_ms - self._clock.now_ms()
@@ -357,6 +371,7 @@
         :raises OpenError: if no connection is available by the deadline.
         """
         while True:
+            self._router.await_evacuations()
             if route.mode is ReadMode.PRIMARY or force_primary:
                 pool, connection = self._acquire_primary(session, route, workspace, deadline_ms)
                 return _Attempt(pool, connection, None)
@@ -406,14 +421,15 @@
         while True:
             first = transaction.connection is None
             if first:
-                failure = self._open_transaction(session, transaction, deadline_ms)
-                if failure is not None:
+                refusal = self._open_transaction(session, transaction, deadline_ms)
+                if refusal is not None:
                     transaction.failed = True
-                    return Answer(b"", failure, "the transaction could not be started", tries)
+                    return Answer(b"", SessionFailure.BUSY, refusal, tries)
             tries += 1
             pool, connection = transaction.pool, transaction.connection
             transaction.wrote = transaction.wrote or statement.is_write
-            reply = self._send_in_transaction(session, connection, statement, deadline_ms)
+            self._router.await_evacuations()
+            reply = self._send_in_transaction(session, pool, connection, statement, deadline_ms)
             server_id = pool.entry.server_id
             if reply is None:
                 self._router.discard_failed_connection(pool, connection)
@@ -422,7 +438,7 @@
                 if may_retry and self._clock.now_ms() + RETRY_PAUSE_MS < deadline_ms:
                     continue
                 transaction.failed = True
-                detail = "the connection to the server was lost"
+                detail = self._lost_detail(pool)
                 return Answer(b"", SessionFailure.ABORTED, detail, tries, server_id)
             self._observe_reply(pool, connection, reply)
             if reply.state is not TransactionState.OPEN:
@@ -430,9 +446,15 @@
                 self.abort(transaction)
             return Answer(reply.payload, reply.failure, reply.detail, tries, server_id)
 
+    def _lost_detail(self, pool: ServerPool) -> str:
+        if self._router.is_evacuated(pool.entry):
+            return f"availability zone {pool.entry.availability_zone} is evacuated"
+        return "the connection to the server was lost"
+
     def _send_in_transaction(
         self,
         session: "CallerSession",
+        pool: ServerPool,
         connection: ServerConnection,
         statement: Statement,
         deadline_ms: int,
@@ -440,13 +462,14 @@
         if not self._preparer.apply_variables(session, connection):
             return None
         try:
-            return self._send(connection, statement, deadline_ms)
+            return self._send(pool, connection, statement, deadline_ms)
         except OpenError:
             return None  # aborts the transaction, as a lost connection does
 
     def _open_transaction(
         self, session: "CallerSession", transaction: "Transaction", deadline_ms: int
-    ) -> SessionFailure | None:
+    ) -> str | None:
+        """Begin a transaction on a server; return the reason if it could not be started."""
         route = transaction.route
         tried: set[str] = set()
         force_primary = not transaction.read_only
@@ -455,10 +478,13 @@
                 attempt = self._acquire_server(
                     session, route, transaction.workspace, deadline_ms, tried, force_primary
                 )
-            except OpenError:
-                return SessionFailure.BUSY
+            except OpenError as error:
+                return f"the transaction could not be started: {error}"
             text = self._codec.begin(transaction.read_only)
             data = self._codec.query(transaction.begin.request_id, text, attempt.min_position)
+            if not self._router.may_send_to(attempt.pool.entry):
+                attempt.pool.discard(attempt.connection)
+                continue
             transaction.sent = True
             reply = attempt.connection.send_and_wait(data, deadline_ms - self._clock.now_ms())
             if reply is None:
@@ -477,7 +503,7 @@
                 force_primary = True
             else:
                 self._router.wait_for_primary_change(RETRY_PAUSE_MS)
-        return SessionFailure.BUSY
+        return "the transaction could not be started"
 
     def commit(
         self, session: "CallerSession", statement: Statement, transaction: "Transaction"
@@ -491,21 +517,26 @@
         route = transaction.route
         deadline_ms = started_ms + route.timeout_ms - ANSWER_MARGIN_MS
         if transaction.connection is None:
-            failure = self._open_transaction(session, transaction, deadline_ms)
-            if failure is not None:
-                return Answer(b"", failure, "the transaction could not be started")
+            refusal = self._open_transaction(session, transaction, deadline_ms)
+            if refusal is not None:
+                return Answer(b"", SessionFailure.BUSY, refusal)
         pool, connection = transaction.pool, transaction.connection
         server_id = pool.entry.server_id
         transaction.connection = None
+        self._router.await_evacuations()
         if transaction.wrote and not self._await_lease(pool, deadline_ms):
             pool.discard(connection)  # the server rolls back
             detail = "this host has no lease on the primary"
             return Answer(b"", SessionFailure.ABORTED, detail, 0, server_id)
+        if not self._router.may_send_to(pool.entry):
+            pool.discard(connection)  # the commit was not sent; the server rolls back
+            detail = "the server's availability zone is evacuated"
+            return Answer(b"", SessionFailure.ABORTED, detail, 0, server_id)
         if connection.is_lost():
             self._router.discard_failed_connection(pool, connection)
             detail = "the connection to the server was lost before the commit was sent"
             return Answer(b"", SessionFailure.ABORTED, detail, 0, server_id)
-        reply = self._send(connection, statement, deadline_ms)
+        reply = self._send(pool, connection, statement, deadline_ms)
         if reply is None:
             self._router.discard_failed_connection(pool, connection)
             return self._with_duration(
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_server_commands.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_server_commands.py
@@ -38,7 +38,12 @@
         return self._run(entry, self._codec.status())
 
     def _run(self, entry: ServerEntry, text: str) -> ServerReport | None:
-        """Run a command on a separate connection, which is closed afterwards."""
+        """Run a command on a separate connection, which is closed afterwards.
+
+        A server in an evacuated zone gets none after the stop.
+        """
+        if not self._router.may_send_to(entry):
+            return None
         start_message = self._codec.start(entry.group, self._host, entry.server_id)
         try:
             connection, _ = ServerConnection.open(
@@ -47,6 +52,7 @@
                 start_message,
                 self._host,
                 self._clock,
+                lambda: self._router.may_send_to(entry),
             )
         except OpenError as error:
             pool = self._router.pool(entry.server_id)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_store_reader.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_store_reader.py
@@ -176,6 +176,10 @@
         """Return whether this host is the first of those that read for all."""
         return self._readers(now_ms)[:1] == [self._view.host]
 
+    def must_list(self, now_ms: int) -> bool:
+        """Return whether this host lists what one host lists for all."""
+        return self._must_read(now_ms, first_only=True)
+
     def _readers(self, now_ms: int, needs_eras: bool = False) -> list[str]:
         eligible = self._view.store_ok and not self._view.leaving
         return self._view.peers.store_readers(now_ms, eligible, needs_eras)
--- a/packages/figcrank-transport/tests/test_peer_link.py
+++ b/packages/figcrank-transport/tests/test_peer_link.py
@@ -55,6 +55,7 @@
         "servers",
         "hosts",
         "cold_remaining_ms",
+        "evacuations",
     }
 
 
--- a/packages/figcrank-transport/tests/test_replacer.py
+++ b/packages/figcrank-transport/tests/test_replacer.py
@@ -22,7 +22,7 @@
     is_settled,
     moving_record,
 )
-from figcrank.protocol.heartbeats import PrimaryRecord, StoredPrimaries
+from figcrank.protocol.heartbeats import Evacuations, PrimaryRecord, StoredPrimaries
 from figcrank.protocol.sessions import ServerReport
 from figcrank.state import Position, era_of, number_of, revision_of
 from figcrank.state._catalog import Registry, ServerEntry
@@ -38,6 +38,7 @@
 LATE_EXECUTION_MS = 400
 PROMOTION_MS = 300
 GROUPS = ("g1", "g2", "g3")
+EVACUATION_MS = 5_000
 
 
 class VirtualTimeHub(BaseHub):
@@ -156,11 +157,12 @@
     group: str
     is_primary: bool = False
     term: int = 1
+    zone: str = "zone-a"
 
     @property
     def entry(self):
         return ServerEntry(
-            self.server_id, self.group, "10.0.0.1:80", "zone-a", 4, False, self.is_primary
+            self.server_id, self.group, "10.0.0.1:80", self.zone, 4, False, self.is_primary
         )
 
     @property
@@ -176,7 +178,9 @@
 
     def __init__(self):
         self.by_id = {
-            f"{group}-{number}": Server(f"{group}-{number}", group, number == 0)
+            f"{group}-{number}": Server(
+                f"{group}-{number}", group, number == 0, zone=f"zone-{number}"
+            )
             for group in GROUPS
             for number in range(3)
         }
@@ -258,11 +262,12 @@
     def __init__(self, name, fleet, records):
         self.name = name
         self.clock = HubClock()
-        self.view = FleetView(name, 1, (name, 7000))
+        self.view = FleetView(name, 1, (name, 7000), evacuation_ms=EVACUATION_MS)
         entries = {s.server_id: s.entry for s in fleet.servers.by_id.values()}
         self.view.registry = Registry(1, entries)
         for group, record in records.items():
             self.view.merge_primary(group, record, 0)
+        self.evacuations = 1
         self.lines = []
         log = EventLog(name, self.clock, len)
         log.event = lambda event, **fields: self.lines.append((event, fields))
@@ -286,6 +291,17 @@
         )
         self.replacer._commands = Commands(fleet.servers, router, self.clock)
 
+    def evacuate(self, *zones):
+        """Adopt a list of evacuated zones."""
+        now_ms = self.clock.now_ms()
+        self.evacuations += 1
+        self.view.evacuation.adopt(Evacuations(self.evacuations, frozenset(zones)), now_ms, now_ms)
+
+    def check(self, group):
+        """Check a group's primary, as the replacer does periodically."""
+        record = self.view.primary_table.get(group)
+        self.replacer._check_group(group, record, self.clock.now_ms())
+
     def replace(self, group):
         """Begin the replacement of a group's primary, or take over an interrupted one."""
         record = self.view.primary_table.get(group)
@@ -694,3 +710,59 @@
         assert (record.server_id, record.term) == (leader.server_id, leader.term)
         assert not record.moving
         assert is_settled(record, drills)
+
+
+def revive(fleet, group):
+    """Let a group's primary answer, so that only its evacuation is a reason to replace it."""
+    fleet.servers.silent.discard(f"{group}-0")
+    fleet.servers.refusing.discard(f"{group}-0")
+    fleet.a.router.pool(f"{group}-0").health.record_answer(fleet.a.clock.now_ms())
+
+
+def test_evacuated_primary_is_replaced_as_planned_by_a_server_elsewhere(run):
+    def scenario(fleet):
+        revive(fleet, "g1")
+        fleet.a.check("g1")
+        assert not fleet.a.replacer._replacing
+        fleet.a.evacuate("zone-0", "zone-2")  # g1-2 would rank first
+        fleet.a.check("g1")
+        sleep_ms(TAKEOVER_WAIT_MS + 100)  # the primary serves while this host claims the record
+        assert fleet.a.view.primary_table.get("g1").planned
+        sleep_ms(8_000)
+
+    fleet = run(scenario)
+    assert fleet.servers.by_id["g1-1"].is_primary
+    assert not fleet.servers.by_id["g1-2"].is_primary
+    begun = [fields for event, fields in fleet.a.lines if event == "replacement_begun"]
+    assert begun[0]["reason"] == "evacuated"
+
+
+def test_evacuated_primary_without_a_candidate_elsewhere_is_kept(run):
+    """Guards against a switch that ends the service of a group that no server can take over."""
+
+    def scenario(fleet):
+        revive(fleet, "g1")
+        fleet.a.evacuate("zone-0", "zone-1", "zone-2")
+        fleet.a.check("g1")
+        sleep_ms(3_000)
+
+    fleet = run(scenario)
+    assert not fleet.a.view.primary_table.get("g1").moving
+    assert fleet.failover.arrived == []
+
+
+def test_server_whose_zone_is_evacuated_while_its_promotion_connects_is_not_promoted(run):
+    """Guards against a new primary that has to be replaced again, in a zone without requests."""
+
+    def scenario(fleet):
+        fleet.failover.connect_ms["a"] = 200
+        fleet.a.replace("g1")
+        while not any(event == "promotion_sent" for event, _ in fleet.a.lines):
+            if fleet.a.store._shared.record.holder == "a" and not fleet.a.evacuations > 1:
+                fleet.a.evacuate("zone-2")
+            sleep_ms(10)
+        sleep_ms(6_000)
+
+    fleet = run(scenario)
+    assert fleet.servers.by_id["g1-1"].is_primary
+    assert not fleet.servers.by_id["g1-2"].is_primary
--- a/packages/figcrank-transport/tests/test_statement_runner.py
+++ b/packages/figcrank-transport/tests/test_statement_runner.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from figcrank.coordination.evacuation import refusal_detail
 from figcrank.protocol.sessions import (
     Request,
     SessionFailure,
@@ -82,6 +83,7 @@
         self.lease = True
         self.lease_returns_ms = None
         self.replaced = False
+        self.evacuated = False
         self._pool = pool
         self._clock = clock
 
@@ -96,6 +98,8 @@
         return not self.replaced
 
     def await_primary(self, _group, _deadline_ms):
+        if self.evacuated:
+            raise OpenError(SessionFailure.BUSY, refusal_detail("zone-a", can_switch=False))
         if not self.primary_usable("g"):
             raise OpenError(SessionFailure.BUSY, "the primary is no_lease")
         return self._pool
@@ -106,6 +110,18 @@
     def observe_reply(self, _pool, _sent_ms, _reply):
         pass
 
+    def may_send_to(self, _entry):
+        return not self.evacuated
+
+    def is_evacuated(self, _entry):
+        return self.evacuated
+
+    def await_evacuations(self):
+        pass
+
+    def discard_failed_connection(self, pool, connection):
+        pool.discard(connection)
+
 
 class Session:
     """Session with one variable."""
@@ -185,3 +201,29 @@
 def test_commit_of_a_transaction_that_wrote_nothing_needs_no_lease(scenario):
     scenario.end_lease()
     assert scenario.commit(wrote=False).failure is None
+
+
+def test_write_is_refused_if_the_zone_was_evacuated_while_the_connection_was_prepared(scenario):
+    """Guards against a statement that is sent after the stop by a host that was suspended."""
+    scenario.connection.on_set = lambda: setattr(scenario.router, "evacuated", True)
+    answer = scenario.write()
+    assert scenario.connection.sent == ["SET v 1"]
+    assert answer.failure is SessionFailure.BUSY
+    assert "availability zone zone-a is evacuated; retry after" in answer.detail
+
+
+def test_commit_is_not_sent_to_an_evacuated_zone(scenario):
+    """The transaction is aborted; as its commit was not sent, it is not in doubt."""
+    scenario.router.evacuated = True
+    assert scenario.commit().failure is SessionFailure.ABORTED
+    assert scenario.connection.sent == []
+    assert scenario.connection.closed
+
+
+def test_statement_of_an_open_transaction_is_not_sent_to_an_evacuated_zone(scenario):
+    scenario.connection.on_set = lambda: setattr(scenario.router, "evacuated", True)
+    transaction = Transaction(WRITE.request, False, ROUTE, "w", scenario.pool, scenario.connection)
+    answer = scenario.runner.run_in_transaction(Session(), WRITE, transaction)
+    assert answer.failure is SessionFailure.ABORTED
+    assert scenario.connection.sent == ["SET v 1"]
+    assert transaction.failed and scenario.connection.closed
