Tell the age of the list of evacuated zones in heartbeats

Cause: a host that adopts an evacuation from a peer derives from the peer's list as of when there was none. It assumed that the list had been read at most 2 s before. While the first store reader has just died, the list is older, and the stop could come after the bound. Change: the extension has evacuations_age_ms, as heartbeats have the age of the list of servers; a twentieth of the bound is kept for messages under way. Heartbeats that were overtaken are skipped. A host lists the evacuations if only hosts of earlier releases come before it as store readers.

--- a/packages/figcrank-coordination/src/figcrank/coordination/evacuation/_zones.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/evacuation/_zones.py
@@ -16,8 +16,8 @@
 # Of the bound, the share between the adoption and the stop. The rest covers two attempts to read
 # the list, its propagation to the peers, and statements that are under way at the stop.
 STOP_SHARE = 0.5
-# The list of a peer was read at most this long before its heartbeat: one interval and a slow call.
-PEER_LIST_AGE_MS = 2_000
+# Of the bound, kept for messages that are under way when the zone is closed.
+MARGIN_SHARE = 0.05
 # Share of the bound. Background loops run every 100 ms, so a longer gap means that the process was
 # suspended, and that an evacuation may have been acknowledged meanwhile.
 PAUSE_SHARE = 0.25
@@ -68,7 +68,8 @@
         self.listed = Evacuations()
         self._adopted_ms: dict[str, int] = {}
         self._stop_ms: dict[str, int] = {}
-        self._known_as_of_ms = NEVER_MS
+        # Latest time at which the store is known to have had the list in force.
+        self.known_as_of_ms = NEVER_MS
         self._heard_ms = NEVER_MS
         self._ran_ms = NEVER_MS
         self._resumed_ms: int | None = None
@@ -105,30 +106,29 @@
             self._stop_ms[zone] = self._stop_of(now_ms)
         for zone in withdrawn:
             del self._adopted_ms[zone], self._stop_ms[zone]
-        self._known_as_of_ms = max(self._known_as_of_ms, as_of_ms)
+        self.known_as_of_ms = max(self.known_as_of_ms, as_of_ms)
         self._heard_ms = max(self._heard_ms, as_of_ms)
         return EvacuationChange(tuple(sorted(adopted)), tuple(sorted(withdrawn)))
 
     def adopt_from_peer(
-        self, received: Evacuations, sent_after_ms: int, now_ms: int
+        self, received: Evacuations, age_ms: int, sent_after_ms: int, now_ms: int
     ) -> EvacuationChange:
         """Adopt a peer's list if it is newer and return what changed.
 
+        :param age_ms: age of the list when the peer sent it; ``NEVER_MS`` if it is not known.
         :param sent_after_ms: time after which the peer sent it; ``NEVER_MS`` if it is not known.
         """
         if not received.revision:
             return EvacuationChange()
-        known = sent_after_ms != NEVER_MS
-        change = self.adopt(
-            received, sent_after_ms - PEER_LIST_AGE_MS if known else NEVER_MS, now_ms
-        )
+        known = NEVER_MS not in (sent_after_ms, age_ms)
+        change = self.adopt(received, sent_after_ms - age_ms if known else NEVER_MS, now_ms)
         self._heard_ms = max(self._heard_ms, sent_after_ms)
         return change
 
     def _stop_of(self, now_ms: int) -> int:
-        if self._known_as_of_ms == NEVER_MS:
+        if self.known_as_of_ms == NEVER_MS:
             return now_ms
-        latest_ms = self._known_as_of_ms + self._evacuation_ms
+        latest_ms = self.known_as_of_ms + int((1 - MARGIN_SHARE) * self._evacuation_ms)
         return min(now_ms + int(STOP_SHARE * self._evacuation_ms), latest_ms)
 
     def adopted_for_ms(self, zone: str, now_ms: int) -> int:
--- a/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
@@ -380,12 +380,15 @@
             spent=spent,
             partial=partial,
             unchanged=tuple(name for name in OMITTABLE_FIELDS if name not in state),
-            extension=self._extension() if peer.reads_extension else None,
+            extension=self._extension(now_ms) if peer.reads_extension else None,
             **state,
         )
 
-    def _extension(self) -> HeartbeatExtension:
-        return HeartbeatExtension(self.evacuations, self.busy_zones, self.server_loads)
+    def _extension(self, now_ms: int) -> HeartbeatExtension:
+        age_ms = _age_ms(self.evacuation.known_as_of_ms, now_ms)
+        return HeartbeatExtension(
+            self.evacuations, self.busy_zones, self.server_loads, evacuations_age_ms=age_ms
+        )
 
     def _observed_positions(self, now_ms: int) -> dict:
         observed = {}
--- a/packages/figcrank-coordination/src/figcrank/coordination/peers/_table.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/peers/_table.py
@@ -175,12 +175,18 @@
         return max(times, default=NEVER_MS)
 
     def store_readers(
-        self, now_ms: int, self_eligible: bool, needs_eras: bool = False
+        self,
+        now_ms: int,
+        self_eligible: bool,
+        needs_eras: bool = False,
+        needs_extension: bool = False,
     ) -> list[str]:
         """Return the names of the hosts that read the store for all others.
 
         :param self_eligible: whether this host reaches the store and is not leaving.
         :param needs_eras: whether to skip hosts that read it as if it had no eras.
+        :param needs_extension: whether to skip hosts of earlier releases, which don't read what is
+            sent in the extension of heartbeats.
         """
         eligible = [
             peer.name
@@ -189,6 +195,7 @@
             and peer.heartbeat.store_ok
             and not peer.heartbeat.leaving
             and not (needs_eras and peer.heartbeat.ignores_eras)
+            and not (needs_extension and not peer.reads_extension)
         ]
         if self_eligible:
             eligible.append(self._host)
--- a/packages/figcrank-coordination/tests/evacuation/test_zones.py
+++ b/packages/figcrank-coordination/tests/evacuation/test_zones.py
@@ -54,18 +54,20 @@
     """An owner that restarts while the store is away takes a list of unknown age from a peer."""
     evacuations = ZoneEvacuations(BOUND_MS)
     assert not evacuations.is_known
-    evacuations.adopt_from_peer(listed(2, "z"), NEVER_MS, 1_000)
+    evacuations.adopt_from_peer(listed(2, "z"), 300, NEVER_MS, 1_000)
     assert evacuations.is_known
     assert evacuations.use_of("z", 1_000) is ZoneUse.CLOSED
 
 
 def test_peers_list_counts_as_up_to_date_only_as_of_its_reading():
+    """Guards against a stop after the bound while no host reads the store for a while."""
     evacuations = ZoneEvacuations(BOUND_MS)
-    evacuations.adopt_from_peer(listed(1), 10_000, 10_050)
-    evacuations.adopt_from_peer(listed(2, "z"), 12_900, 13_000)
-    # The first list may have been read at 8,000 ms.
-    assert evacuations.use_of("z", 12_999) is ZoneUse.DRAINING
-    assert evacuations.use_of("z", 13_000) is ZoneUse.CLOSED
+    evacuations.adopt_from_peer(listed(1), 2_000, 10_000, 10_050)
+    evacuations.adopt_from_peer(listed(1), 3_000, 11_000, 11_050)
+    assert evacuations.known_as_of_ms == 8_000
+    evacuations.adopt_from_peer(listed(2, "z"), 50, 11_100, 11_150)
+    assert evacuations.use_of("z", 8_000 + BOUND_MS - 251) is ZoneUse.DRAINING
+    assert evacuations.use_of("z", 8_000 + BOUND_MS - 250) is ZoneUse.CLOSED
 
 
 def test_evacuation_that_is_listed_again_keeps_its_stop():
@@ -116,9 +118,9 @@
     run_until(evacuations, 10_000, 11_000)
     assert evacuations.is_held(19_000)
     # A heartbeat from before the suspension, still in the socket's buffer.
-    evacuations.adopt_from_peer(listed(1), 11_000, 19_010)
+    evacuations.adopt_from_peer(listed(1), 300, 11_000, 19_010)
     assert evacuations.is_held(19_010)
-    evacuations.adopt_from_peer(listed(2, "z"), 19_020, 19_050)
+    evacuations.adopt_from_peer(listed(2, "z"), 300, 19_020, 19_050)
     assert not evacuations.is_held(19_050)
     assert evacuations.use_of("z", 19_050) is ZoneUse.CLOSED
 
--- a/packages/figcrank-protocol/src/figcrank/protocol/heartbeats.py
+++ b/packages/figcrank-protocol/src/figcrank/protocol/heartbeats.py
@@ -129,17 +129,21 @@
     :param evacuations: the sender's list of evacuated availability zones.
     :param busy_zones: evacuated availability zones in which the sender still has work.
     :param server_loads: the sender's load on servers that it used recently, by server id.
+    :param evacuations_age_ms: time since the store was known to have that list.
     """
 
     evacuations: Evacuations = field(default_factory=Evacuations)
     busy_zones: tuple[str, ...] = ()
     server_loads: dict[str, ServerLoad] = field(default_factory=dict)
+    evacuations_age_ms: int = NEVER_MS
 
     def to_fields(self) -> dict:
         """Return the extension as an object to encode as JSON, without its empty parts."""
         fields = {}
         if self.evacuations.revision:
             fields["evacuations"] = [self.evacuations.revision, sorted(self.evacuations.zones)]
+        if self.evacuations_age_ms != NEVER_MS:
+            fields["evacuations_age_ms"] = self.evacuations_age_ms
         if self.busy_zones:
             fields["busy_zones"] = list(self.busy_zones)
         if self.server_loads:
@@ -169,7 +173,9 @@
             for server_id, (n, w, ms, samples, rejections) in fields.get("loads", {}).items()
         }
         evacuations = Evacuations(int(revision), frozenset(map(str, zones)))
-        return cls(evacuations, tuple(map(str, fields.get("busy_zones", ()))), loads)
+        busy_zones = tuple(map(str, fields.get("busy_zones", ())))
+        age_ms = int(fields.get("evacuations_age_ms", NEVER_MS))
+        return cls(evacuations, busy_zones, loads, age_ms)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/figcrank-protocol/tests/test_heartbeats.py
+++ b/packages/figcrank-protocol/tests/test_heartbeats.py
@@ -37,6 +37,7 @@
     Evacuations(revision_of(1, 9), frozenset({"az-1", "az-2"})),
     ("az-1",),
     {"s1": ServerLoad(3, 2, 18.5, 40, 1)},
+    700,
 )
 
 
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_peer_link.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_peer_link.py
@@ -130,8 +130,13 @@
         peer = self._view.peers.by_address(address)
         if heartbeat.extension is None or peer is None or peer.heartbeat is None:
             return
+        if peer.heartbeat.sent_ms != heartbeat.sent_ms:
+            return  # it was overtaken; the peer's time of sending is that of a later one
         change = self._view.evacuation.adopt_from_peer(
-            heartbeat.extension.evacuations, peer.sent_after_ms, self._clock.now_ms()
+            heartbeat.extension.evacuations,
+            heartbeat.extension.evacuations_age_ms,
+            peer.sent_after_ms,
+            self._clock.now_ms(),
         )
         self._apply_evacuations(change, heartbeat.host)
 
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_store_reader.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_store_reader.py
@@ -177,8 +177,12 @@
         return self._readers(now_ms)[:1] == [self._view.host]
 
     def must_list(self, now_ms: int) -> bool:
-        """Return whether this host lists what one host lists for all."""
-        return self._must_read(now_ms, first_only=True)
+        """Return whether this host lists for all what earlier releases don't list."""
+        eligible = self._view.store_ok and not self._view.leaving
+        readers = self._view.peers.store_readers(
+            now_ms, eligible, needs_eras=bool(self.era), needs_extension=True
+        )
+        return readers[:1] == [self._view.host] or self._peer_views_are_stale(now_ms)
 
     def _readers(self, now_ms: int, needs_eras: bool = False) -> list[str]:
         eligible = self._view.store_ok and not self._view.leaving
--- a/packages/figcrank-transport/tests/test_evacuation_guard.py
+++ b/packages/figcrank-transport/tests/test_evacuation_guard.py
@@ -192,7 +192,7 @@
     sent_after_ms = START_MS + 9_001
     listed = Evacuations(revision_of(1, 99), frozenset({"zone-b"}))
     scenario.clock.advance_to(sent_after_ms + 30)
-    scenario.view.evacuation.adopt_from_peer(listed, sent_after_ms, sent_after_ms + 30)
+    scenario.view.evacuation.adopt_from_peer(listed, 300, sent_after_ms, sent_after_ms + 30)
     assert not scenario.router.may_send_to(entry)
     assert scenario.router.may_send_to(scenario.router.pool("c").entry)
 
--- a/packages/figcrank-transport/tests/test_evacuation_reader.py
+++ b/packages/figcrank-transport/tests/test_evacuation_reader.py
@@ -1,6 +1,7 @@
 """The first store reader lists the evacuations; peers adopt them."""
 
 import json
+from dataclasses import replace
 
 import pytest
 
@@ -205,6 +206,17 @@
     assert not host.reader.must_read(started_ms + PEER_WAIT_MS, started_ms)
 
 
+def test_host_lists_the_evacuations_though_an_earlier_release_reads_the_store_first(host):
+    """Guards against a fleet in which no host lists them while it is being upgraded."""
+    first = Heartbeat("A", 2, 1, reads_extension=False, registry_age_ms=0)  # sorts before "a"
+    host.view.receive(first, PEER, host.clock.now_ms())
+    assert host.reader.must_read(10_000, 10_000)
+    host.view.receive(
+        Heartbeat("A", 3, 2, extension=HeartbeatExtension(), registry_age_ms=0), PEER, 10_000
+    )
+    assert not host.reader.must_read(10_000, 10_000)
+
+
 def test_evacuation_travels_in_heartbeats_and_the_view_page(host):
     """A host that restarts while the store is away has no other source."""
     host.read_at(10_000)
@@ -223,6 +235,15 @@
     restarted.link._socket.close()
 
 
+def test_heartbeat_that_was_overtaken_does_not_make_its_list_younger(host):
+    """Guards against a stop that counts from a time at which the peer had no such list."""
+    listed = HeartbeatExtension(Evacuations(revision_of(1, 5)), evacuations_age_ms=100)
+    host.hear(listed, echo_ms=9_000, sent_ms=2)
+    assert host.view.evacuation.known_as_of_ms == 8_900
+    host.hear(replace(listed, evacuations_age_ms=10), echo_ms=8_000, sent_ms=1)
+    assert host.view.evacuation.known_as_of_ms == 8_900
+
+
 def test_view_page_of_an_earlier_release_leaves_the_list_unknown(host):
     page = json.loads(host.link.view_page({})[1])
     del page["evacuations"]
