--- a/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 
+from figcrank.coordination.evacuation import ZoneEvacuations
 from figcrank.coordination.fleet._group_ownership import GroupOwnership
 from figcrank.coordination.owners import HostRole
 from figcrank.coordination.peers import ChangeTracker, Peer, PeerTable
@@ -84,6 +85,7 @@
     :param headroom: operations by which a workspace's limit may be exceeded in any time span.
     :param started_ms: time at which this host started.
     :param availability_zone: availability zone of this host.
+    :param evacuation_ms: bound on an evacuation of a zone; 0 if zones can't be evacuated.
     """
 
     def __init__(
@@ -94,6 +96,7 @@
         headroom: float = 0.0,
         started_ms: int = 0,
         availability_zone: str = "",
+        evacuation_ms: int = 0,
     ) -> None:
         self.itself = Owner(host, address, availability_zone)
         self.role = HostRole.UNDECIDED
@@ -115,7 +118,7 @@
         self.limits: dict[str, SharedLimit] = {}
         self.primary_failures: dict[str, PrimaryFailure] = {}
         self.quiesced_groups: set[str] = set()
-        self.evacuations = Evacuations()
+        self.evacuation = ZoneEvacuations(evacuation_ms)
         self.busy_zones: tuple[str, ...] = ()  # evacuated ones in which this host still has work
         self.server_loads: dict[str, ServerLoad] = {}  # of this host
         self.ownership = GroupOwnership(self)
@@ -123,6 +126,11 @@
         self._state_changes = ChangeTracker()
         self._spent_changes = ChangeTracker()
 
+    @property
+    def evacuations(self) -> Evacuations:
+        """Return the list of evacuated zones that is in force."""
+        return self.evacuation.listed
+
     @property
     def is_owner(self) -> bool:
         """Return whether this host is an owner."""
@@ -391,6 +399,7 @@
             self.busy_zones,
             self.server_loads,
             sees_relays=self.ownership.sees_relays(now_ms),
+            evacuations_age_ms=_age_ms(self.evacuation.known_as_of_ms, now_ms),
         )
 
     def _observed_positions(self, now_ms: int) -> dict:
--- a/packages/figcrank-coordination/tests/primaries/test_replacement.py
+++ b/packages/figcrank-coordination/tests/primaries/test_replacement.py
@@ -1,3 +1,5 @@
+from dataclasses import replace
+
 import pytest
 
 from figcrank.coordination.primaries import (
@@ -171,3 +173,14 @@
     """Guards against a lost commit for the sake of a warm server."""
     reports = [("a", report(10)), ("b", report(11))]
     assert rank_candidates(reports, set(), {"b"})[0][0] == "b"
+
+
+def test_evacuated_primary_is_replaced_and_an_unreachable_one_without_the_planned_steps():
+    """A planned switch waits for the old primary, which an unreachable one would only delay."""
+    evacuated = replace(evidence(), is_evacuated=True)
+    assert reason_to_replace(evidence()) is None
+    assert reason_to_replace(evacuated) is ReplacementReason.EVACUATED
+    assert ReplacementReason.EVACUATED.is_planned
+    unreachable = replace(evacuated, own_report=SILENT, peer_reports=(SILENT, SILENT))
+    assert reason_to_replace(unreachable) is ReplacementReason.UNREACHABLE
+    assert not ReplacementReason.UNREACHABLE.is_planned
--- a/packages/figcrank-protocol/src/figcrank/protocol/heartbeats.py
+++ b/packages/figcrank-protocol/src/figcrank/protocol/heartbeats.py
@@ -130,18 +130,22 @@
     :param busy_zones: evacuated availability zones in which the sender still has work.
     :param server_loads: the sender's load on servers that it used recently, by server id.
     :param sees_relays: whether a relay has shown itself to the sender recently.
+    :param evacuations_age_ms: time since the store was known to have that list.
     """
 
     evacuations: Evacuations = field(default_factory=Evacuations)
     busy_zones: tuple[str, ...] = ()
     server_loads: dict[str, ServerLoad] = field(default_factory=dict)
     sees_relays: bool = False
+    evacuations_age_ms: int = NEVER_MS
 
     def to_fields(self) -> dict:
         """Return the extension as an object to encode as JSON, without its empty parts."""
         fields = {}
         if self.evacuations.revision:
             fields["evacuations"] = [self.evacuations.revision, sorted(self.evacuations.zones)]
+        if self.evacuations_age_ms != NEVER_MS:
+            fields["evacuations_age_ms"] = self.evacuations_age_ms
         if self.busy_zones:
             fields["busy_zones"] = list(self.busy_zones)
         if self.sees_relays:
@@ -174,7 +178,13 @@
         }
         evacuations = Evacuations(int(revision), frozenset(map(str, zones)))
         busy_zones = tuple(map(str, fields.get("busy_zones", ())))
-        return cls(evacuations, busy_zones, loads, sees_relays=bool(fields.get("relays")))
+        return cls(
+            evacuations,
+            busy_zones,
+            loads,
+            sees_relays=bool(fields.get("relays")),
+            evacuations_age_ms=int(fields.get("evacuations_age_ms", NEVER_MS)),
+        )
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_acquirer.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_acquirer.py
@@ -83,6 +83,7 @@
         """
         deadline_ms = demand.deadline_ms
         while True:
+            self._router.await_evacuations()
             pool = self._router.await_primary(route.group, deadline_ms, demand.arrived_ms)
             try:
                 connection = pool.acquire(demand, session.variables)
@@ -107,6 +108,8 @@
 
     def is_usable_primary(self, pool: ServerPool, group: str) -> bool:
         """Return whether statements may be sent to a server as the primary of its group."""
+        if not self._router.may_send_to(pool.entry):
+            return False
         return self._router.is_primary(pool) and self._router.primary_usable(group)
 
     def acquire_server(
@@ -124,6 +127,7 @@
         """
         rejections: dict[str, AdmissionError] = {}
         while True:
+            self._router.await_evacuations()
             if route.mode is ReadMode.PRIMARY or force_primary:
                 pool, connection = self.acquire_primary(session, route, demand)
                 return Attempt(pool, connection, None)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_runner.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_runner.py
@@ -175,13 +175,20 @@
         return False
 
     def _send(
-        self, connection: ServerConnection, statement: Statement, deadline_ms: int
+        self,
+        pool: ServerPool,
+        connection: ServerConnection,
+        statement: Statement,
+        deadline_ms: int,
     ) -> StatementReply | None:
         """Send a statement and return the reply, ``None`` if there was none.
 
-        :raises OpenError: if preparing the statement failed; it was not sent.
+        :raises OpenError: if preparing the statement failed or its server's zone is evacuated; it
+            was not sent.
         """
         data = self._preparer.encode(connection, statement, None)
+        if not self._router.may_send_to(pool.entry):
+            raise OpenError(SessionFailure.BUSY, "nothing may be sent to the server now")
         return connection.send_and_wait(data, deadline_ms - self._clock.now_ms())
 
     def _observe_reply(
@@ -238,6 +245,10 @@
                     self._router.discard_failed_connection(attempt.pool, attempt.connection)
                     tried.add(attempt.pool.entry.server_id)
                     continue
+                if not self._router.may_send_to(attempt.pool.entry):
+                    attempt.pool.discard(attempt.connection)
+                    tries -= 1
+                    continue
                 running += 1
                 attempt.connection.send(data, self._reply_handler(results, attempt))
             wait_ms = deadline_ms - self._clock.now_ms()
@@ -348,8 +359,9 @@
             tries += 1
             pool, connection = transaction.pool, transaction.connection
             transaction.wrote = transaction.wrote or statement.is_write
+            self._router.await_evacuations()
             self._router.record_at_cold(pool)
-            reply = self._send_in_transaction(session, connection, statement, deadline_ms)
+            reply = self._send_in_transaction(session, pool, connection, statement, deadline_ms)
             server_id = pool.entry.server_id
             if reply is None:
                 self._router.discard_failed_connection(pool, connection)
@@ -358,7 +370,7 @@
                 if may_retry and self._clock.now_ms() + RETRY_PAUSE_MS < deadline_ms:
                     continue
                 transaction.failed = True
-                detail = "the connection to the server was lost"
+                detail = self._lost_detail(pool)
                 return Answer(b"", SessionFailure.ABORTED, detail, tries, server_id)
             self._observe_reply(pool, connection, reply)
             if reply.state is not TransactionState.OPEN:
@@ -366,9 +378,15 @@
                 self.abort(transaction)
             return Answer(reply.payload, reply.failure, reply.detail, tries, server_id)
 
+    def _lost_detail(self, pool: ServerPool) -> str:
+        if self._router.is_evacuated(pool.entry):
+            return f"availability zone {pool.entry.availability_zone} is evacuated"
+        return "the connection to the server was lost"
+
     def _send_in_transaction(
         self,
         session: "CallerSession",
+        pool: ServerPool,
         connection: ServerConnection,
         statement: Statement,
         deadline_ms: int,
@@ -376,7 +394,7 @@
         if not self._preparer.apply_variables(session, connection):
             return None
         try:
-            return self._send(connection, statement, deadline_ms)
+            return self._send(pool, connection, statement, deadline_ms)
         except OpenError:
             return None  # aborts the transaction, as a lost connection does
 
@@ -396,6 +414,9 @@
                 return f"the transaction could not be started: {error}"
             text = self._codec.begin(transaction.read_only)
             data = self._codec.query(transaction.begin.request_id, text, attempt.min_position)
+            if not self._router.may_send_to(attempt.pool.entry):
+                attempt.pool.discard(attempt.connection)
+                continue
             transaction.sent = True
             reply = attempt.connection.send_and_wait(data, deadline_ms - self._clock.now_ms())
             if reply is None:
@@ -434,16 +455,21 @@
         pool, connection = transaction.pool, transaction.connection
         server_id = pool.entry.server_id
         transaction.connection = None
+        self._router.await_evacuations()
         if transaction.wrote and not self._await_lease(pool, deadline_ms):
             pool.discard(connection)  # the server rolls back
             detail = "this host has no lease on the primary"
             return Answer(b"", SessionFailure.ABORTED, detail, 0, server_id)
+        if not self._router.may_send_to(pool.entry):
+            pool.discard(connection)  # the commit was not sent; the server rolls back
+            detail = "the server's availability zone is evacuated"
+            return Answer(b"", SessionFailure.ABORTED, detail, 0, server_id)
         if connection.is_lost():
             self._router.discard_failed_connection(pool, connection)
             detail = "the connection to the server was lost before the commit was sent"
             return Answer(b"", SessionFailure.ABORTED, detail, 0, server_id)
         self._router.record_at_cold(pool)
-        reply = self._send(connection, statement, deadline_ms)
+        reply = self._send(pool, connection, statement, deadline_ms)
         if reply is None:
             self._router.discard_failed_connection(pool, connection)
             return self._with_duration(
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_store_reader.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_store_reader.py
@@ -176,6 +176,14 @@
         """Return whether this host is the first of those that read for all."""
         return self._readers(now_ms)[:1] == [self._view.host]
 
+    def must_list(self, now_ms: int) -> bool:
+        """Return whether this host lists for all what earlier releases don't list."""
+        eligible = self._view.store_ok and not self._view.leaving
+        readers = self._view.peers.store_readers(
+            now_ms, eligible, needs_eras=bool(self.era), needs_extension=True
+        )
+        return readers[:1] == [self._view.host] or self._peer_views_are_stale(now_ms)
+
     def _readers(self, now_ms: int, needs_eras: bool = False) -> list[str]:
         eligible = self._view.store_ok and not self._view.leaving
         return self._view.peers.store_readers(now_ms, eligible, needs_eras)
--- a/packages/figcrank-transport/tests/test_acquirer.py
+++ b/packages/figcrank-transport/tests/test_acquirer.py
@@ -90,6 +90,12 @@
     def primary_usable(self, _group):
         return False
 
+    def await_evacuations(self):
+        pass
+
+    def may_send_to(self, _entry):
+        return True
+
     def admit_to_cold(self, _pool):
         return True
 
--- a/packages/figcrank-transport/tests/test_server_pool.py
+++ b/packages/figcrank-transport/tests/test_server_pool.py
@@ -51,7 +51,7 @@
         self.dead = False
         self.opened = []
 
-    def open(self, _address, _decoder, _start_message, workspace, _clock):
+    def open(self, _address, _decoder, _start_message, workspace, _clock, _may_send):
         eventlet.sleep(0)
         if self.dead:
             raise OpenError(SessionFailure.UNREACHABLE, "refused", refused=True)
