Mend an exception after a waiting statement expired, and test the overtaking of admitted statements

Cause: an expired statement that ended for another reason before its rejection was handed to it made the next statement of the server fail with a KeyError. Two tests passed with their guard switched off. Change: such rejections are skipped. The tests start the new statement before the release, and raise the limit without one. Two guards turned out redundant and are gone.

--- a/packages/figcrank-coordination/src/figcrank/coordination/admission/_queue.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/admission/_queue.py
@@ -90,13 +90,10 @@
 
     def put_back(self, ticket: Ticket, now_ms: float) -> None:
         """Add a statement without a decision, for example one that was taken and could not run."""
-        demand = ticket.demand
-        levels = self._in_time if now_ms <= ticket.late_after_ms else self._late
-        levels.setdefault(demand.priority, Level()).add(ticket)
-        expiry = (ticket.expires_after_ms, ticket.sequence, ticket)
-        heapq.heappush(self._expiry_heap, expiry)
-        if levels is self._in_time:
-            heapq.heappush(self._late_heap, (ticket.late_after_ms, ticket.sequence, ticket))
+        self._in_time.setdefault(ticket.demand.priority, Level()).add(ticket)
+        heapq.heappush(self._late_heap, (ticket.late_after_ms, ticket.sequence, ticket))
+        heapq.heappush(self._expiry_heap, (ticket.expires_after_ms, ticket.sequence, ticket))
+        self.advance(now_ms)
 
     def remove(self, ticket: Ticket) -> None:
         """Remove a statement, if it still waits."""
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_admission_gate.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_admission_gate.py
@@ -189,8 +189,11 @@
 
     def _report_rejected(self, entry: ServerEntry) -> None:
         for ticket, rejection in self._queue.drain_rejected():
+            waiter = self._waiters.get(ticket)
+            if waiter is None or not waiter.is_waiting:
+                continue  # it ended for another reason since
             self._record_rejection(ticket.demand, rejection, entry)
-            self._waiters[ticket].fail(AdmissionError(rejection))
+            waiter.fail(AdmissionError(rejection))
 
     def _record_rejection(self, demand: Demand, rejection: Rejection, entry: ServerEntry) -> None:
         if demand.is_hedge:
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_pool.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_pool.py
@@ -132,8 +132,8 @@
         """
         workspace = demand.workspace
         if self.waiting:
-            self.admit_waiters()
-        if self.waiting or self._room() <= 0:
+            self.admit_waiters()  # leaves no room if statements still wait
+        if self._room() <= 0:
             connects = not self.has_idle(workspace)
             ticket = self._gate.wait(demand, self.entry, self._slots(), connects)
             while self.busy >= self.limit:  # the limit fell after the statement was admitted
--- a/packages/figcrank-transport/tests/test_server_pool.py
+++ b/packages/figcrank-transport/tests/test_server_pool.py
@@ -86,9 +86,13 @@
 
     def send(self, name, **fields):
         """Let a statement acquire a connection."""
-        self.greenlets[name] = eventlet.spawn(self._acquire, name, self.demand(name, **fields))
+        self.start(name, **fields)
         self.settle()
 
+    def start(self, name, **fields):
+        """Let a statement acquire a connection in the next turn of the loop."""
+        self.greenlets[name] = eventlet.spawn(self._acquire, name, self.demand(name, **fields))
+
     def _acquire(self, name, demand):
         try:
             self.connections[name] = self.pool.acquire(demand, {})
@@ -166,12 +170,22 @@
     """Guards against statements that arrive between an admission and its use of the slot."""
     running = scenario.fill()
     scenario.send("waiting", priority=2)
+    scenario.start("new", priority=0)
     scenario.pool.release(scenario.connections.pop(running[0]))
-    scenario.send("new", priority=0)
+    scenario.settle()
     assert scenario.begun == ["waiting"]
     assert scenario.pool.in_flight == 2
 
 
+def test_new_statement_does_not_overtake_a_waiting_one_when_the_limit_rises(scenario):
+    """Guards against a slot that becomes free without a release, and goes to the newest."""
+    scenario.fill()
+    scenario.send("waiting")
+    scenario.pool.limit = 3
+    scenario.send("new")
+    assert scenario.begun == ["waiting"]
+
+
 def test_statement_that_cannot_end_in_time_is_refused_at_once(scenario):
     scenario.fill()
     scenario.send("hopeless", timeout_ms=5)
@@ -266,6 +280,19 @@
     assert scenario.begun == ["next"]
 
 
+def test_statement_that_expires_and_is_ended_at_once_does_not_disturb_the_others(scenario):
+    """Guards against an exception in the next statement, which finds a rejected one gone."""
+    running = scenario.fill()
+    scenario.send("expired", timeout_ms=100)
+    scenario.send("next")
+    scenario.clock.advance_to(99)
+    scenario.pool.expected_wait_ms(scenario.demand("x"))
+    scenario.greenlets["expired"].kill()
+    scenario.end(running[0])
+    assert scenario.begun == ["next"]
+    assert not scenario.errors
+
+
 def test_expected_wait_grows_with_the_service_time_of_the_queue(scenario):
     """Guards against a choice of servers by the number of waiting statements only."""
     demand = scenario.demand("x")
