Rank servers by the figures of all owners and draw one of the two best

Cause: each owner learns by itself that a server is slow or has recovered, and a server that nobody uses keeps its last figures. Change: in fleets with relays, the mean of all owners' last second, weighted by samples; it and the share of failures lose half a second without use. One of the two best servers is drawn if they are similar.

--- a/packages/figcrank-coordination/src/figcrank/coordination/placement/__init__.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/placement/__init__.py
@@ -16,4 +16,7 @@
 from figcrank.coordination.placement._load_meter import LoadMeter as LoadMeter
 from figcrank.coordination.placement._position_history import PositionHistory as PositionHistory
 from figcrank.coordination.placement._ranking import Candidate as Candidate
+from figcrank.coordination.placement._ranking import choose_between_best as choose_between_best
 from figcrank.coordination.placement._ranking import rank as rank
+from figcrank.coordination.placement._shared_latency import SharedLatency as SharedLatency
+from figcrank.coordination.placement._shared_latency import remaining_share as remaining_share
--- a/packages/figcrank-coordination/src/figcrank/coordination/placement/_health.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/placement/_health.py
@@ -17,13 +17,14 @@
         self._backoff_ms = INITIAL_BACKOFF_MS
         self._retry_ms = 0
         self._failed_share = 0.0
+        self.last_result_ms = 0  # time of the last response or failure
 
     def record_answer(self, now_ms: int, took_ms: float | None = None) -> None:
         """Record a response and reset the backoff.
 
         :param took_ms: its latency; ``None`` if it does not reflect the server's load.
         """
-        self.last_response_ms = now_ms
+        self.last_response_ms = self.last_result_ms = now_ms
         self.failing_since_ms = None
         self.last_refused_ms = None
         self._backoff_ms = INITIAL_BACKOFF_MS
@@ -36,6 +37,7 @@
 
         :param refused: whether no process listens at the server's address.
         """
+        self.last_result_ms = now_ms
         if self.failing_since_ms is None:
             self.failing_since_ms = now_ms
         if refused:
--- a/packages/figcrank-coordination/src/figcrank/coordination/placement/_ranking.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/placement/_ranking.py
@@ -11,6 +11,8 @@
 ZONE_COST_MS = 4.0  # a round trip between availability zones, and the price of the traffic
 FAILURE_COST_MS = 400.0  # a failed read costs its own time and the time of the retry
 
+# Reports are up to 400 ms old; within this factor, they don't tell which server is faster now.
+SIMILAR_FACTOR = 1.25
 COLD_FACTOR = 2.0  # a server that has just started takes about twice as long
 
 
@@ -50,6 +52,23 @@
     return sorted(candidates, key=expected_ms)
 
 
+def choose_between_best(ranked: list[Candidate], draw: float) -> list[Candidate]:
+    """Return the candidates with one of the two best first, if they are similarly fast.
+
+    All owners rank servers by the same figures. If each took the best one, all would move to it at
+    once, and away from it again.
+
+    :param ranked: result of :func:`rank`.
+    :param draw: random number from 0 to 1.
+    """
+    if len(ranked) < 2:
+        return ranked
+    best_ms, second_ms = expected_ms(ranked[0]), expected_ms(ranked[1])
+    if second_ms > SIMILAR_FACTOR * best_ms or draw >= best_ms / (best_ms + second_ms):
+        return ranked
+    return [ranked[1], ranked[0], *ranked[2:]]
+
+
 def expected_ms(candidate: Candidate) -> float:
     """Return the expected response time of a candidate, in milliseconds."""
     load = (candidate.busy + candidate.waiting) / max(1, candidate.slots)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
@@ -181,7 +181,7 @@
                 continue
             pools[entry.server_id] = (pool, None if at_primary else min_position)
             candidates.append(self._candidate(pool, at_primary, workspace))
-        return [pools[candidate.server_id] for candidate in rank(candidates)]
+        return [pools[candidate.server_id] for candidate in self.loads.order(rank(candidates))]
 
     def entries_of(self, group: str) -> list[ServerEntry]:
         """Return the servers of a group, including those with an expired registration."""
@@ -217,13 +217,13 @@
         entry = pool.entry
         return Candidate(
             entry.server_id,
-            pool.health.latency_ms,
+            self.loads.latency_ms(pool),
             pool.busy,
             pool.waiting,
             entry.slots,
             entry.availability_zone == self._zone,
             pool.has_idle(workspace),
-            pool.health.failed_share,
+            self.loads.failed_share(pool),
             at_primary,
             self.cold.ranks_lower(pool),
         )
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_server_loads.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_server_loads.py
@@ -1,15 +1,24 @@
 """Exchange of the owners' loads on servers, and the allotments that follow from them."""
 
+import random
 from collections.abc import Callable, Collection, Iterable
 
 from figcrank.coordination.fleet import FleetView
-from figcrank.coordination.placement import OwnerReport, SlotAllotment
+from figcrank.coordination.placement import (
+    Candidate,
+    OwnerReport,
+    SharedLatency,
+    SlotAllotment,
+    choose_between_best,
+    remaining_share,
+)
 from figcrank.protocol.heartbeats import NEVER_MS, ServerLoad
 from figcrank.state._clock import Clock
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._pool import ServerPool
 
 INTERVAL_MS = 90  # ticks come every 100 ms, and besides when a primary or the registry changes
+RECENT_MS = 1_200  # as long as a silent owner's share is kept
 GroupOwners = Callable[[str], Collection[str]]
 
 
@@ -28,6 +37,7 @@
         self._log = log
         self._enabled = enabled
         self._ticked_ms = NEVER_MS
+        self._latencies: dict[str, SharedLatency] = {}
         # Returns the names of the owners that serve a group; ``None`` for every live owner.
         self.group_owners: GroupOwners | None = None
 
@@ -39,19 +49,24 @@
             return
         self._ticked_ms = now_ms
         loads = {}
+        latencies, self._latencies = self._latencies, {}
         for pool in pools:
             load = pool.meter.sample(pool.in_flight, pool.waiting, now_ms)
             if load is not None:
                 loads[pool.entry.server_id] = load
-            self._allot(pool, load or ServerLoad(), now_ms)
+            server_id = pool.entry.server_id
+            reports = self.reports(server_id, pool.entry.group, load or ServerLoad(), now_ms)
+            self._allot(pool, reports, now_ms)
+            latency = self._latencies[server_id] = latencies.get(server_id) or SharedLatency()
+            recent = [r.load for r in reports.values() if r.load and r.age_ms <= RECENT_MS]
+            latency.update(recent, now_ms)
         self._view.server_loads = loads
 
-    def _allot(self, pool: ServerPool, load: ServerLoad, now_ms: int) -> None:
+    def _allot(self, pool: ServerPool, reports: dict[str, OwnerReport], now_ms: int) -> None:
         if pool.allotment is None:
             pool.allotment = SlotAllotment(self._view.host, pool.entry.server_id)
         allotment = pool.allotment
         was_bounded = allotment.is_bounded
-        reports = self.reports(pool.entry.server_id, pool.entry.group, load, now_ms)
         allotment.update(reports, pool.entry.slots, now_ms)
         if allotment.is_bounded != was_bounded:
             self._log.event(
@@ -81,6 +96,27 @@
             reports[peer.name] = OwnerReport(load, now_ms - peer.received_ms)
         return reports
 
+    def latency_ms(self, pool: ServerPool) -> float:
+        """Return a server's expected response time, by all owners' figures if there are any."""
+        shared = self._latencies.get(pool.entry.server_id)
+        latency_ms = shared.latency_ms(self._clock.now_ms()) if shared else None
+        return pool.health.latency_ms if latency_ms is None else latency_ms
+
+    def failed_share(self, pool: ServerPool) -> float:
+        """Return the share of recent statements that failed at a server.
+
+        It counts less from second to second, since a server that failed is not used and so can't
+        show that it works again.
+        """
+        share = pool.health.failed_share
+        if not self._enabled:
+            return share
+        return share * remaining_share(self._clock.now_ms() - pool.health.last_result_ms)
+
+    def order(self, ranked: list[Candidate]) -> list[Candidate]:
+        """Return the candidates for a read in the order in which they are tried."""
+        return choose_between_best(ranked, random.random()) if self._enabled else ranked
+
     @staticmethod
     def gauges(pools: Iterable[ServerPool]) -> dict[str, float]:
         """Return the allotment at each server."""
--- a/packages/figcrank-transport/tests/test_server_loads.py
+++ b/packages/figcrank-transport/tests/test_server_loads.py
@@ -144,3 +144,28 @@
 
 def _with_slots(slots):
     return ServerEntry("s1", "g", ENTRY.address, "zone-a", slots, False, False)
+
+
+def test_owner_ranks_a_server_by_what_the_others_measured():
+    """Guards against an owner that has to learn by itself that a server is slow."""
+    scenario = Scenario()
+    scenario.run(3, ServerLoad(4, 0, 150.0, 30))
+    assert scenario.router.loads.latency_ms(scenario.pool) == 150.0
+    scenario = Scenario(has_relays=False)
+    scenario.run(3, ServerLoad(4, 0, 150.0, 30))
+    assert scenario.router.loads.latency_ms(scenario.pool) == scenario.pool.health.latency_ms
+
+
+def test_failures_of_a_server_that_is_not_used_count_less_from_second_to_second():
+    """Guards against a server with partial failures that gets no work after its recovery."""
+    shares = {}
+    for has_relays in (True, False):
+        scenario = Scenario(has_relays)
+        scenario.pool.health.record_failure(scenario.clock.now_ms())
+        for _ in range(10):
+            scenario.pool.health.record_statement(False)
+        before = scenario.router.loads.failed_share(scenario.pool)
+        scenario.run(40)
+        shares[has_relays] = scenario.router.loads.failed_share(scenario.pool) / before
+    assert shares[True] <= 1 / 8
+    assert shares[False] == 1
