Keep the allotment of a primary whose entry expired, and limit new pools at once

Cause: the entry made from a primary's record has one slot, so that during a store outage an owner could have had one statement in flight at it; and a new pool was not limited until the next tick. Change: the slots of the last entry count; a server that was never registered is limited by its connections alone; a new pool begins with one statement in flight.

--- a/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
@@ -80,6 +80,7 @@
         if pool is None:
             pool = ServerPool(entry, self.codec, self._clock, self._metrics)
             self._set_limit(pool)
+            self.loads.limit(pool)
             self._pools[server_id] = pool
         pool.entry = entry
         return pool
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_server_loads.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_server_loads.py
@@ -38,6 +38,7 @@
         self._enabled = enabled
         self._ticked_ms = NEVER_MS
         self._latencies: dict[str, SharedLatency] = {}
+        self._slots: dict[str, int] = {}  # as last registered
         # Returns the names of the owners that serve a group; ``None`` for every live owner.
         self.group_owners: GroupOwners | None = None
 
@@ -50,6 +51,11 @@
         self._ticked_ms = now_ms
         loads = {}
         latencies, self._latencies = self._latencies, {}
+        registered = self._view.registry.servers
+        pools = list(pools)
+        kept = {pool.entry.server_id for pool in pools} & self._slots.keys()
+        self._slots = {name: self._slots[name] for name in kept}
+        self._slots.update({name: entry.slots for name, entry in registered.items()})
         for pool in pools:
             load = pool.meter.sample(pool.in_flight, pool.waiting, now_ms)
             if load is not None:
@@ -62,18 +68,27 @@
             latency.update(recent, now_ms)
         self._view.server_loads = loads
 
+    def limit(self, pool: ServerPool) -> None:
+        """Let a pool have one statement in flight until its allotment is computed."""
+        server_id = pool.entry.server_id
+        is_known = server_id in self._slots or server_id in self._view.registry.servers
+        if self._enabled and is_known and pool.allotment is None:
+            pool.allotment = SlotAllotment(self._view.host, server_id)
+
     def _allot(self, pool: ServerPool, reports: dict[str, OwnerReport], now_ms: int) -> None:
-        if pool.allotment is None:
-            pool.allotment = SlotAllotment(self._view.host, pool.entry.server_id)
+        slots = self._slots.get(pool.entry.server_id)
+        if slots is None:
+            return  # known from a primary record only, which doesn't tell its slots
+        self.limit(pool)
         allotment = pool.allotment
         was_bounded = allotment.is_bounded
-        allotment.update(reports, pool.entry.slots, now_ms)
+        allotment.update(reports, slots, now_ms)
         if allotment.is_bounded != was_bounded:
             self._log.event(
                 "server_allotment_bounded",
                 server=pool.entry.server_id,
                 group=pool.entry.group,
-                slots=pool.entry.slots,
+                slots=slots,
                 bounded=allotment.is_bounded,
                 in_flight=sum(r.load.in_flight for r in reports.values() if r.load),
             )
--- a/packages/figcrank-transport/tests/test_server_loads.py
+++ b/packages/figcrank-transport/tests/test_server_loads.py
@@ -1,7 +1,12 @@
 """Owners of a fleet with relays report their loads and share the slots of each server."""
 
 from figcrank.coordination.fleet import FleetView
-from figcrank.protocol.heartbeats import Heartbeat, HeartbeatExtension, ServerLoad
+from figcrank.protocol.heartbeats import (
+    Heartbeat,
+    HeartbeatExtension,
+    PrimaryRecord,
+    ServerLoad,
+)
 from figcrank.state import ManualClock
 from figcrank.state._catalog import Catalog, GroupPolicy, Registry, ServerEntry
 from figcrank.transport.streams._log import EventLog
@@ -134,7 +139,6 @@
     gauges = scenario.router.loads.gauges(scenario.router.pools())
     assert gauges == {'server_allotment{server="s1"}': 1}
     scenario.view.registry = Registry(2, {"s1": _with_slots(40)})
-    scenario.router.pool("s1")
     for _ in range(3):
         scenario.pool.meter.record_rejection()
         scenario.run(6, ServerLoad(6, 9))
@@ -169,3 +173,35 @@
         shares[has_relays] = scenario.router.loads.failed_share(scenario.pool) / before
     assert shares[True] <= 1 / 8
     assert shares[False] == 1
+
+
+def test_primary_whose_entry_expired_keeps_the_allotment_by_its_slots():
+    """Guards against one statement in flight at a primary while the store is unavailable.
+
+    The entry made from the primary's record has one slot, as the record doesn't tell their number.
+    """
+    scenario = Scenario()
+    scenario.view.merge_primary("g", PrimaryRecord(1, 1, "s1", address=ENTRY.address), 0)
+    scenario.use(9)
+    scenario.run(6)
+    scenario.view.registry = Registry(2, {})
+    scenario.run(6)
+    assert scenario.pool.entry.slots == 1
+    assert scenario.pool.max_in_flight == 7
+
+
+def test_primary_that_was_never_registered_is_limited_by_its_connections_alone():
+    scenario = Scenario()
+    scenario.view.registry = Registry(2, {})
+    scenario.view.merge_primary("g", PrimaryRecord(1, 1, "s0", address="10.1.0.2:80"), 0)
+    scenario.run(6)
+    pool = scenario.router.pool("s0")
+    assert pool.max_in_flight == pool.limit == 27
+
+
+def test_new_pool_has_one_statement_in_flight_until_its_allotment_is_computed():
+    """Guards against a started owner that uses its whole connection limit until its first tick."""
+    scenario = Scenario()
+    assert scenario.pool.max_in_flight == 1
+    pool = Scenario(has_relays=False).pool
+    assert pool.max_in_flight == pool.limit == 54
