--- a/packages/figcrank-transport/tests/test_statement_runner.py
+++ b/packages/figcrank-transport/tests/test_statement_runner.py
@@ -84,6 +84,8 @@
         self.lease = True
         self.lease_returns_ms = None
         self.replaced = False
+        self.cold_allowance = 99
+        self.admitted = []
         self._pool = pool
         self._clock = clock
 
@@ -98,6 +100,8 @@
         return not self.replaced
 
     def await_primary(self, _group, _deadline_ms):
+        if self.cold_allowance == 0 and self.admitted:
+            raise OpenError(SessionFailure.BUSY, "server s1 has just started")
         if not self.primary_usable("g"):
             raise OpenError(SessionFailure.BUSY, "the primary is no_lease")
         return self._pool
@@ -108,11 +112,18 @@
     def observe_reply(self, _pool, _sent_ms, _reply):
         pass
 
-    def admit_to_cold(self, _pool):
+    def admit_to_cold(self, pool):
+        if self.cold_allowance == 0:
+            return False
+        self.cold_allowance -= 1
+        self.admitted.append(pool)
         return True
 
-    def record_at_cold(self, _pool):
-        pass
+    def record_at_cold(self, pool):
+        self.admitted.append(pool)
+
+    def read_pools(self, _route, _last_commit, _workspace, _tried):
+        return [(self._pool, None)] if self.cold_allowance else []
 
 
 class Session:
@@ -220,3 +231,33 @@
     assert runner.run_in_transaction(Session(), WRITE, transaction).failure is None
     assert runner.commit(Session(), COMMIT, transaction).failure is None
     assert connection.sent == ["SET v 1", "WRITE 1 x", "COMMIT"]
+    # Both statements count at a cold server.
+    assert scenario.router.admitted == [pool, pool]
+
+
+def test_write_counts_at_a_cold_server_and_is_refused_beyond_what_it_bears(scenario):
+    """Guards against writes that pass by the limit of a cold primary."""
+    scenario.router.cold_allowance = 1
+    assert scenario.write().failure is None
+    assert scenario.write().failure is SessionFailure.BUSY
+    assert scenario.connection.sent == ["SET v 1", "WRITE 1 x"]
+    assert scenario.router.admitted == [scenario.pool]
+
+
+def test_read_is_not_sent_to_a_server_that_became_exhausted_while_it_waited(scenario):
+    """Guards against reads that wait for a connection and are all sent in one second."""
+    router = scenario.router
+    bounded = replace(ROUTE, mode=ReadMode.BOUNDED)
+    refused = []
+
+    def admit(pool):
+        refused.append(pool)
+        router.cold_allowance = 0
+        router.admitted.append(pool)
+        return False
+
+    router.admit_to_cold = admit
+    read = Statement(Request("3", Verb.READ, "READ 1"), False)
+    assert scenario.runner.run_single(Session(), read, bounded, "w").failure is SessionFailure.BUSY
+    assert refused == [scenario.pool]
+    assert scenario.connection.sent == []
