--- a/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
@@ -105,6 +105,7 @@
         if pool is None:
             pool = ServerPool(entry, self.codec, self._clock, self._metrics, self._log)
             self._set_limit(pool)
+            self.loads.limit(pool)
             self._pools[server_id] = pool
             pool.may_send = lambda: self.may_send_to(pool.entry)
         pool.entry = entry
@@ -267,7 +268,8 @@
                 continue
             pools[entry.server_id] = (pool, None if at_primary else min_position)
             candidates.append(self._candidate(pool, at_primary, demand))
-        return self.guard.prefer_open([pools[found.server_id] for found in rank(candidates)])
+        ranked = self.loads.order(rank(candidates))
+        return self.guard.prefer_open([pools[found.server_id] for found in ranked])
 
     def entries_of(self, group: str) -> list[ServerEntry]:
         """Return the servers of a group, including those with an expired registration."""
@@ -303,13 +305,13 @@
         entry = pool.entry
         return Candidate(
             entry.server_id,
-            pool.health.latency_ms,
+            self.loads.latency_ms(pool),
             pool.busy,
             pool.expected_wait_ms(demand),
             entry.slots,
             entry.availability_zone == self._zone,
             pool.has_idle(demand.workspace),
-            pool.health.failed_share,
+            self.loads.failed_share(pool),
             at_primary,
             self.cold.ranks_lower(pool),
         )
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_server_loads.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_server_loads.py
@@ -1,15 +1,24 @@
 """Exchange of the owners' loads on servers, and the allotments that follow from them."""
 
+import random
 from collections.abc import Iterable
 
 from figcrank.coordination.fleet import FleetView
-from figcrank.coordination.placement import OwnerReport, SlotAllotment
+from figcrank.coordination.placement import (
+    Candidate,
+    OwnerReport,
+    SharedLatency,
+    SlotAllotment,
+    choose_between_best,
+    remaining_share,
+)
 from figcrank.protocol.heartbeats import NEVER_MS, ServerLoad
 from figcrank.state._clock import Clock
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._pool import ServerPool
 
 INTERVAL_MS = 90  # ticks come every 100 ms, and besides when a primary or the registry changes
+RECENT_MS = 1_200  # as long as a silent owner's share is kept
 
 
 class ServerLoads:
@@ -27,6 +36,8 @@
         self._clock = clock
         self._log = log
         self._ticked_ms = NEVER_MS
+        self._latencies: dict[str, SharedLatency] = {}
+        self._slots: dict[str, int] = {}  # as last registered
 
     def tick(self, pools: Iterable[ServerPool]) -> None:
         """Publish this host's loads and update the allotments; called every 100 ms or sooner."""
@@ -39,31 +50,54 @@
             self._clear(pools)
             return
         loads = {}
+        latencies, self._latencies = self._latencies, {}
+        registered = self._view.registry.servers
+        pools = list(pools)
+        kept = {pool.entry.server_id for pool in pools} & self._slots.keys()
+        self._slots = {name: self._slots[name] for name in kept}
+        self._slots.update({name: entry.slots for name, entry in registered.items()})
         for pool in pools:
             load = pool.meter.sample(pool.in_flight, pool.waiting, now_ms)
             if load is not None:
                 loads[pool.entry.server_id] = load
-            self._allot(pool, load or ServerLoad(), now_ms)
+            server_id = pool.entry.server_id
+            reports = self.reports(server_id, pool.entry.group, load or ServerLoad(), now_ms)
+            self._allot(pool, reports, now_ms)
+            latency = self._latencies[server_id] = latencies.get(server_id) or SharedLatency()
+            recent = [r.load for r in reports.values() if r.load and r.age_ms <= RECENT_MS]
+            latency.update(recent, now_ms)
         self._view.server_loads = loads
 
     def _clear(self, pools: Iterable[ServerPool]) -> None:
         self._view.server_loads = {}
+        self._latencies = {}
         for pool in pools:
             pool.allotment = None
 
-    def _allot(self, pool: ServerPool, load: ServerLoad, now_ms: int) -> None:
-        if pool.allotment is None:
-            pool.allotment = SlotAllotment(self._view.host, pool.entry.server_id)
+    def _shares_load(self) -> bool:
+        return self._view.ownership.has_relays(self._clock.now_ms())
+
+    def limit(self, pool: ServerPool) -> None:
+        """Let a pool have one statement in flight until its allotment is computed."""
+        server_id = pool.entry.server_id
+        is_known = server_id in self._slots or server_id in self._view.registry.servers
+        if self._shares_load() and is_known and pool.allotment is None:
+            pool.allotment = SlotAllotment(self._view.host, server_id)
+
+    def _allot(self, pool: ServerPool, reports: dict[str, OwnerReport], now_ms: int) -> None:
+        slots = self._slots.get(pool.entry.server_id)
+        if slots is None:
+            return  # known from a primary record only, which doesn't tell its slots
+        self.limit(pool)
         allotment = pool.allotment
         was_bounded = allotment.is_bounded
-        reports = self.reports(pool.entry.server_id, pool.entry.group, load, now_ms)
-        allotment.update(reports, pool.entry.slots, now_ms)
+        allotment.update(reports, slots, now_ms)
         if allotment.is_bounded != was_bounded:
             self._log.event(
                 "server_allotment_bounded",
                 server=pool.entry.server_id,
                 group=pool.entry.group,
-                slots=pool.entry.slots,
+                slots=slots,
                 bounded=allotment.is_bounded,
                 in_flight=sum(r.load.in_flight for r in reports.values() if r.load),
             )
@@ -86,6 +120,27 @@
             reports[peer.name] = OwnerReport(load, now_ms - peer.received_ms)
         return reports
 
+    def latency_ms(self, pool: ServerPool) -> float:
+        """Return a server's expected response time, by all owners' figures if there are any."""
+        shared = self._latencies.get(pool.entry.server_id)
+        latency_ms = shared.latency_ms(self._clock.now_ms()) if shared else None
+        return pool.health.latency_ms if latency_ms is None else latency_ms
+
+    def failed_share(self, pool: ServerPool) -> float:
+        """Return the share of recent statements that failed at a server.
+
+        It counts less from second to second, since a server that failed is not used and so can't
+        show that it works again.
+        """
+        share = pool.health.failed_share
+        if not self._shares_load():
+            return share
+        return share * remaining_share(self._clock.now_ms() - pool.health.last_result_ms)
+
+    def order(self, ranked: list[Candidate]) -> list[Candidate]:
+        """Return the candidates for a read in the order in which they are tried."""
+        return choose_between_best(ranked, random.random()) if self._shares_load() else ranked
+
     @staticmethod
     def gauges(pools: Iterable[ServerPool]) -> dict[str, float]:
         """Return the allotment at each server."""
--- a/packages/figcrank-transport/tests/test_statement_runner.py
+++ b/packages/figcrank-transport/tests/test_statement_runner.py
@@ -99,6 +99,8 @@
         self.lease_returns_ms = None
         self.replaced = False
         self.evacuated = False
+        self.cold_allowance = 99
+        self.admitted = []
         self._pool = pool
         self._clock = clock
 
@@ -118,6 +120,8 @@
     def await_primary(self, _group, _deadline_ms, _arrived_ms):
         if self.evacuated:
             raise OpenError(SessionFailure.BUSY, refusal_detail("zone-a", can_switch=False))
+        if self.cold_allowance == 0 and self.admitted:
+            raise OpenError(SessionFailure.BUSY, "server s1 has just started")
         if not self.primary_usable("g"):
             raise OpenError(SessionFailure.BUSY, "the primary is no_lease")
         return self._pool
@@ -131,11 +135,18 @@
     def discard_failed_connection(self, pool, connection):
         pool.discard(connection)
 
-    def admit_to_cold(self, _pool):
+    def admit_to_cold(self, pool):
+        if self.cold_allowance == 0:
+            return False
+        self.cold_allowance -= 1
+        self.admitted.append(pool)
         return True
 
-    def record_at_cold(self, _pool):
-        pass
+    def record_at_cold(self, pool):
+        self.admitted.append(pool)
+
+    def read_pools(self, _route, _last_commit, _workspace, _tried):
+        return [(self._pool, None)] if self.cold_allowance else []
 
     def may_send_to(self, _entry):
         return not self.evacuated
@@ -302,6 +313,8 @@
     assert runner.run_in_transaction(Session(), WRITE, transaction).failure is None
     assert runner.commit(Session(), COMMIT, transaction).failure is None
     assert connection.sent == ["SET v 1", "WRITE 1 x", "COMMIT"]
+    # Both statements count at a cold server.
+    assert scenario.router.admitted == [pool, pool]
 
 
 def test_write_is_refused_if_the_zone_was_evacuated_while_the_connection_was_prepared(scenario):
@@ -328,3 +341,31 @@
     assert answer.failure is SessionFailure.ABORTED
     assert scenario.connection.sent == ["SET v 1"]
     assert transaction.failed and scenario.connection.closed
+
+
+def test_write_counts_at_a_cold_server_and_is_refused_beyond_what_it_bears(scenario):
+    """Guards against writes that pass by the limit of a cold primary."""
+    scenario.router.cold_allowance = 1
+    assert scenario.write().failure is None
+    assert scenario.write().failure is SessionFailure.BUSY
+    assert scenario.connection.sent == ["SET v 1", "WRITE 1 x"]
+    assert scenario.router.admitted == [scenario.pool]
+
+
+def test_read_is_not_sent_to_a_server_that_became_exhausted_while_it_waited(scenario):
+    """Guards against reads that wait for a connection and are all sent in one second."""
+    router = scenario.router
+    bounded = replace(ROUTE, mode=ReadMode.BOUNDED)
+    refused = []
+
+    def admit(pool):
+        refused.append(pool)
+        router.cold_allowance = 0
+        router.admitted.append(pool)
+        return False
+
+    router.admit_to_cold = admit
+    read = Statement(Request("3", Verb.READ, "READ 1"), False)
+    assert scenario.runner.run_single(Session(), read, bounded, "w").failure is SessionFailure.BUSY
+    assert refused == [scenario.pool]
+    assert scenario.connection.sent == []
