Test a router's limits in fleets with relays

Cause: nothing failed if a router ignored the limits of group owners, or kept idle connections beyond one. Change: tests of both, and the names of groups are sorted once for each configuration.

--- a/packages/figcrank-coordination/src/figcrank/coordination/fleet/_group_ownership.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/fleet/_group_ownership.py
@@ -15,6 +15,7 @@
 )
 from figcrank.protocol.heartbeats import NEVER_MS
 from figcrank.protocol.owners import Owner
+from figcrank.state._catalog import Catalog
 
 if TYPE_CHECKING:
     from figcrank.coordination.fleet._view import FleetView
@@ -35,6 +36,8 @@
         self._view = view
         self.regions: Mapping[str, str] = {}
         self._relay_seen_ms = NEVER_MS
+        self._catalog: Catalog | None = None  # the one that the names of groups were taken from
+        self._sorted_groups: tuple[str, ...] = ()
         self._assigned: dict[tuple[tuple[str, ...], tuple[str, ...]], Assignment] = {}
 
     def record_relay(self, now_ms: int) -> None:
@@ -62,13 +65,10 @@
 
         :returns: an empty dictionary in fleets without relays.
         """
-        return self._assignments(now_ms, self._live_owners(now_ms))
-
-    def _assignments(self, now_ms: int, live_owners: list[Owner]) -> dict[str, Assignment]:
         if not self.has_relays(now_ms):
             return {}
         names: dict[str, list[str]] = {}
-        for owner in live_owners:
+        for owner in self._live_owners(now_ms):
             names.setdefault(owner.availability_zone, []).append(owner.name)
         groups = self._groups()
         return {zone: self._assign(groups, owners) for zone, owners in sorted(names.items())}
@@ -104,14 +104,20 @@
         if not self.has_relays(now_ms):
             return None
         counts = self._counts()
-        half_shares = 0
-        for with_leaving in (False, True):
-            owners = self._live_owners(now_ms, with_leaving)
-            zone = self._assignments(now_ms, owners).get(self._view.itself.availability_zone, {})
-            half_shares += zone.get(group, ("",))[0] == self._view.host
+        half_shares = sum(
+            self._serves(group, self._live_owners(now_ms, with_leaving))
+            for with_leaving in (False, True)
+        )
         quota = group_connection_quota(max_connections, counts, half_shares)
         return quota, max_retained_group_connections(quota, counts.zones)
 
+    def _serves(self, group: str, live_owners: list[Owner]) -> bool:
+        """Return whether this host would be the group owner of its zone among some owners."""
+        zone = self._view.itself.availability_zone
+        names = [owner.name for owner in live_owners if owner.availability_zone == zone]
+        order = self._assign(self._groups(), names).get(group)
+        return order is not None and order[0] == self._view.host
+
     def _counts(self) -> OwnerCounts:
         earlier = [peer for peer in self._view.peers.all() if _is_earlier(peer)]
         zones = {peer.availability_zone for peer in self._view.peers.all() if not _is_earlier(peer)}
@@ -129,9 +135,11 @@
 
     def _groups(self) -> tuple[str, ...]:
         catalog = self._view.catalog
-        if catalog is None:
-            return ()
-        return tuple(sorted({*catalog.groups, *(r.group for r in catalog.routes.values())}))
+        if catalog is not self._catalog:
+            self._catalog = catalog
+            routed = {route.group for route in catalog.routes.values()}
+            self._sorted_groups = tuple(sorted(routed | catalog.groups.keys()))
+        return self._sorted_groups
 
     def _assign(self, groups: tuple[str, ...], owners: list[str]) -> Assignment:
         key = groups, tuple(sorted(owners))
--- a/packages/figcrank-transport/tests/test_router.py
+++ b/packages/figcrank-transport/tests/test_router.py
@@ -1,7 +1,8 @@
 from figcrank.coordination.fleet import FleetView
-from figcrank.protocol.heartbeats import PrimaryRecord
+from figcrank.protocol.heartbeats import Heartbeat, PrimaryRecord
+from figcrank.protocol.owners import Owner
 from figcrank.state import ManualClock, revision_of
-from figcrank.state._catalog import Registry, ServerEntry
+from figcrank.state._catalog import Catalog, GroupPolicy, Registry, ServerEntry
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._metrics import Metrics
 from figcrank.transport.streams._router import UNREGISTERED_GRACE_MS, Router
@@ -71,3 +72,55 @@
     pool._opening["w"] = 0
     scenario.router.tick()
     assert scenario.view.quiesced_groups == {"g"}
+
+
+class FakeConnection:
+    """An idle connection to a server."""
+
+    def __init__(self, workspace):
+        self.workspace = workspace
+        self.closed = False
+
+    def close(self):
+        self.closed = True
+
+
+def limited(scenario, max_connections=30, owners=6):
+    """Give the router's host further owners of two zones, of which it serves no group or one."""
+    scenario.view.itself = Owner("a", ("10.0.0.1", 7000), "zone-a")
+    policy = GroupPolicy("g", max_connections, 0)
+    scenario.view.adopt_catalog(Catalog(1, groups={"g": policy}), 0)
+    for number in range(2, owners + 1):
+        address = (f"10.0.0.{number}", 7000)
+        scenario.view.peers.register(f"h{number}", address, 0, "zone-a" if number % 2 else "zone-b")
+        scenario.view.receive(Heartbeat(f"h{number}", number, 1), address, 0)
+    scenario.router.tick()
+    return scenario.router.pool("s1")
+
+
+def test_host_of_a_fleet_without_relays_keeps_an_equal_part_of_the_connections():
+    pool = limited(Scenario())
+    assert (pool.limit, pool.max_retained) == (4, 2)  # (30 - 2) / 6 and half of it
+
+
+def test_host_of_a_fleet_with_relays_gets_connections_by_the_groups_that_it_serves():
+    scenario = Scenario()
+    pool = limited(scenario)
+    scenario.view.ownership.record_relay(0)
+    scenario.router.tick()
+    serves_group = "a" in scenario.view.group_owners("g", 0)
+    assert pool.limit == (12 if serves_group else 1)  # (30 - 2 - 4) / 2
+
+
+def test_idle_connections_beyond_a_lowered_limit_are_closed():
+    """Guards against an owner whose idle connections keep the group owner from its share."""
+    scenario = Scenario()
+    pool = limited(scenario)
+    pool._idle = idle = [FakeConnection(f"w{number}") for number in range(4)]
+    connections = list(idle)
+    scenario.view.leaving = True  # it serves no group, or takes part in one half
+    for number in range(3, 7, 2):
+        scenario.view.peers.by_address((f"10.0.0.{number}", 7000)).received_ms = 0
+    scenario.view.ownership.record_relay(0)
+    scenario.router.tick()
+    assert sum(not connection.closed for connection in connections) == pool.limit < 4
