Take over the seats of owners that are all gone for good

Cause: relays read the listing, but took no seat whose entry was still there, so a fleet whose owners were all gone served nobody until someone removed the entries by hand. A quiet relay took silent owners for usable, since only failed sessions told it otherwise. Change: a relay that finds no usable owner for 5 s, or gets no answer from any, queries all listed owners for 5 to 8 s and then replaces the entry of one in its zone under the condition of its revision. It waits 10 s longer if no host answers it, and until a new era is settled. An owner in a fleet with relays that hears no other one for 5 s checks its seat, and stops if it was taken over.

--- a/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
@@ -455,6 +455,13 @@
                 limit.forget(f"{known.name}/{known.heartbeat.boot_id}")
         return known
 
+    def record_replaced(self, address: tuple[str, int], now_ms: int) -> None:
+        """Announce that the seat of an owner that does not answer was taken over.
+
+        The owner still counts for leases and promotions, and stops when it learns of this.
+        """
+        self._removed_ms[address] = now_ms
+
     def was_removed(self, address: tuple[str, int]) -> bool:
         """Return whether a host was removed recently; peers may still list it."""
         return address in self._removed_ms
--- a/packages/figcrank-coordination/src/figcrank/coordination/owners/__init__.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/owners/__init__.py
@@ -16,3 +16,5 @@
 from figcrank.coordination.owners._seats import has_free_seat as has_free_seat
 from figcrank.coordination.owners._seats import is_listed as is_listed
 from figcrank.coordination.owners._seats import seats_per_zone as seats_per_zone
+from figcrank.coordination.owners._takeover import LostOwners as LostOwners
+from figcrank.coordination.owners._takeover import seat_to_take_over as seat_to_take_over
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_membership.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_membership.py
@@ -6,7 +6,15 @@
 import eventlet
 
 from figcrank.coordination.fleet import FleetView
-from figcrank.coordination.owners import HostRole, Seat, choose_seat, has_free_seat, is_listed
+from figcrank.coordination.owners import (
+    HostRole,
+    LostOwners,
+    Seat,
+    choose_seat,
+    has_free_seat,
+    is_listed,
+    seat_to_take_over,
+)
 from figcrank.coordination.peers import REMOVAL_CANDIDATE_MS, Peer
 from figcrank.protocol.heartbeats import NEVER_MS
 from figcrank.protocol.owners import Owner, SeatEntry
@@ -32,6 +40,12 @@
 # For this time after a new era, the listing may lack live owners and name removed ones.
 NEW_ERA_SETTLING_MS = LISTING_INTERVAL_MS
 OWNERS_LOST_MS = 5_000  # without a usable owner, a relay reads the listing itself
+# If no owner in the listing answers, relays query all of them for this time, and then take over
+# their seats at different times. Owners that restart together are back within this time.
+TAKEOVER_WAIT_MS = 5_000
+TAKEOVER_SPREAD_MS = 3_000
+# A relay that no host answers at all is probably cut off itself, and waits for this time longer.
+TAKEOVER_ALONE_MS = 10_000
 
 
 class Membership:
@@ -79,6 +93,9 @@
         self._registered_ms = NEVER_MS
         self._seat_attempt_ms: int | None = None
         self._usable_ms = clock.now_ms()
+        self._seed_ips: list[str] = []
+        self._lost: LostOwners | None = None
+        self._alone_ms: int | None = None  # since when this owner hears no other one
         self._checked_era = 0
         self._era_check_ms: int | None = None
 
@@ -87,6 +104,7 @@
 
         :param seed_ips: hosts to ask for the owners first.
         """
+        self._seed_ips = seed_ips
         self.decide_role(seed_ips)
         while True:
             eventlet.sleep(CHECK_INTERVAL_MS / 1_000)
@@ -176,11 +194,20 @@
 
         :raises StoreError: if the store can't be read or written.
         """
-        if self._tracker.is_usable():
+        if self._lost is not None:
+            self._check_lost_owners(self._lost, now_ms)
+            return
+        # Without callers, nothing tells that the owners are gone but their missing answers.
+        answered = self._tracker.has_any_answered(now_ms - OWNERS_LOST_MS // 2)
+        if not answered:
+            self._tracker.query_all()
+        if answered and self._tracker.is_usable():
             self._usable_ms = now_ms
         elif now_ms - self._usable_ms >= OWNERS_LOST_MS:
             self._usable_ms = now_ms
             self._join()
+            if not self._view.is_owner:
+                self._begin_takeover(now_ms)
             return
         zone = self._itself.availability_zone
         if not has_free_seat(zone, self._tracker.owners(), self._seats):
@@ -191,6 +218,75 @@
             self._seat_attempt_ms = None
             self._join()
 
+    def _begin_takeover(self, now_ms: int) -> None:
+        """Query the listed owners; if none answers, their seats are taken over later."""
+        addresses = frozenset(owner.address for owner in self._tracker.owners())
+        wait_ms = TAKEOVER_WAIT_MS + int(random.uniform(0, TAKEOVER_SPREAD_MS))
+        self._lost = LostOwners(addresses, now_ms, now_ms + wait_ms)
+        self._query_known_hosts()
+
+    def _query_known_hosts(self) -> None:
+        self._tracker.query_all()
+        for ip in self._seed_ips:
+            self._tracker.query(ip)
+
+    def _check_lost_owners(self, lost: LostOwners, now_ms: int) -> None:
+        """Take over the seat of a lost owner when it is time, unless one of them has answered.
+
+        Relays go on while other ones have taken over seats: a single new owner could not remove
+        the entries of all the others.
+        """
+        answered = [a for a in lost.addresses if self._tracker.has_answered(a, lost.since_ms)]
+        if answered:
+            self._lost = None
+            return
+        alone_ms = 0 if self._tracker.has_heard(lost.since_ms) else TAKEOVER_ALONE_MS
+        is_settled = self._store.era_is_settled(now_ms, NEW_ERA_SETTLING_MS)
+        if now_ms < lost.attempt_ms + alone_ms or not is_settled:
+            self._query_known_hosts()
+            return
+        self._lost = None
+        entries = self._store.call("list_seats")
+        seat = seat_to_take_over(self._itself, entries, lost.addresses)
+        if seat is None:
+            self._tracker.update([entry.owner for entry in entries])
+            return
+        try:
+            self._store.call("take_seat", seat.name, self._itself, seat.replaced)
+            owners = [entry.owner for entry in self._store.call("list_seats")]
+        except StoreError as error:
+            if error.kind is not StoreErrorKind.CONFLICT:
+                raise
+            self._lost = lost  # another relay took it; try another one at the next check
+            return
+        self._view.record_replaced(seat.replaced.owner.address, now_ms)
+        self._log.event(
+            "seat_taken_over",
+            seat=seat.name,
+            owner=seat.replaced.owner.name,
+            silent_ms=now_ms - lost.since_ms,
+        )
+        self._become_owner(owners, "store")
+
+    def _check_while_alone(self, now_ms: int) -> None:
+        """Stop this owner if its seat was taken over while it heard no other owner."""
+        peers = self._view.peers
+        is_settled = self._store.era_is_settled(now_ms, NEW_ERA_SETTLING_MS)
+        has_relays = self._view.ownership.has_relays(now_ms)
+        if peers.live(now_ms) or not peers.all() or not (is_settled and has_relays):
+            self._alone_ms = None
+            return
+        if self._alone_ms is None:
+            self._alone_ms = now_ms
+        if now_ms - self._alone_ms < OWNERS_LOST_MS:
+            return
+        self._alone_ms = now_ms + LISTING_INTERVAL_MS - OWNERS_LOST_MS
+        entries = self._store.call("list_seats")
+        owners = [entry.owner for entry in entries]
+        is_taken = choose_seat(self._itself, entries, self._seats) is None
+        if is_taken and not is_listed(self._itself, owners):
+            self._become_relay(owners, "store")
+
     def check_hosts(self, now_ms: int) -> None:
         """Take a seat again if peers removed this owner; remove owners that are gone.
 
@@ -198,6 +294,7 @@
         """
         if self._link.is_removed and now_ms - self._registered_ms >= LISTING_INTERVAL_MS:
             self._join()
+        self._check_while_alone(now_ms)
         self._check_new_era(now_ms)
         if not self._store.era_is_settled(now_ms, NEW_ERA_SETTLING_MS):
             return
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_owner_tracker.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_owner_tracker.py
@@ -49,6 +49,7 @@
         self._answered_ms: dict[Address, int] = {}
         self._suspected_ms: dict[Address, int] = {}
         self._queried_ms = 0
+        self._heard_ms = 0
         self._changed = Event()
         self.seen_version = 0
         self.memory = OwnerMemory()
@@ -127,6 +128,23 @@
             self._send(RELAY_NOTICE, owner.address[0])
             self.query(owner.address[0])
 
+    def query_all(self) -> None:
+        """Ask every known owner for its status."""
+        for owner in self._directory.owners():
+            self.query(owner.address[0])
+
+    def has_answered(self, address: Address, since_ms: int) -> bool:
+        """Return whether an owner has answered a query or a request since a time."""
+        return self._answered_ms.get(address, since_ms) > since_ms
+
+    def has_any_answered(self, since_ms: int) -> bool:
+        """Return whether any owner has answered a query or a request since a time."""
+        return any(answered_ms > since_ms for answered_ms in self._answered_ms.values())
+
+    def has_heard(self, since_ms: int) -> bool:
+        """Return whether any host, owner or relay, has answered a query since a time."""
+        return self._heard_ms > since_ms
+
     def query(self, ip: str) -> None:
         """Ask a host for its status; the answer is processed when it arrives."""
         self._send(STATUS_QUERY, ip)
@@ -151,6 +169,7 @@
 
     def _receive(self, status: OwnerStatus, ip: str) -> None:
         now_ms = self._clock.now_ms()
+        self._heard_ms = now_ms
         is_owner = any(owner.address[0] == ip for owner in status.owners)
         if is_owner or not self._directory.owners():  # a relay's list may be outdated
             self._directory.update(status.owners)
--- a/packages/figcrank-transport/tests/test_membership.py
+++ b/packages/figcrank-transport/tests/test_membership.py
@@ -19,6 +19,9 @@
     NEW_ERA_CHECK_SPREAD_MS,
     NEW_ERA_SETTLING_MS,
     OWNERS_LOST_MS,
+    TAKEOVER_ALONE_MS,
+    TAKEOVER_SPREAD_MS,
+    TAKEOVER_WAIT_MS,
     Membership,
 )
 from figcrank.transport.streams._metrics import Metrics
@@ -86,6 +89,9 @@
     def __init__(self):
         self.known = []
         self.usable = True
+        self.heard = True  # another relay
+        self.answers = True
+        self.answering = set()
         self.queried = []
 
     def query(self, ip):
@@ -103,6 +109,18 @@
     def is_usable(self):
         return self.usable
 
+    def has_any_answered(self, since_ms):
+        return self.answers
+
+    def query_all(self):
+        pass
+
+    def has_answered(self, host_address, since_ms):
+        return host_address in self.answering
+
+    def has_heard(self, since_ms):
+        return self.heard or bool(self.answering)
+
     def announce_relay(self):
         self.announced = True
 
@@ -343,6 +361,120 @@
     assert owner(7) in scenario.tracker.known
 
 
+def lost(*known):
+    """Return a relay of zone 1, whose seat owner 7 holds, that finds no usable owner."""
+    scenario = relay(1, *known)
+    scenario.store.entries[1] = SeatEntry("zone-1.0", owner(7), 8)
+    scenario.tracker.usable = False
+    return scenario
+
+
+LOST_MS = OWNERS_LOST_MS + TAKEOVER_WAIT_MS + TAKEOVER_SPREAD_MS + 2_000
+
+
+def test_relay_takes_over_a_seat_of_its_zone_once_all_owners_are_gone_for_good():
+    """Guards against a fleet without owners until someone removes the entries by hand."""
+    scenario = lost(2, 3)
+    check_relay(scenario, OWNERS_LOST_MS + TAKEOVER_WAIT_MS - 1_000)
+    assert scenario.became == []
+    end_ms = scenario.clock.now_ms() + TAKEOVER_SPREAD_MS + 2_000
+    while not scenario.became and scenario.clock.now_ms() < end_ms:
+        check_relay(scenario, 1_000)
+    assert scenario.became == ["owner"]
+    assert scenario.store.entries[1].owner == scenario.view.itself
+    assert scenario.store.calls == ["list", "list", "take", "list"]
+    assert scenario.view.was_removed(address(7))  # which it learns from the heartbeats
+    assert scenario.view.removed_host_count() == 1  # and it still counts for leases
+
+
+def test_seats_are_taken_over_also_where_no_caller_has_met_the_lost_owners():
+    """Guards against a relay that takes silent owners for usable, as no session has failed."""
+    scenario = lost(2, 3)
+    scenario.tracker.usable, scenario.tracker.answers = True, False
+    check_relay(scenario, LOST_MS)
+    assert scenario.became == ["owner"]
+
+
+def test_no_seat_is_taken_over_while_an_owner_of_any_zone_answers():
+    """Guards against live owners that are stopped while they refuse sessions for a while."""
+    scenario = lost(2, 3)
+    check_relay(scenario, OWNERS_LOST_MS + 1_000)
+    scenario.tracker.answering = {address(3)}
+    check_relay(scenario, 3 * LOST_MS)
+    assert scenario.became == []
+
+
+def test_relay_that_hears_no_host_at_all_waits_longer():
+    """Guards against a relay that is cut off, and takes the seat of an owner that serves."""
+    scenario = lost(2, 3)
+    scenario.tracker.heard = False
+    check_relay(scenario, LOST_MS)
+    assert scenario.became == []
+    check_relay(scenario, TAKEOVER_ALONE_MS)
+    assert scenario.became == ["owner"]
+
+
+def test_seat_that_another_relay_has_taken_over_is_left_to_it():
+    scenario = lost(2, 3)
+    check_relay(scenario, OWNERS_LOST_MS + 1_000)
+    scenario.store.entries[1] = SeatEntry("zone-1.0", owner(8), 9)
+    check_relay(scenario, LOST_MS - OWNERS_LOST_MS)
+    assert scenario.became == []
+    assert owner(8) in scenario.tracker.known
+
+
+def test_relay_whose_write_came_too_late_tries_the_other_seats():
+    scenario = lost(2, 3)
+
+    def fail(_seat, _taker, _replaced):
+        scenario.store.entries[1] = SeatEntry("zone-1.0", owner(8), 9)
+        raise StoreError(StoreErrorKind.CONFLICT, "status 409")
+
+    scenario.store.take_seat = fail
+    check_relay(scenario, LOST_MS + 2_000)
+    assert scenario.became == []
+    assert owner(8) in scenario.tracker.known
+
+
+def test_no_seat_is_taken_over_shortly_after_a_new_era_of_the_store():
+    """Guards against the entries of a copy, which may name owners that left long ago."""
+    scenario = lost(2, 3)
+    scenario.reader.era_is_settled = lambda _now_ms, _for_ms: False
+    check_relay(scenario, 2 * LOST_MS)
+    assert scenario.became == []
+
+
+def alone(listed):
+    """Return an owner of a fleet with relays that hears no other owner."""
+    scenario = Scenario(alive=(), listed=listed)
+    scenario.view.ownership.record_relay(0)
+    return scenario
+
+
+def test_owner_that_hears_no_other_stops_if_its_seat_was_taken_over():
+    """Guards against an owner that comes back alone and serves beside those that replaced it."""
+    scenario = alone(listed=(2, 3, 4))
+    scenario.store.entries[1] = SeatEntry("zone-1.0", owner(7), 8)
+    for _ in range(OWNERS_LOST_MS // 1_000 + 1):
+        scenario.wait(1_000)
+    assert scenario.became == ["stopped"]
+
+
+def test_owner_that_hears_no_other_goes_on_while_it_has_its_seat():
+    scenario = alone(listed=(1, 2, 3, 4))
+    for _ in range(14):
+        scenario.wait(1_000)
+    assert scenario.became == []
+    assert scenario.store.calls == ["list"]
+
+
+def test_owner_of_a_fleet_without_relays_does_not_check_its_seat():
+    scenario = Scenario(alive=())
+    for _ in range(14):
+        scenario.wait(1_000)
+    assert scenario.store.calls == []
+
+
 def test_owner_whose_seat_another_host_holds_stops():
     scenario = Scenario(alive=(2, 3, 4), listed=(2, 3, 4))
     scenario.store.entries[1] = SeatEntry("zone-1.0", owner(7), 8)
