--- a/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
@@ -271,6 +271,20 @@
         ranked = self.loads.order(rank(candidates))
         return self.guard.prefer_open([pools[found.server_id] for found in ranked])
 
+    def must_leave(
+        self,
+        pool: ServerPool,
+        route: DatabaseRoute,
+        last_commit: Position | None,
+        demand: Demand,
+        tried: set[str],
+    ) -> bool:
+        """Return whether a read goes elsewhere, as the zone was evacuated while it waited."""
+        if self.guard.is_open(pool.entry):
+            return False
+        preferred = self.read_pools(route, last_commit, demand, tried)
+        return bool(preferred) and all(other is not pool for other, _ in preferred)
+
     def entries_of(self, group: str) -> list[ServerEntry]:
         """Return the servers of a group, including those with an expired registration."""
         known = {entry.server_id: entry for entry in self.view.registry.of_group(group)}
--- a/packages/figcrank-transport/tests/test_acquirer.py
+++ b/packages/figcrank-transport/tests/test_acquirer.py
@@ -93,6 +93,9 @@
     def await_evacuations(self):
         pass
 
+    def must_leave(self, _pool, _route, _last_commit, _demand, _tried):
+        return False
+
     def may_send_to(self, _entry):
         return True
 
--- a/packages/figcrank-transport/tests/test_statement_runner.py
+++ b/packages/figcrank-transport/tests/test_statement_runner.py
@@ -148,6 +148,9 @@
     def read_pools(self, _route, _last_commit, _workspace, _tried):
         return [(self._pool, None)] if self.cold_allowance else []
 
+    def must_leave(self, _pool, _route, _last_commit, _demand, _tried):
+        return False
+
     def may_send_to(self, _entry):
         return not self.evacuated
 
