Let distant owners have in flight what is on the way, and pause after rejected connections

After a loss of power on lcp, servers reset 3,629 connections over their limit (168 before), as each waiting statement opened one again every 25 ms. Change: a share is multiplied by how much longer an owner's replies take than the nearest owner's, from 20 ms on; after a rejection for the connection limit a host holds what it has for 300 ms.

--- a/packages/figcrank-coordination/src/figcrank/coordination/placement/__init__.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/placement/__init__.py
@@ -6,6 +6,9 @@
 from figcrank.coordination.placement._cold_servers import ColdServers as ColdServers
 from figcrank.coordination.placement._cold_servers import cold_share as cold_share
 from figcrank.coordination.placement._concurrency import ConcurrencyLimit as ConcurrencyLimit
+from figcrank.coordination.placement._connection_backoff import (
+    ConnectionBackoff as ConnectionBackoff,
+)
 from figcrank.coordination.placement._connections import OwnerCounts as OwnerCounts
 from figcrank.coordination.placement._connections import Waiter as Waiter
 from figcrank.coordination.placement._connections import connection_quota as connection_quota
--- a/packages/figcrank-coordination/src/figcrank/coordination/placement/_allotment.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/placement/_allotment.py
@@ -20,6 +20,7 @@
 
 from figcrank.coordination.placement._rendezvous import rendezvous_order
 from figcrank.coordination.placement._slot_guard import SlotGuard
+from figcrank.coordination.placement._travel import TravelFactor
 from figcrank.protocol.heartbeats import ServerLoad
 
 IN_FLIGHT_PER_SLOT = 1.5
@@ -79,6 +80,7 @@
         self._owner = owner
         self._server_id = server_id
         self._guard = SlotGuard()
+        self._travel = TravelFactor()
         self._updated_ms: int | None = None
         self._demands: deque[tuple[int, int]] = deque()  # own ones, with their times
         self._resumed_ms = 0
@@ -104,6 +106,7 @@
         demands[self._owner] = min(demand for _, demand in self._demands)
         order = rendezvous_order(self._server_id, counted)
         self._share = share_slots(total, demands, order)[self._owner]
+        self._travel.update(reports[self._owner].load, known)
 
     @property
     def is_bounded(self) -> bool:
@@ -114,7 +117,7 @@
         """Return how many statements and new connections this owner may have in flight."""
         if self._is_stale(now_ms) or now_ms - self._resumed_ms < RAISE_DELAY_MS:
             return MIN_SHARE
-        return self._share
+        return math.floor(self._share * self._travel.factor)
 
     def _is_stale(self, now_ms: int) -> bool:
         return self._updated_ms is None or now_ms - self._updated_ms > STALE_MS
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_pool.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_pool.py
@@ -5,6 +5,7 @@
 from figcrank.coordination.admission import Demand
 from figcrank.coordination.placement import (
     ConcurrencyLimit,
+    ConnectionBackoff,
     LoadMeter,
     ServerHealth,
     SlotAllotment,
@@ -56,7 +57,8 @@
     ) -> None:
         self.entry = entry
         self.health = ServerHealth()
-        self.limit = 1
+        self.quota = 1  # connections that this host may hold
+        self._limited = ConnectionBackoff()
         self.max_retained = 1  # connections above which idle ones are closed
         self.position: Position | None = None
         self.lagging_until_ms = 0
@@ -76,6 +78,15 @@
         self.allotment: SlotAllotment | None = None  # in fleets with relays
         self.may_send: Callable[[], bool] = _always
 
+    @property
+    def limit(self) -> int:
+        """Return the number of connections that this host may hold now."""
+        return self._limited.max_connections(self.quota, self._clock.now_ms())
+
+    @limit.setter
+    def limit(self, quota: int) -> None:
+        self.quota = quota
+
     @property
     def busy(self) -> int:
         """Return the number of connections in use or being opened."""
@@ -210,6 +221,8 @@
             self._metrics.count("server_connections", result=error.failure.name.lower())
             if error.failure is SessionFailure.BUSY:
                 self.record_rejection()
+            if error.failure is SessionFailure.CONNECTION_LIMIT:
+                self._limited.record(self.connection_count - 1, self._clock.now_ms())
             if error.failure in (SessionFailure.UNREACHABLE, SessionFailure.WRONG_SERVER):
                 refused = error.refused or error.failure is SessionFailure.WRONG_SERVER
                 self.health.record_failure(self._clock.now_ms(), refused)
