Rank servers of other regions behind those of the region

The shared mean of a server's response time mixed owners of both regions, and a latency that was not measured for some seconds fades, so that each owner tried a server of the other region every few seconds. Change: only owners of the same region count in the mean; a server of another region costs 50 ms more in the ranking.

--- a/packages/figcrank-coordination/src/figcrank/coordination/placement/_ranking.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/placement/_ranking.py
@@ -8,6 +8,9 @@
 from dataclasses import dataclass
 
 CONNECT_COST_MS = 15.0  # a new connection occupies a slot for 12 ms and takes a round trip
+# A round trip between regions, and traffic at four times the price of that between zones. A latency
+# that was measured some seconds ago counts less and less, so that it does not tell the distance.
+REGION_COST_MS = 50.0
 ZONE_COST_MS = 4.0  # a round trip between availability zones, and the price of the traffic
 FAILURE_COST_MS = 400.0  # a failed read costs its own time and the time of the retry
 
@@ -30,6 +33,7 @@
     :param failed_share: share of its recent statements that failed.
     :param is_primary: whether it is the group's primary, the only server for writes.
     :param cold: whether it is slow because it started a short time ago.
+    :param same_region: whether it is in this host's region.
     """
 
     server_id: str
@@ -42,6 +46,7 @@
     failed_share: float
     is_primary: bool
     cold: bool = False
+    same_region: bool = True
 
 
 PRIMARY_COST_MS = 12.0  # keeps the primary's slots free for writes while replicas have capacity
@@ -75,6 +80,7 @@
     cost = candidate.latency_ms * (1.0 + load) + candidate.wait_ms
     cost += 0.0 if candidate.connected else CONNECT_COST_MS
     cost += 0.0 if candidate.same_zone else ZONE_COST_MS
+    cost += 0.0 if candidate.same_region else REGION_COST_MS
     cost += PRIMARY_COST_MS if candidate.is_primary else 0.0
     cost += FAILURE_COST_MS * candidate.failed_share
     return COLD_FACTOR * cost if candidate.cold else cost
--- a/packages/figcrank-coordination/tests/placement/test_ranking.py
+++ b/packages/figcrank-coordination/tests/placement/test_ranking.py
@@ -53,3 +53,16 @@
         health.record_failure(1_000, refused=True)
     assert health.usable(1_100)
     assert health.last_refused_ms == 1_000
+
+
+def test_server_of_the_region_is_preferred_to_an_idle_one_of_another_region():
+    """Guards against reads that cross regions because latencies measured long ago are forgotten."""
+    near = candidate("near", same_zone=False, latency_ms=40.0)
+    assert (
+        best(near, candidate("far", same_zone=False, same_region=False, latency_ms=5.0)) == "near"
+    )
+
+
+def test_server_of_another_region_is_used_while_those_of_the_region_are_overloaded():
+    near = candidate("near", busy=5, wait_ms=120.0)
+    assert best(near, candidate("far", same_zone=False, same_region=False)) == "far"
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
@@ -328,6 +328,7 @@
             self.loads.failed_share(pool),
             at_primary,
             self.cold.ranks_lower(pool),
+            not self.view.regions.crosses(entry.availability_zone),
         )
 
     def admit_to_cold(self, pool: ServerPool) -> bool:
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_server_loads.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_server_loads.py
@@ -56,6 +56,7 @@
         kept = {pool.entry.server_id for pool in pools} & self._slots.keys()
         self._slots = {name: self._slots[name] for name in kept}
         self._slots.update({name: entry.slots for name, entry in registered.items()})
+        near = self._owners_of_region()
         for pool in pools:
             load = pool.meter.sample(pool.in_flight, pool.waiting, now_ms)
             if load is not None:
@@ -64,10 +65,20 @@
             reports = self.reports(server_id, pool.entry.group, load or ServerLoad(), now_ms)
             self._allot(pool, reports, now_ms)
             latency = self._latencies[server_id] = latencies.get(server_id) or SharedLatency()
-            recent = [r.load for r in reports.values() if r.load and r.age_ms <= RECENT_MS]
+            # What an owner measures includes the distance, so that only near owners' figures apply.
+            recent = [
+                report.load
+                for name, report in reports.items()
+                if report.load and report.age_ms <= RECENT_MS and name in near
+            ]
             latency.update(recent, now_ms)
         self._view.server_loads = loads
 
+    def _owners_of_region(self) -> set[str]:
+        peers = self._view.peers.all()
+        near = {p.name for p in peers if not self._view.regions.crosses(p.availability_zone)}
+        return {self._view.host, *near}
+
     def _clear(self, pools: Iterable[ServerPool]) -> None:
         self._view.server_loads = {}
         self._latencies = {}
--- a/packages/figcrank-transport/tests/test_server_loads.py
+++ b/packages/figcrank-transport/tests/test_server_loads.py
@@ -1,6 +1,7 @@
 """Owners of a fleet with relays report their loads and share the slots of each server."""
 
 from figcrank.coordination.fleet import FleetView
+from figcrank.coordination.regions import RegionMap
 from figcrank.protocol.heartbeats import (
     Heartbeat,
     HeartbeatExtension,
@@ -207,3 +208,12 @@
     assert scenario.pool.max_in_flight == 1
     pool = Scenario(has_relays=False).pool
     assert pool.max_in_flight == pool.limit == 54
+
+
+def test_what_owners_of_another_region_measured_does_not_count():
+    """Their figures include the way from their region, and say nothing about the way from here."""
+    scenario = Scenario()
+    scenario.view.regions = RegionMap("north-a", {"north-a": "north", "south-a": "south"})
+    scenario.view.peers.register("b", PEER, 0, "south-a")
+    scenario.run(3, ServerLoad(4, 0, 150.0, 30))
+    assert scenario.router.loads.latency_ms(scenario.pool) == scenario.pool.health.latency_ms
