--- a/packages/figcrank-coordination/src/figcrank/coordination/evacuation/_entries.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/evacuation/_entries.py
@@ -1,6 +1,6 @@
 """The store's entries of evacuated availability zones, and which of them are valid.
 
-Addresses operators' mistakes in deployment C: an entry that names no zone of the fleet, or that has
+Addresses operators' mistakes: an entry that names no zone of the fleet, or that has
 content that this release doesn't know, must not change which servers are used.
 """
 
--- a/packages/figcrank-coordination/src/figcrank/coordination/evacuation/_lists.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/evacuation/_lists.py
@@ -1,6 +1,6 @@
 """Which of two lists of evacuated zones is newer, also across eras of the store.
 
-Addresses a store of deployment C that comes back from an older copy of itself during an evacuation.
+Addresses a store that comes back from an older copy of itself during an evacuation.
 The copy may lack entries that were acknowledged, and the operator has 2.5 s to write them again.
 Until then, the lists of the new era are provisional: they carry revision number 0 of the era, and
 merging one with any other list keeps the zones of both. Hosts that learn of the era in any order
--- a/packages/figcrank-coordination/src/figcrank/coordination/evacuation/_zones.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/evacuation/_zones.py
@@ -1,6 +1,6 @@
 """Which availability zones' servers may be used, by the time since their evacuation was adopted.
 
-Addresses the evacuations of deployment C: servers of a zone are used until shortly before the
+Addresses the evacuation of a zone that callers still use: its servers are used until shortly before the
 bound as long as only they can run something, and by no request after it. The bound counts from the
 store's acknowledgement, which no host observes. A host therefore derives a time before which the
 entry can't have been acknowledged: the time as of which it last knew that there was none.
--- a/packages/figcrank-coordination/src/figcrank/coordination/fleet/_region_links.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/fleet/_region_links.py
@@ -1,6 +1,6 @@
 """Heartbeats to peers in another region: their encoding.
 
-Load pattern: deployment B, twelve owners in six zones of two regions with 74 workspaces, of which
+Load pattern: twelve owners in six zones of two regions with 74 workspaces, of which
 some 30 change between two heartbeats. Workspace names and counts are then most of a heartbeat.
 """
 
--- a/packages/figcrank-coordination/src/figcrank/coordination/placement/__init__.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/placement/__init__.py
@@ -10,7 +10,6 @@
     ConnectionBackoff as ConnectionBackoff,
 )
 from figcrank.coordination.placement._connections import OwnerCounts as OwnerCounts
-from figcrank.coordination.placement._connections import Waiter as Waiter
 from figcrank.coordination.placement._connections import connection_quota as connection_quota
 from figcrank.coordination.placement._connections import (
     group_connection_quota as group_connection_quota,
@@ -21,7 +20,6 @@
 from figcrank.coordination.placement._connections import (
     max_retained_group_connections as max_retained_group_connections,
 )
-from figcrank.coordination.placement._connections import next_waiter as next_waiter
 from figcrank.coordination.placement._health import ServerHealth as ServerHealth
 from figcrank.coordination.placement._load_meter import LoadMeter as LoadMeter
 from figcrank.coordination.placement._position_history import PositionHistory as PositionHistory
--- a/packages/figcrank-coordination/src/figcrank/coordination/regions/_region_map.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/regions/_region_map.py
@@ -1,6 +1,6 @@
 """How far another availability zone is from this host's.
 
-Load pattern: deployment B, 63 hosts in six zones of two regions, 20 ms one way between the regions,
+Load pattern: a fleet of 63 hosts in six zones of two regions, 20 ms one way between the regions,
 where bytes between regions cost four times as much as bytes between zones.
 """
 
--- a/packages/figcrank-coordination/tests/fleet/test_heartbeats_between_regions.py
+++ b/packages/figcrank-coordination/tests/fleet/test_heartbeats_between_regions.py
@@ -1,4 +1,4 @@
-"""Size and safety of heartbeats between the regions of deployment B, in virtual time."""
+"""Size and safety of heartbeats between two regions, in virtual time."""
 
 import random
 from dataclasses import replace
--- a/packages/figcrank-coordination/tests/placement/test_allotment.py
+++ b/packages/figcrank-coordination/tests/placement/test_allotment.py
@@ -1,4 +1,4 @@
-"""Replays the load of deployment A at one primary: 4 slots shared by three owners, then twelve."""
+"""Replays an overloaded primary whose 4 slots are shared by three owners, then by twelve."""
 
 import heapq
 import itertools
--- a/packages/figcrank-measure/src/figcrank/measure/_admission_load.py
+++ b/packages/figcrank-measure/src/figcrank/measure/_admission_load.py
@@ -1,4 +1,4 @@
-"""Replays the load of deployment A at one primary, in virtual time, before two orders of a queue.
+"""Replays an overloaded primary in virtual time, with two orders of the waiting statements.
 
 Household reads arrive at 2.5 times their rate while one workspace sends seven times its usual load.
 ``python -m figcrank.measure._admission_load`` prints what was served in time.
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 
 from figcrank.coordination.admission import AdmissionQueue, Demand, Rejection, ServiceTimes
-from figcrank.coordination.placement import Waiter, next_waiter
+from figcrank.measure._busy_count_order import Waiter, next_waiter
 
 SLOTS = 4
 WORKSPACES = 22  # 87 over four groups
@@ -109,7 +109,7 @@
         """Record an answer of the server."""
 
 
-class PresentOrder(Order):
+class BusyCountOrder(Order):
     """The order of :func:`next_waiter`; statements wait until their timeouts."""
 
     def __init__(self, allowed: int) -> None:
@@ -327,7 +327,7 @@
 def main() -> None:
     """Print the shares for each order, number of queues and number of retries."""
     for factors, retries in (((1, 1), 0), ((2, 7), 0), ((2.5, 7), 0), ((2.5, 7), 2)):
-        for owners, order in itertools.product((3, 1), (PresentOrder, AdmissionOrder)):
+        for owners, order in itertools.product((3, 1), (BusyCountOrder, AdmissionOrder)):
             result = outcome(order, owners, retries, 1, 20_000, *factors)
             shares = " ".join(f"{k}/{w}={s:.3f}" for (k, w), s in result.in_time.items())
             title = f"{order.__name__} factors={factors} queues={owners} retries={retries}"
--- a/packages/figcrank-measure/tests/test_admission_load.py
+++ b/packages/figcrank-measure/tests/test_admission_load.py
@@ -1,8 +1,8 @@
-"""The load of deployment A at one primary, before the present order and before admission."""
+"""An overloaded primary, with the order by busy connections and with admission."""
 
 import pytest
 
-from figcrank.measure._admission_load import AdmissionOrder, PresentOrder, outcome
+from figcrank.measure._admission_load import AdmissionOrder, BusyCountOrder, outcome
 
 # Reads exceed the capacity in this load. What is more urgent fits, and is to be served as without
 # the overload; 1% covers single statements behind a read that is already running.
@@ -38,7 +38,7 @@
     of a workspace that arrive together at one of three queues are more than its share of a second.
     """
     busy = outcome(AdmissionOrder, 3, household_factor=2)
-    before = outcome(PresentOrder, 3, household_factor=2)
+    before = outcome(BusyCountOrder, 3, household_factor=2)
     others = busy.in_time["household", "others"]
     assert others > max(busy.in_time["household", w] for w in ("largest", "bursting"))
     assert others > before.in_time["household", "others"]
@@ -47,7 +47,7 @@
 @pytest.mark.parametrize("owners", [1, 3])
 def test_usual_load_is_served_as_before(owners):
     """Guards against statements rejected or delayed while there is capacity for them."""
-    before = outcome(PresentOrder, owners, **QUIET)
+    before = outcome(BusyCountOrder, owners, **QUIET)
     after = outcome(AdmissionOrder, owners, **QUIET)
     assert after.rejected <= before.rejected
     for key, share in before.in_time.items():
@@ -56,4 +56,4 @@
 
 @pytest.mark.parametrize("owners", [1, 3])
 def test_worth_in_overload_is_above_that_of_the_present_order(owners):
-    assert outcome(AdmissionOrder, owners).worth > outcome(PresentOrder, owners).worth
+    assert outcome(AdmissionOrder, owners).worth > outcome(BusyCountOrder, owners).worth
