--- a/packages/figcrank-coordination/src/figcrank/coordination/evacuation/_zones.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/evacuation/_zones.py
@@ -1,9 +1,9 @@
 """Which availability zones' servers may be used, by the time since their evacuation was adopted.
 
-Addresses the evacuation of a zone that callers still use: its servers are used until shortly before the
-bound as long as only they can run something, and by no request after it. The bound counts from the
-store's acknowledgement, which no host observes. A host therefore derives a time before which the
-entry can't have been acknowledged: the time as of which it last knew that there was none.
+Addresses the evacuation of a zone that callers still use: its servers are used until shortly before
+the bound as long as only they can run something, and by no request after it. The bound counts from
+the store's acknowledgement, which no host observes. A host therefore derives a time before which
+the entry can't have been acknowledged: the time as of which it last knew that there was none.
 """
 
 from collections.abc import Iterable, Set
