Limit cold servers also where their group bears nothing

Cause: the limit is coldPerS x coldOverage + coldHeadroom, and a configured 0 was taken for a group without a limit, although the headroom alone is then allowed. Change: only a configuration without the field leaves cold servers of the group unlimited. The parametrized case of 0 without a limit was wrong by the formula; it is now the case without the field, and a new test has the 0 with a headroom of 5 for two owners (2 each), which fails on the older code.

--- a/packages/figcrank-coordination/src/figcrank/coordination/placement/_cold_servers.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/placement/_cold_servers.py
@@ -83,13 +83,14 @@
     def update(
         self,
         entries: Iterable[ServerEntry],
-        cold_per_s: Mapping[str, float],
+        cold_per_s: Mapping[str, float | None],
         owners: Collection[str],
         now_ms: int,
     ) -> list[ColdChange]:
         """Update the state from the registry; called every 100 ms.
 
-        :param cold_per_s: statements per second that a cold server bears, by group.
+        :param cold_per_s: statements per second that a cold server bears, by group; groups without
+            one are not limited.
         :param owners: every owner, also silent ones.
         :returns: the servers that became or ceased to be cold.
         """
@@ -100,7 +101,7 @@
         for entry in known.values():
             self._births[entry.server_id] = entry.born_ms
             if entry.cold_remaining_ms > 0:
-                self._update_server(entry, cold_per_s.get(entry.group, 0.0), owners, now_ms)
+                self._update_server(entry, cold_per_s.get(entry.group), owners, now_ms)
         self._forget(known, now_ms)
         return self._changes(known, now_ms)
 
@@ -108,12 +109,16 @@
         return self._updated_ms is None or now_ms - self._updated_ms > PAUSED_MS
 
     def _update_server(
-        self, entry: ServerEntry, cold_per_s: float, owners: Collection[str], now_ms: int
+        self,
+        entry: ServerEntry,
+        cold_per_s: float | None,
+        owners: Collection[str],
+        now_ms: int,
     ) -> None:
         until_ms = now_ms + entry.cold_remaining_ms
         server = self._servers.setdefault((entry.server_id, entry.born_ms), _ColdServer(until_ms))
         server.until_ms = min(server.until_ms, until_ms)
-        if self._overage is None or cold_per_s <= 0:
+        if self._overage is None or cold_per_s is None:
             return
         limit = cold_per_s * self._overage + self._headroom
         share = cold_share(limit, self._owner, owners, entry.server_id)
--- a/packages/figcrank-state/src/figcrank/state/_catalog.py
+++ b/packages/figcrank-state/src/figcrank/state/_catalog.py
@@ -66,13 +66,14 @@
     :param name: name of the group.
     :param max_connections: maximum number of connections from all hosts to each of its servers.
     :param sync_replicas: number of replicas that must hold a commit before it is acknowledged.
-    :param cold_per_s: statements per second that a cold server of the group bears.
+    :param cold_per_s: statements per second that a cold server of the group bears; ``None`` if the
+        configuration doesn't say.
     """
 
     name: str
     max_connections: int
     sync_replicas: int = 0
-    cold_per_s: float = 0.0
+    cold_per_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
