Query owners of unknown capability at each check

Cause: a relay learns from an accepting owner's status answer whether it reads the options of a start, and asks one usable owner per 1.5 s. A relay that starts together with the owners gets answers from ones that are not ready, and then opens sessions without options, which any owner accepts: seen in the platform test (relay host-1, sessions at host-4 and host-7 within 0.7 s, logs of host-7 without a redirect) and once more with a fixture that waited 8 s. Change: it is unknown until an accepting owner answered; owners of the zone of which it is unknown are asked at each check (250 ms).

--- a/packages/figcrank-coordination/src/figcrank/coordination/owners/_directory.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/owners/_directory.py
@@ -26,14 +26,15 @@
     :param avoided_until_ms: time until which new sessions go to other owners, if there are any.
     :param failures: failures since its last answer.
     :param queried_ms: time at which it was last asked for its status.
-    :param reads_options: whether it has shown that it reads the options of a session's start.
+    :param reads_options: whether it reads the options of a session's start; ``None`` until it has
+        answered a query while it accepts sessions.
     """
 
     owner: Owner
     avoided_until_ms: int = 0
     failures: int = 0
     queried_ms: int = NEVER_MS
-    reads_options: bool = False
+    reads_options: bool | None = None
 
 
 class OwnerDirectory:
@@ -94,7 +95,17 @@
     def reads_options(self, address: Address) -> bool:
         """Return whether an owner has shown that it reads the options of a session's start."""
         state = self._states.get(address)
-        return state is not None and state.reads_options
+        return state is not None and state.reads_options is True
+
+    def has_unknown_options(self) -> bool:
+        """Return whether it is unknown of an owner of the zone whether it reads options.
+
+        Sessions that start there meanwhile are not sent on to the group owner.
+        """
+        return any(self._is_unknown(state) for state in self._states.values())
+
+    def _is_unknown(self, state: _OwnerState) -> bool:
+        return state.reads_options is None and state.owner.availability_zone == self._zone
 
     def is_usable(self, now_ms: int) -> bool:
         """Return whether any owner is known that is not avoided."""
@@ -127,7 +138,8 @@
         """Return the owners to ask for their status now, and record that they are asked.
 
         These are the one that was asked least recently, preferably a usable one of the zone, since
-        its answer has the list of owners, and the avoided ones of the zone.
+        its answer has the list of owners, and those of the zone that are avoided or of which it is
+        unknown whether they read options.
         """
 
         def rank(state: _OwnerState) -> tuple[bool, int, int]:
@@ -135,12 +147,13 @@
             return now_ms < state.avoided_until_ms, distance, state.queried_ms
 
         states = sorted(self._states.values(), key=rank)
-        avoided = [
+        of_zone = [
             state
             for state in states[1:]
-            if now_ms < state.avoided_until_ms and state.owner.availability_zone == self._zone
+            if state.owner.availability_zone == self._zone
+            and (now_ms < state.avoided_until_ms or state.reads_options is None)
         ]
-        asked = [*states[:1], *avoided]
+        asked = [*states[:1], *of_zone]
         for state in asked:
             state.queried_ms = now_ms
         return [state.owner for state in asked]
--- a/packages/figcrank-coordination/tests/owners/test_directory.py
+++ b/packages/figcrank-coordination/tests/owners/test_directory.py
@@ -87,10 +87,26 @@
 
 def test_owners_of_the_zone_are_queried_in_turn():
     known = directory()
+    for owner in OWNERS[:4]:
+        known.record_answer(owner.address, True, 0)
     asked = [known.owners_to_query(now_ms) for now_ms in range(8)]
     assert asked == [[owner] for owner in OWNERS[:4] * 2]
 
 
+def test_owners_that_accepted_no_sessions_yet_are_queried_until_it_is_known_what_they_read():
+    """Without this, sessions that started before a query's turn stayed away from the group owner."""
+    known = directory()
+    known.record_answer(OWNERS[0].address, True, 0, reads_options=True)
+    known.record_answer(OWNERS[1].address, False, 0)
+    assert known.has_unknown_options()
+    after_ms = 2 * AVOID_MS  # OWNERS[1] is not avoided any more
+    assert set(OWNERS[1:4]) <= set(known.owners_to_query(after_ms))
+    for owner in OWNERS[1:4]:
+        known.record_answer(owner.address, True, after_ms, reads_options=owner is OWNERS[1])
+    assert not known.has_unknown_options()
+    assert len(known.owners_to_query(after_ms)) == 1
+
+
 def test_owner_that_is_gone_does_not_keep_a_relay_from_learning_the_list_from_others():
     """Without this a relay asked the longest silent owner again and again, and never heard of its
     removal or of the free seat.
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_owner_tracker.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_owner_tracker.py
@@ -186,7 +186,8 @@
 
     def check(self, now_ms: int) -> None:
         """Keep the list of owners current and end the sessions of silent ones."""
-        if now_ms - self._queried_ms >= QUERY_INTERVAL_MS or not self.is_usable():
+        is_due = now_ms - self._queried_ms >= QUERY_INTERVAL_MS
+        if is_due or not self.is_usable() or self._directory.has_unknown_options():
             self._queried_ms = now_ms
             for owner in self._directory.owners_to_query(now_ms):
                 self.query(owner.address[0])
