Count refusals of callers by reason, and wrongful ones over the limit

Cause: the counters over_limit, admission_rejected, cold_rejected and refused overlap. A read that one queue rejects may run elsewhere, a refusal while a primary moves was in none of them, and nothing told refusals that the rate limit demands from all others. Whether a refusal over the limit hit a workspace within its limit was not known.

Change: each refusal (BUSY, nothing has run) carries a RefusalReason from the place that decides it; callers_refused{reason} counts it once, with bounded labels. Answers are unchanged. SharedLimit counts the operations that all hosts admitted in the last window (bounds.quotaWindowS) from the reports that it gets anyway; a refusal below rate x window + burst counts in limit_refusals_wrongful and has wrongful=true in its over_limit event. What peers have not reported counts as expected, and a silent peer with its share, so that lost reports don't make refusals look wrongful. The window after the start and after a change of the limit is not judged.

Ruled out: a label for the workspace (unbounded) and deriving the reason from the text of the answer.

--- a/packages/figcrank-coordination/src/figcrank/coordination/sessions/__init__.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/sessions/__init__.py
@@ -1,5 +1,11 @@
-"""Retry policy of sessions: the next action after a failed statement, connection or commit."""
+"""Retry policy of sessions, and why callers are refused."""
 
+from figcrank.coordination.sessions._recent_refusals import RecentRefusals as RecentRefusals
+from figcrank.coordination.sessions._refusal_reason import RefusalReason as RefusalReason
+from figcrank.coordination.sessions._refusal_reason import reason_of_primary as reason_of_primary
+from figcrank.coordination.sessions._refusal_reason import (
+    reason_of_rejection as reason_of_rejection,
+)
 from figcrank.coordination.sessions._retries import RetryAction as RetryAction
 from figcrank.coordination.sessions._retries import after_failed_connect as after_failed_connect
 from figcrank.coordination.sessions._retries import after_lost_commit as after_lost_commit
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_admission_gate.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_admission_gate.py
@@ -13,6 +13,7 @@
     ServiceTimes,
     Ticket,
 )
+from figcrank.coordination.sessions import reason_of_rejection
 from figcrank.protocol.sessions import SessionFailure
 from figcrank.state._catalog import ServerEntry
 from figcrank.state._clock import Clock
@@ -38,7 +39,8 @@
 
     def __init__(self, rejection: Rejection) -> None:
         detail = f"{DETAILS[rejection.reason]}; retry after {rejection.retry_after_ms} ms"
-        super().__init__(SessionFailure.BUSY, detail)
+        reason = reason_of_rejection(rejection.reason)
+        super().__init__(SessionFailure.BUSY, detail, reason=reason)
         self.rejection = rejection
 
 
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_cold_admission.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_cold_admission.py
@@ -2,6 +2,7 @@
 
 from figcrank.coordination.fleet import FleetView
 from figcrank.coordination.placement import ColdServers
+from figcrank.coordination.sessions import RefusalReason
 from figcrank.protocol.sessions import SessionFailure
 from figcrank.state._clock import Clock
 from figcrank.transport.streams._connection import OpenError
@@ -74,7 +75,7 @@
             self._metrics.count("cold_rejected", server=pool.entry.server_id)
             detail = f"server {pool.entry.server_id} has just started"
             detail = f"{detail}; retry after {retry_after_ms} ms"
-            raise OpenError(SessionFailure.BUSY, detail)
+            raise OpenError(SessionFailure.BUSY, detail, reason=RefusalReason.COLD)
 
     def admit(self, pool: ServerPool) -> bool:
         """Return whether a statement may be sent to a server now, and count it if so."""
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_connection.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_connection.py
@@ -9,6 +9,7 @@
 from eventlet.event import Event
 from eventlet.green import socket
 
+from figcrank.coordination.sessions import RefusalReason
 from figcrank.protocol.relays import RelayReply
 from figcrank.protocol.sessions import (
     Decoder,
@@ -34,12 +35,20 @@
     :param failure: kind of failure.
     :param detail: reason for the failure.
     :param refused: whether no process listens at the address.
+    :param reason: why the caller is refused if nothing else can run the statement.
     """
 
-    def __init__(self, failure: SessionFailure, detail: str, refused: bool = False) -> None:
+    def __init__(
+        self,
+        failure: SessionFailure,
+        detail: str,
+        refused: bool = False,
+        reason: RefusalReason = RefusalReason.NO_SERVER,
+    ) -> None:
         super().__init__(f"{failure.name.lower()}: {detail}")
         self.failure = failure
         self.refused = refused
+        self.reason = reason
 
 
 class ServerConnection:
@@ -114,7 +123,8 @@
         sock.settimeout(None)
         if may_send is not None and not may_send():
             sock.close()
-            raise OpenError(SessionFailure.BUSY, "nothing may be sent to the server now")
+            detail = "nothing may be sent to the server now"
+            raise OpenError(SessionFailure.BUSY, detail, reason=RefusalReason.EVACUATED)
         connection = cls(sock, decoder, workspace, clock, may_send)
         eventlet.spawn_n(connection._receive)
         reply = connection.send_and_wait(start_message, HANDSHAKE_TIMEOUT_MS)
@@ -122,7 +132,9 @@
             rejection = reply.failure if reply else connection.rejection
             connection.close()
             detail = "the server did not complete the handshake"
-            raise OpenError(rejection or SessionFailure.UNREACHABLE, detail)
+            is_busy = rejection in (SessionFailure.BUSY, SessionFailure.CONNECTION_LIMIT)
+            reason = RefusalReason.SERVER_BUSY if is_busy else RefusalReason.NO_SERVER
+            raise OpenError(rejection or SessionFailure.UNREACHABLE, detail, reason=reason)
         return connection, reply
 
     def is_lost(self) -> bool:
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_evacuation_guard.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_evacuation_guard.py
@@ -6,6 +6,7 @@
 
 from figcrank.coordination.evacuation import ZoneUse, completed_zones, refusal_detail
 from figcrank.coordination.fleet import FleetView, PrimaryUse
+from figcrank.coordination.sessions import RefusalReason
 from figcrank.protocol.sessions import SessionFailure
 from figcrank.state._catalog import ServerEntry
 from figcrank.state._clock import Clock
@@ -77,7 +78,8 @@
         primary_id = record.server_id if record else ""
         zone = closed.get(primary_id, next(iter(closed.values())))
         can_switch = any(self.is_open(entry) and not entry.draining for entry in entries)
-        raise OpenError(SessionFailure.BUSY, refusal_detail(zone, can_switch))
+        detail = refusal_detail(zone, can_switch)
+        raise OpenError(SessionFailure.BUSY, detail, reason=RefusalReason.EVACUATED)
 
     def update(self, pools: Iterable[ServerPool]) -> None:
         """Close connections to evacuated zones and publish where this host still has work."""
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
@@ -88,6 +88,7 @@
             settings.availability_zone,
             settings.evacuation_ms,
             RegionMap(settings.availability_zone, settings.regions),
+            settings.limit_window_ms,
         )
         self._view.ownership.regions = settings.regions
         ip = settings.peer_address[0]
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_pool.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_pool.py
@@ -10,6 +10,7 @@
     ServerHealth,
     SlotAllotment,
 )
+from figcrank.coordination.sessions import RefusalReason
 from figcrank.protocol.sessions import (
     ServerCodec,
     SessionFailure,
@@ -245,7 +246,8 @@
         if self.may_send():
             return
         self.admit_waiters()
-        raise OpenError(SessionFailure.BUSY, "nothing may be sent to the server now")
+        detail = "nothing may be sent to the server now"
+        raise OpenError(SessionFailure.BUSY, detail, reason=RefusalReason.EVACUATED)
 
     def _add_opened(self, connection: ServerConnection, reply: StatementReply) -> None:
         connection.on_idle_close = self._remove_idle
--- /dev/null
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_refusals.py
@@ -0,0 +1,31 @@
+"""Counts the refusals of callers by reason."""
+
+from figcrank.coordination.sessions import RecentRefusals, RefusalReason
+from figcrank.state._clock import Clock
+from figcrank.transport.streams._metrics import Metrics
+
+
+class RefusalRecorder:
+    """Counts refusals in the metrics, and keeps those of the last seconds.
+
+    :param clock: this host's clock.
+    :param metrics: metrics registry.
+    """
+
+    def __init__(self, clock: Clock, metrics: Metrics) -> None:
+        self.recent = RecentRefusals()
+        self._clock = clock
+        self._metrics = metrics
+
+    def record(self, group: str, workspace: str, reason: RefusalReason) -> None:
+        """Count a refusal of a caller whose operation has not run.
+
+        :param group: database group of the operation, empty if it isn't known.
+        :param workspace: workspace of the caller, empty if it isn't known.
+        """
+        self._metrics.count("callers_refused", reason=reason.value)
+        self.recent.record(group, reason, workspace, self._clock.now_ms())
+
+    def record_wrongful(self) -> None:
+        """Count a refusal over the limit of a workspace that was within its limit."""
+        self._metrics.count("limit_refusals_wrongful")
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_relayed_session.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_relayed_session.py
@@ -5,6 +5,7 @@
 from eventlet.green import socket
 
 from figcrank.coordination.owners import after_lost_owner
+from figcrank.coordination.sessions import RefusalReason
 from figcrank.protocol.owners import Owner
 from figcrank.protocol.relays import RelayReply, encode_request
 from figcrank.protocol.sessions import (
@@ -184,6 +185,9 @@
 
     def _record_refusal(self, request_id: str, failure: SessionFailure, reason: str) -> None:
         self._services.metrics.count("refused", failure=failure.name.lower())
+        if failure is SessionFailure.BUSY:
+            reason = RefusalReason.NO_OWNER.value
+            self._services.metrics.count("callers_refused", reason=reason)
         self._services.log.event(
             "refused",
             id=request_id,
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
@@ -14,6 +14,7 @@
     max_retained_connections,
     rank,
 )
+from figcrank.coordination.sessions import RefusalReason, reason_of_primary
 from figcrank.protocol.heartbeats import PrimaryFailure
 from figcrank.protocol.sessions import (
     ServerCodec,
@@ -185,7 +186,9 @@
                 wait_ms = min(deadline_ms - self._clock.now_ms(), PRIMARY_RECHECK_MS)
                 if wait_ms <= 0:
                     detail = "the primary did not become usable in time"
-                    raise OpenError(SessionFailure.BUSY, detail)
+                    # The new primary serves those that waited for it one after the other.
+                    reason = RefusalReason.PRIMARY_MOVING
+                    raise OpenError(SessionFailure.BUSY, detail, reason=reason)
                 if order.first() is not arrival:
                     arrival.wait_for_turn(wait_ms)
                 elif pool is None:
@@ -210,12 +213,14 @@
         if use is PrimaryUse.NO_LEASE and self.view.lease_renewal_timed_out(now_ms):
             lost_ms = self.view.lease_lost_ms(now_ms)
             detail = f"this host has reached neither a majority nor the store for {lost_ms} ms"
-            raise OpenError(SessionFailure.BUSY, detail)
+            raise OpenError(SessionFailure.BUSY, detail, reason=RefusalReason.NO_LEASE)
         if self.view.primary_is_irreplaceable(group, now_ms):
             detail = "the primary does not answer and can't be replaced without the store"
-            raise OpenError(SessionFailure.BUSY, f"{detail}; retry after {RETRY_AFTER_MS} ms")
+            detail = f"{detail}; retry after {RETRY_AFTER_MS} ms"
+            raise OpenError(SessionFailure.BUSY, detail, reason=RefusalReason.PRIMARY_FAILED)
         if deadline_ms <= now_ms:
-            raise OpenError(SessionFailure.BUSY, f"the primary is {use.name.lower()}")
+            detail = f"the primary is {use.name.lower()}"
+            raise OpenError(SessionFailure.BUSY, detail, reason=reason_of_primary(use))
         return None
 
     def wait_for_primary_change(self, wait_ms: float) -> None:
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_runner.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_runner.py
@@ -6,7 +6,12 @@
 from eventlet.queue import Empty, LightQueue
 
 from figcrank.coordination.admission import Demand
-from figcrank.coordination.sessions import RetryAction, after_read, after_write
+from figcrank.coordination.sessions import (
+    RefusalReason,
+    RetryAction,
+    after_read,
+    after_write,
+)
 from figcrank.protocol.sessions import (
     Request,
     SessionFailure,
@@ -55,6 +60,7 @@
     :param server_id: server that was used last.
     :param took_ms: time since the request was received.
     :param required: minimum position required of a replica.
+    :param refusal: why nothing has run if this host refuses the statement itself.
     """
 
     payload: bytes
@@ -64,6 +70,7 @@
     server_id: str = ""
     took_ms: int = 0
     required: Position | None = None
+    refusal: RefusalReason | None = None
 
 
 def _not_run(unanswered: bool) -> SessionFailure:
@@ -120,7 +127,7 @@
             try:
                 pool, connection = self._acquirer.acquire_primary(session, route, demand)
             except OpenError as error:
-                return Answer(b"", SessionFailure.BUSY, str(error), tries)
+                return Answer(b"", SessionFailure.BUSY, str(error), tries, refusal=error.reason)
             if connection.is_lost():
                 self._router.discard_failed_connection(pool, connection)
                 continue
@@ -188,7 +195,8 @@
         """
         data = self._preparer.encode(connection, statement, None)
         if not self._router.may_send_to(pool.entry):
-            raise OpenError(SessionFailure.BUSY, "nothing may be sent to the server now")
+            detail = "nothing may be sent to the server now"
+            raise OpenError(SessionFailure.BUSY, detail, reason=RefusalReason.EVACUATED)
         return connection.send_and_wait(data, deadline_ms - self._clock.now_ms())
 
     def _observe_reply(
@@ -233,7 +241,8 @@
                 )
             except OpenError as error:
                 if not running:
-                    return Answer(b"", _not_run(unanswered), str(error), tries)
+                    not_run = _not_run(unanswered)
+                    return Answer(b"", not_run, str(error), tries, refusal=error.reason)
                 attempt = None
             if attempt is not None:
                 tries += 1
@@ -292,7 +301,9 @@
         if running:
             detail = "no server answered within the statement timeout"
             return Answer(b"", SessionFailure.TIMEOUT, detail, tries)
-        return Answer(b"", _not_run(unanswered), detail, tries)
+        is_busy = tries > 0 and failure is SessionFailure.BUSY
+        refusal = RefusalReason.SERVER_BUSY if is_busy else RefusalReason.NO_SERVER
+        return Answer(b"", _not_run(unanswered), detail, tries, refusal=refusal)
 
     def _log_failed_attempt(
         self,
@@ -350,12 +361,12 @@
         while True:
             first = transaction.connection is None
             if first:
-                detail = self._open_transaction(session, transaction, demand)
-                if detail is not None:
+                refused = self._open_transaction(session, transaction, demand)
+                if refused is not None:
                     transaction.failed = True
                     # A first statement whose answer was lost may have run.
                     failure = SessionFailure.ABORTED if tries else SessionFailure.BUSY
-                    return Answer(b"", failure, detail, tries)
+                    return replace(refused, failure=failure, tries=tries)
             tries += 1
             pool, connection = transaction.pool, transaction.connection
             transaction.wrote = transaction.wrote or statement.is_write
@@ -400,10 +411,11 @@
 
     def _open_transaction(
         self, session: "CallerSession", transaction: "Transaction", demand: Demand
-    ) -> str | None:
-        """Begin a transaction at a server; return why it failed, ``None`` on success."""
+    ) -> Answer | None:
+        """Begin a transaction at a server; return the refusal, ``None`` on success."""
         deadline_ms = demand.deadline_ms
         tried: set[str] = set()
+        refusal = RefusalReason.NO_SERVER
         force_primary = not transaction.read_only
         while self._clock.now_ms() < deadline_ms:
             try:
@@ -411,7 +423,8 @@
                     session, transaction.route, demand, tried, force_primary
                 )
             except OpenError as error:
-                return f"the transaction could not be started: {error}"
+                detail = f"the transaction could not be started: {error}"
+                return Answer(b"", SessionFailure.BUSY, detail, refusal=error.reason)
             text = self._codec.begin(transaction.read_only)
             data = self._codec.query(transaction.begin.request_id, text, attempt.min_position)
             if not self._router.may_send_to(attempt.pool.entry):
@@ -434,8 +447,11 @@
             if reply.failure is SessionFailure.LAGGING:
                 force_primary = True
             else:
+                if reply.failure is SessionFailure.BUSY:
+                    refusal = RefusalReason.SERVER_BUSY
                 self._router.wait_for_primary_change(RETRY_PAUSE_MS)
-        return "the transaction could not be started"
+        detail = "the transaction could not be started"
+        return Answer(b"", SessionFailure.BUSY, detail, refusal=refusal)
 
     def commit(
         self, session: "CallerSession", statement: Statement, transaction: "Transaction"
@@ -449,9 +465,9 @@
         demand = self._transaction_demand(session, transaction)
         started_ms, deadline_ms = demand.arrived_ms, demand.deadline_ms
         if transaction.connection is None:
-            detail = self._open_transaction(session, transaction, demand)
-            if detail is not None:
-                return Answer(b"", SessionFailure.BUSY, detail)
+            refused = self._open_transaction(session, transaction, demand)
+            if refused is not None:
+                return refused
         pool, connection = transaction.pool, transaction.connection
         server_id = pool.entry.server_id
         transaction.connection = None
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
@@ -5,7 +5,7 @@
 import eventlet
 from eventlet.green import socket
 
-from figcrank.coordination.sessions import after_lost_commit
+from figcrank.coordination.sessions import RefusalReason, after_lost_commit
 from figcrank.protocol.sessions import (
     CallerCodec,
     CallerMessage,
@@ -28,6 +28,7 @@
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._metrics import Metrics
 from figcrank.transport.streams._pool import ServerPool
+from figcrank.transport.streams._refusals import RefusalRecorder
 from figcrank.transport.streams._router import Router
 from figcrank.transport.streams._runner import Answer, Statement, StatementRunner
 
@@ -88,6 +89,7 @@
     :param log: event log.
     :param metrics: metrics registry.
     :param sessions: the open sessions.
+    :param refusals: counts refusals by reason.
     """
 
     codec: CallerCodec
@@ -97,6 +99,10 @@
     log: EventLog
     metrics: Metrics
     sessions: set[CallerConnection] = field(default_factory=set)
+    refusals: RefusalRecorder = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.refusals = RefusalRecorder(self.clock, self.metrics)
 
 
 class CallerSession(CallerConnection):
@@ -287,7 +293,7 @@
             return
         route = catalog.routes[self._database]
         workspace = catalog.workspace_by_key.get(self._key, "")
-        if not self._admit(request, workspace):
+        if not self._admit(request, route, workspace):
             return
         if request.verb in (Verb.BEGIN, Verb.BEGIN_READ):
             read_only = request.verb is Verb.BEGIN_READ
@@ -302,17 +308,24 @@
             self._refund_limit(workspace)
         self._send_answer(request, route, workspace, answer)
 
-    def _admit(self, request: Request, workspace: str) -> bool:
-        limit = self._services.router.view.limits.get(workspace)
-        if limit is None or limit.admit(self._services.clock.now_ms()):
+    def _admit(self, request: Request, route: DatabaseRoute, workspace: str) -> bool:
+        services = self._services
+        limit = services.router.view.limits.get(workspace)
+        now_ms = services.clock.now_ms()
+        if limit is None or limit.admit(now_ms):
             return True
         retry_after_ms = limit.retry_after_ms()
-        self._services.metrics.count("over_limit", workspace=workspace)
-        self._services.log.event(
+        is_wrongful = limit.is_wrongful(now_ms)
+        services.metrics.count("over_limit", workspace=workspace)
+        services.refusals.record(route.group, workspace, RefusalReason.OVER_LIMIT)
+        if is_wrongful:
+            services.refusals.record_wrongful()
+        services.log.event(
             "over_limit",
             id=request.request_id,
             workspace=workspace,
             retry_after_ms=retry_after_ms,
+            wrongful=is_wrongful,
             **limit.explain(),
         )
         self._reply_failure(SessionFailure.BUSY, f"over the limit; retry after {retry_after_ms} ms")
@@ -386,6 +399,9 @@
             outcome=answer.failure.name.lower() if answer.failure else "ok",
         )
         services.metrics.observe_latency("request", route.mode.value, answer.took_ms)
+        if answer.failure is SessionFailure.BUSY:
+            reason = answer.refusal or RefusalReason.SERVER_BUSY
+            services.refusals.record(route.group, workspace, reason)
         services.log.event(
             "refused" if answer.failure else "served",
             id=request.request_id,
@@ -406,6 +422,8 @@
 
     def _record_refusal(self, request_id: str, failure: SessionFailure, reason: str) -> None:
         self._services.metrics.count("refused", failure=failure.name.lower())
+        if failure is SessionFailure.BUSY:  # only without a configuration that is new enough
+            self._services.refusals.record("", "", RefusalReason.CONFIGURATION)
         self._services.log.event(
             "refused",
             id=request_id,
--- a/packages/figcrank-transport/tests/test_cold_admission.py
+++ b/packages/figcrank-transport/tests/test_cold_admission.py
@@ -4,6 +4,7 @@
 
 from figcrank.coordination.admission import Demand
 from figcrank.coordination.fleet import FleetView
+from figcrank.coordination.sessions import RefusalReason
 from figcrank.protocol.heartbeats import PrimaryRecord
 from figcrank.state import ManualClock
 from figcrank.state._catalog import (
@@ -91,9 +92,10 @@
     assert scenario.router.await_primary("g", NOW_MS, 0).entry.server_id == "p"
     scenario.send("p")
     scenario.send("p")
-    with pytest.raises(OpenError, match="retry after 1000 ms"):
+    with pytest.raises(OpenError, match="retry after 1000 ms") as refused:
         scenario.router.await_primary("g", NOW_MS, 0)
     assert 'cold_rejected_total{server="p"} 1' in scenario.metrics.render()
+    assert refused.value.reason is RefusalReason.COLD
 
 
 def test_statements_of_open_transactions_count():
--- a/packages/figcrank-transport/tests/test_evacuation_guard.py
+++ b/packages/figcrank-transport/tests/test_evacuation_guard.py
@@ -4,6 +4,7 @@
 
 from figcrank.coordination.admission import Demand
 from figcrank.coordination.fleet import FleetView
+from figcrank.coordination.sessions import RefusalReason
 from figcrank.protocol.heartbeats import Evacuations, Heartbeat, HeartbeatExtension, PrimaryRecord
 from figcrank.protocol.sessions import SessionFailure, TransactionState
 from figcrank.state import ManualClock, Position, revision_of
@@ -150,6 +151,7 @@
     with pytest.raises(OpenError) as refused:
         scenario.router.await_primary("g", START_MS + 60_000, START_MS)
     assert refused.value.failure is SessionFailure.BUSY
+    assert refused.value.reason is RefusalReason.EVACUATED
     assert "availability zone zone-a is evacuated; retry after 1000 ms" in str(refused.value)
 
 
@@ -191,8 +193,9 @@
     assert pool.may_send()
     scenario.clock.advance_to(START_MS + STOP_MS)
     assert not scenario.router.may_send_to(pool.entry)
-    with pytest.raises(OpenError):
+    with pytest.raises(OpenError) as refused:
         pool.acquire(DEMAND, {})
+    assert refused.value.reason is RefusalReason.EVACUATED
 
 
 def test_suspended_host_sends_nothing_until_it_has_heard_from_a_peer(scenario):
--- a/packages/figcrank-transport/tests/test_owner_session.py
+++ b/packages/figcrank-transport/tests/test_owner_session.py
@@ -3,17 +3,22 @@
 It also sends a relay to the group owner of its zone.
 """
 
+import json
+
 import eventlet
 import pytest
 from eventlet.green import socket
 
 from figcrank.coordination.fleet import FleetView
 from figcrank.coordination.owners import HostRole
+from figcrank.coordination.quotas import SharedLimit
+from figcrank.coordination.sessions import RefusalReason
 from figcrank.protocol.heartbeats import Heartbeat
 from figcrank.protocol.relays import encode_request, encode_start, relay_reply_decoder
 from figcrank.protocol.sessions import (
     CallerCodec,
     Request,
+    SessionFailure,
     SessionStart,
     StartOptions,
     TransactionState,
@@ -25,6 +30,7 @@
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._metrics import Metrics
 from figcrank.transport.streams._owner_session import OwnerSession
+from figcrank.transport.streams._runner import Answer
 from figcrank.transport.streams._session import SessionServices
 
 ROUTE = DatabaseRoute("route", "db", "g", ReadMode.PRIMARY, 700, 300)
@@ -57,6 +63,12 @@
 
 
 class FakeRunner:
+    def __init__(self):
+        self.answer = None
+
+    def run_single(self, _session, _statement, _route, _workspace):
+        return self.answer
+
     def abort(self, transaction):
         pass
 
@@ -69,11 +81,14 @@
         self.view = FleetView("owner", 1, ("127.0.0.1", 7000), availability_zone="zone-a")
         self.view.role = HostRole.OWNER
         self.view.adopt_catalog(catalog(4), 0)
-        log = EventLog("owner", self.clock, len)
+        log = EventLog("owner", self.clock, self._write)
+        self.log, self.lines = log, []
+        self.metrics, self.runner = Metrics(), FakeRunner()
         router = FakeRouter(self.view)
         services = SessionServices(
-            WordCodec(), router, FakeRunner(), self.clock, log, Metrics(), set()
+            WordCodec(), router, self.runner, self.clock, log, self.metrics, set()
         )
+        self.services = services
         listener = eventlet.listen(("127.0.0.1", 0))
         self.sock = socket.create_connection(listener.getsockname())
         self.sock.settimeout(10)
@@ -82,6 +97,14 @@
         self.session = eventlet.spawn(OwnerSession(accepted, services).run)
         self.decoder = relay_reply_decoder()
 
+    def _write(self, data):
+        self.lines.extend(json.loads(line) for line in data.splitlines())
+        return len(data)
+
+    def refusals(self):
+        now_ms = self.clock.now_ms()
+        return self.services.refusals.recent.of_group("g", now_ms)
+
     def ask(self, data):
         self.sock.sendall(data)
         while True:
@@ -201,3 +224,42 @@
     scenario.add_peers("zone-b")
     reply = scenario.start(4, StartOptions("zone-b"))
     assert {owner.availability_zone for owner in reply.redirect} == {"zone-b"}
+
+
+@pytest.mark.parametrize("wrongful", [True, False])
+def test_refusal_over_the_limit_is_counted_apart_and_judged(scenario, wrongful):
+    """Guards against refusals that the limit demands being counted with those of overload."""
+    now_ms = scenario.clock.now_ms()
+    # Nothing is admitted; 1 operation is allowed, and the window has begun or has passed.
+    scenario.view.limits["w"] = SharedLimit(0, 1, 0, now_ms - 6_000 * wrongful, 5_000)
+    scenario.start(seen=4)
+    assert scenario.run(Verb.READ, seen=4)[0] == b"BUSY"
+    text = scenario.metrics.render()
+    assert 'callers_refused_total{reason="over_limit"} 1' in text
+    assert ("limit_refusals_wrongful_total{} 1" in text) is wrongful
+    assert scenario.refusals() == {(RefusalReason.OVER_LIMIT, "w"): 1}
+    scenario.log.flush()
+    assert [e["wrongful"] for e in scenario.lines if e["event"] == "over_limit"] == [wrongful]
+
+
+@pytest.mark.parametrize(
+    ("answer", "reason"),
+    [
+        (Answer(b"", SessionFailure.BUSY, "cold", refusal=RefusalReason.COLD), RefusalReason.COLD),
+        (Answer(b"full", SessionFailure.BUSY, "full", 1), RefusalReason.SERVER_BUSY),
+        (Answer(b"", SessionFailure.TIMEOUT, "late", 1, refusal=RefusalReason.DEADLINE), None),
+    ],
+)
+def test_refusal_is_counted_by_its_reason(scenario, answer, reason):
+    """Guards against operations that may have run being counted as refused."""
+    scenario.runner.answer = answer
+    scenario.start(seen=4)
+    scenario.run(Verb.READ, seen=4)
+    assert scenario.refusals() == ({(reason, "w"): 1} if reason else {})
+    assert ("callers_refused" in scenario.metrics.render()) is bool(reason)
+
+
+def test_refusal_for_lack_of_the_configuration_is_counted(scenario):
+    scenario.start(seen=4)
+    scenario.run(Verb.SET, seen=5)
+    assert 'callers_refused_total{reason="configuration"} 1' in scenario.metrics.render()
--- a/packages/figcrank-transport/tests/test_relayed_session.py
+++ b/packages/figcrank-transport/tests/test_relayed_session.py
@@ -282,6 +282,14 @@
     assert caller.recv(200) == b""
 
 
+def test_session_that_no_owner_accepts_is_counted_as_refused(relay):
+    """Guards against refusals by a relay that no counter tells of."""
+    for owner in relay.owners:
+        owner.lose()
+    assert relay.call().recv(200).decode().split()[0] == "BUSY"
+    assert 'callers_refused_total{reason="no_owner"} 1' in relay.services.metrics.render()
+
+
 def test_request_after_the_loss_of_a_transaction_is_told_that_it_was_rolled_back(relay):
     caller = relay.call()
     caller.recv(200)
--- a/packages/figcrank-transport/tests/test_router.py
+++ b/packages/figcrank-transport/tests/test_router.py
@@ -1,10 +1,13 @@
 import eventlet
+import pytest
 
 from figcrank.coordination.fleet import FleetView
+from figcrank.coordination.sessions import RefusalReason
 from figcrank.protocol.heartbeats import Heartbeat, PrimaryRecord
 from figcrank.protocol.owners import Owner
 from figcrank.state import ManualClock, revision_of
 from figcrank.state._catalog import Catalog, GroupPolicy, Registry, ServerEntry
+from figcrank.transport.streams._connection import OpenError
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._metrics import Metrics
 from figcrank.transport.streams._router import UNREGISTERED_GRACE_MS, Router
@@ -194,3 +197,15 @@
     scenario.view.ownership.record_relay(0)
     scenario.router.tick()
     assert sum(not connection.closed for connection in connections) == pool.limit < 4
+
+
+def test_refusal_for_lack_of_a_primary_has_the_reason():
+    """Guards against refusals during a replacement that count as those of overload."""
+    scenario = Scenario()
+    with pytest.raises(OpenError) as refused:
+        scenario.router.await_primary("g", 0, 0)
+    assert refused.value.reason is RefusalReason.PRIMARY_UNKNOWN
+    primary = PrimaryScenario()
+    with pytest.raises(OpenError) as refused:
+        primary.router.await_primary("g", 0, 0)
+    assert refused.value.reason is RefusalReason.PRIMARY_MOVING
--- a/packages/figcrank-transport/tests/test_statement_runner.py
+++ b/packages/figcrank-transport/tests/test_statement_runner.py
@@ -6,6 +6,7 @@
 
 from figcrank.coordination.admission import Rejection, RejectionReason
 from figcrank.coordination.evacuation import refusal_detail
+from figcrank.coordination.sessions import RefusalReason
 from figcrank.protocol.sessions import (
     Request,
     SessionFailure,
@@ -261,6 +262,7 @@
     answer = scenario.write()
     assert (answer.failure, answer.tries) == (SessionFailure.BUSY, 0)
     assert answer.detail.endswith("; retry after 70 ms")
+    assert answer.refusal is RefusalReason.DEADLINE
     assert scenario.connection.sent == []
     assert scenario.clock.now_ms() == 0
 
@@ -271,6 +273,7 @@
     answer = scenario.runner.run_in_transaction(Session(), WRITE, transaction)
     assert answer.failure is SessionFailure.BUSY
     assert answer.detail.endswith("; retry after 70 ms")
+    assert answer.refusal is RefusalReason.DEADLINE
     assert transaction.failed
     assert not transaction.sent
 
@@ -372,3 +375,24 @@
     assert scenario.runner.run_single(Session(), read, bounded, "w").failure is SessionFailure.BUSY
     assert refused == [scenario.pool]
     assert scenario.connection.sent == []
+
+
+def test_read_and_commit_that_are_not_admitted_have_the_reason(scenario):
+    """Guards against refusals that are counted without the reason of the queue."""
+    scenario.pool.rejects = True
+    read = Statement(Request("1", Verb.READ, "READ x"), False)
+    answer = scenario.runner.run_single(Session(), read, ROUTE, "w")
+    assert answer.refusal is RefusalReason.DEADLINE
+    transaction = Transaction(WRITE.request, False, ROUTE, "w")
+    answer = scenario.runner.commit(Session(), COMMIT, transaction)
+    assert answer.refusal is RefusalReason.DEADLINE
+
+
+def test_transaction_that_a_full_server_does_not_begin_has_the_reason(scenario):
+    busy = StatementReply(b"", (), SessionFailure.BUSY, "full", TransactionState.IDLE, None)
+    scenario.connection.send_and_wait = lambda _data, _wait_ms: busy
+    scenario.connection.variables = {"v": "1"}
+    transaction = Transaction(WRITE.request, False, ROUTE, "w")
+    answer = scenario.runner.run_in_transaction(Session(), WRITE, transaction)
+    assert answer.failure is SessionFailure.BUSY
+    assert answer.refusal is RefusalReason.SERVER_BUSY
