Show the queues of a database group on the metrics address

Cause: an operator saw how many statements wait, by priority, but neither whose they are, nor the drain rate, nor who is refused now. admission_state named the workspace that was refused first, not the one that fills the queue.

Change: /queues?group=NAME answers with what waits by kind and workspace, the limit in flight and the drain rate at each server, what waits for a primary, and the refusals of the last 10 s. The queue and the gate got read-only properties only.

--- a/packages/figcrank-coordination/src/figcrank/coordination/admission/_queue.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/admission/_queue.py
@@ -58,6 +58,12 @@
         levels = (*self._in_time.values(), *self._late.values())
         return sum(level.count for level in levels)
 
+    @property
+    def waiting_tickets(self) -> list[Ticket]:
+        """Return the waiting statements, in no particular order."""
+        tickets = {id(t): t for _, _, t in self._expiry_heap if t.level is not None}
+        return list(tickets.values())
+
     def waiting_by_priority(self) -> dict[int, int]:
         """Return the number of waiting statements by the priority of their route."""
         counts: dict[int, int] = {}
--- a/packages/figcrank-coordination/src/figcrank/coordination/sessions/__init__.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/sessions/__init__.py
@@ -1,5 +1,6 @@
 """Retry policy of sessions, and why callers are refused."""
 
+from figcrank.coordination.sessions._recent_refusals import REFUSALS_WINDOW_MS as REFUSALS_WINDOW_MS
 from figcrank.coordination.sessions._recent_refusals import RecentRefusals as RecentRefusals
 from figcrank.coordination.sessions._refusal_reason import RefusalReason as RefusalReason
 from figcrank.coordination.sessions._refusal_reason import reason_of_primary as reason_of_primary
--- a/packages/figcrank-coordination/src/figcrank/coordination/sessions/_recent_refusals.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/sessions/_recent_refusals.py
@@ -8,7 +8,7 @@
 
 from figcrank.coordination.sessions._refusal_reason import RefusalReason
 
-WINDOW_MS = 10_000  # covers two scrapes of the metrics, and a few attempts of a caller
+REFUSALS_WINDOW_MS = 10_000  # covers two scrapes of the metrics, and a few attempts of a caller
 STEP_MS = 1_000
 MAX_KEYS_PER_STEP = 500  # further workspaces count without a name; bounds the memory
 
@@ -44,6 +44,6 @@
         return dict(totals)
 
     def _expire(self, now_ms: int) -> None:
-        first = (now_ms - WINDOW_MS) // STEP_MS + 1
+        first = (now_ms - REFUSALS_WINDOW_MS) // STEP_MS + 1
         while self._steps and self._steps[0][0] < first:
             self._steps.popleft()
--- a/packages/figcrank-coordination/tests/sessions/test_refusals.py
+++ b/packages/figcrank-coordination/tests/sessions/test_refusals.py
@@ -10,7 +10,7 @@
     reason_of_primary,
     reason_of_rejection,
 )
-from figcrank.coordination.sessions._recent_refusals import MAX_KEYS_PER_STEP, WINDOW_MS
+from figcrank.coordination.sessions._recent_refusals import MAX_KEYS_PER_STEP, REFUSALS_WINDOW_MS
 
 
 @pytest.mark.parametrize(
@@ -41,10 +41,10 @@
     refusals.record("g", RefusalReason.COLD, "w", 5_000)
     refusals.record("g", RefusalReason.OVER_LIMIT, "w", 5_000)
     expected = {(RefusalReason.COLD, "w"): 2, (RefusalReason.OVER_LIMIT, "w"): 1}
-    assert refusals.of_group("g", WINDOW_MS - 1) == expected
+    assert refusals.of_group("g", REFUSALS_WINDOW_MS - 1) == expected
     expected[RefusalReason.COLD, "w"] = 1
-    assert refusals.of_group("g", WINDOW_MS) == expected
-    assert refusals.of_group("g", WINDOW_MS + 5_000) == {}
+    assert refusals.of_group("g", REFUSALS_WINDOW_MS) == expected
+    assert refusals.of_group("g", REFUSALS_WINDOW_MS + 5_000) == {}
 
 
 def test_number_of_workspaces_is_bounded():
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_admission_gate.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_admission_gate.py
@@ -11,7 +11,10 @@
     Rejection,
     RejectionReason,
     ServiceTimes,
+    ServiceUse,
     Ticket,
+    busiest_workspace,
+    waiting_by_workspace,
 )
 from figcrank.coordination.sessions import reason_of_rejection
 from figcrank.protocol.sessions import SessionFailure
@@ -80,6 +83,7 @@
 
     def __init__(self, clock: Clock, metrics: Metrics, log: EventLog | None) -> None:
         self.service_times = ServiceTimes()
+        self.service_use = ServiceUse(clock.now_ms())
         self.admitted = 0  # statements that were admitted and have not resumed yet
         self._queue = AdmissionQueue(self.service_times)
         self._clock = clock
@@ -94,6 +98,17 @@
         """Return the number of waiting statements."""
         return self._queue.waiting
 
+    @property
+    def waiting_tickets(self) -> list[Ticket]:
+        """Return the waiting statements, in no particular order."""
+        return self._queue.waiting_tickets
+
+    @property
+    def busiest(self) -> tuple[str, float] | None:
+        """Return the workspace with the most service time waiting and used, and its share."""
+        used_ms = self.service_use.by_workspace(self._clock.now_ms())
+        return busiest_workspace(waiting_by_workspace(self.waiting_tickets), used_ms)
+
     def waiting_by_priority(self) -> dict[int, int]:
         """Return the number of waiting statements by the priority of their route."""
         return self._queue.waiting_by_priority()
@@ -222,11 +237,14 @@
     def _log_state(self, entry: ServerEntry, state: str, **fields: object) -> None:
         if self._log is None:
             return
+        workspace, share = self.busiest or (None, 0.0)
         self._log.event(
             "admission_state",
             server=entry.server_id,
             group=entry.group,
             state=state,
             waiting=self.waiting,
+            busiest_workspace=workspace,
+            busiest_share=round(share, 2),
             **fields,
         )
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_arrival_order.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_arrival_order.py
@@ -43,6 +43,11 @@
         self._waiting: list[Arrival] = []
         self._sequence = itertools.count()
 
+    @property
+    def waiting(self) -> int:
+        """Return the number of waiting statements."""
+        return sum(1 for arrival in self._waiting if not arrival.left)
+
     def join(self, arrived_ms: int) -> Arrival:
         """Add a statement."""
         arrival = Arrival(arrived_ms, next(self._sequence))
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
@@ -32,6 +32,7 @@
 from figcrank.transport.streams._owner_tracker import OwnerTracker
 from figcrank.transport.streams._peer_link import VIEW_PATH, PeerLink
 from figcrank.transport.streams._position_prober import PositionProber
+from figcrank.transport.streams._queue_page import QUEUES_PATH, QueuePage
 from figcrank.transport.streams._relayed_session import RelayedSession, RelayServices
 from figcrank.transport.streams._replacer import PrimaryReplacer
 from figcrank.transport.streams._router import Router
@@ -167,6 +168,7 @@
         self._services = SessionServices(
             caller_codec, self._router, runner, self._clock, self._log, self._metrics
         )
+        self._queue_page = QueuePage(self._router, self._services.refusals, self._clock)
         self._relay_services = RelayServices(
             caller_codec,
             self._tracker,
@@ -297,7 +299,7 @@
         serve_http(sock, {VIEW_PATH: self._link.view_page})
 
     def _serve_metrics(self, sock: socket.socket) -> None:
-        serve_http(sock, {METRICS_PATH: self._metrics_page})
+        serve_http(sock, {METRICS_PATH: self._metrics_page, QUEUES_PATH: self._queue_page.render})
 
     def _readiness(self, _query: dict[str, str]) -> tuple[int, bytes]:
         if self._view.role is HostRole.RELAY:
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_pool.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_pool.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from figcrank.coordination.admission import Demand
+from figcrank.coordination.admission import Demand, ServiceUse, Ticket
 from figcrank.coordination.placement import (
     ConcurrencyLimit,
     ConnectionBackoff,
@@ -132,6 +132,16 @@
         """Return the number of waiting statements by the priority of their route."""
         return self._gate.waiting_by_priority()
 
+    @property
+    def waiting_tickets(self) -> list[Ticket]:
+        """Return the waiting statements, in no particular order."""
+        return self._gate.waiting_tickets
+
+    @property
+    def service_use(self) -> ServiceUse:
+        """Return what statements used at the server in the last seconds."""
+        return self._gate.service_use
+
     def expected_wait_ms(self, demand: Demand) -> float:
         """Return the expected time until a statement begins, 0 if it finds a free slot."""
         if not self.waiting and self._room() > 0:
@@ -264,6 +274,7 @@
     def record_service(self, connection: ServerConnection, took_ms: int) -> None:
         """Add the time of a statement that ran to the service time of its operation."""
         self._service_ms[connection] = self._service_ms.get(connection, 0) + took_ms
+        self._gate.service_use.record(connection.workspace, took_ms, self._clock.now_ms())
 
     def _end_use(self, connection: ServerConnection) -> None:
         self._busy.discard(connection)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
@@ -197,6 +197,11 @@
             if arrival is not None:
                 order.leave(arrival)
 
+    def awaiting_primary(self, group: str) -> int:
+        """Return how many statements wait until a group's primary is usable."""
+        order = self._primary_arrivals.get(group)
+        return order.waiting if order else 0
+
     def _usable_primary(self, group: str, deadline_ms: int) -> ServerPool | None:
         """Return the primary's pool if the primary is usable.
 
--- a/packages/figcrank-transport/tests/test_server_pool.py
+++ b/packages/figcrank-transport/tests/test_server_pool.py
@@ -6,7 +6,7 @@
 import eventlet
 import pytest
 
-from figcrank.coordination.admission import Demand
+from figcrank.coordination.admission import CONNECT_MS, Demand
 from figcrank.protocol.sessions import SessionFailure, StatementReply, TransactionState
 from figcrank.state import ManualClock
 from figcrank.state._catalog import ServerEntry
@@ -331,3 +331,18 @@
     for number, priority in enumerate((0, 2, 2)):
         scenario.send(str(number), priority=priority)
     assert scenario.pool.waiting_by_priority() == {0: 1, 2: 2}
+
+
+def test_state_change_names_the_workspace_that_uses_most(scenario):
+    """Guards against an event that names only the workspace that was refused first."""
+    for _ in range(3):
+        for name in scenario.fill(workspace="greedy"):
+            scenario.end(name)
+    scenario.fill(workspace="greedy")
+    scenario.send("waiting", workspace="modest")
+    scenario.send("hopeless", workspace="modest", timeout_ms=5)
+    (event,) = scenario.events("admission_state")
+    assert event["workspace"] == "modest"
+    used_ms, waiting_ms = 6 * SERVICE_MS, SERVICE_MS + CONNECT_MS
+    assert event["busiest_workspace"] == "greedy"
+    assert event["busiest_share"] == round(used_ms / (used_ms + waiting_ms), 2)
