--- a/packages/figcrank-cli/src/figcrank/cli/_ctl_errors.py
+++ b/packages/figcrank-cli/src/figcrank/cli/_ctl_errors.py
@@ -69,6 +69,22 @@
         )
 
 
+class IncompleteError(CtlError):
+    """A result that lacks the answers of some hosts.
+
+    :param addresses: the hosts without an answer.
+    :param asked: number of hosts that were asked.
+    """
+
+    exit_code = ExitCode.UNREACHABLE
+
+    def __init__(self, addresses: tuple[str, ...], asked: int) -> None:
+        super().__init__(
+            f"{len(addresses)} of {asked} hosts did not answer: {', '.join(addresses)}. "
+            "What they hold is missing above."
+        )
+
+
 class NoReplyError(CtlError):
     """A host sent no reply to a command that it may have executed.
 
--- a/packages/figcrank-cli/src/figcrank/cli/_ctl_parser.py
+++ b/packages/figcrank-cli/src/figcrank/cli/_ctl_parser.py
@@ -12,9 +12,11 @@
     _ctl_fleet,
     _ctl_load,
     _ctl_logs,
+    _ctl_queues,
     _ctl_trace,
 )
-from figcrank.cli._ctl_errors import ExitCode
+from figcrank.cli._ctl_client import URL_PREFIX, parse_address
+from figcrank.cli._ctl_errors import ExitCode, UsageError
 from figcrank.protocol.objects import CONFIG_KINDS
 from figcrank.state import ProfileMode
 
@@ -35,7 +37,8 @@
   0  success
   1  request rejected, or conflict with another edit
   2  invalid arguments or file; nothing was changed
-  3  no host could be reached, or a host sent no reply to a command
+  3  no host could be reached, a host sent no reply to a command, or a host is missing from the
+     answer of 'queues'
   4  change stored, but not in force at every live host in time
 """
 
@@ -68,6 +71,7 @@
     _add_trace(commands)
     _add_load(commands)
     _add_logs(commands)
+    _add_queues(commands)
     return parser
 
 
@@ -280,6 +284,13 @@
     )
 
 
+def _metrics_address(text: str) -> str:
+    try:
+        return parse_address(f"{URL_PREFIX}{text.removeprefix(URL_PREFIX).rstrip('/')}")
+    except UsageError:
+        raise argparse.ArgumentTypeError(f"invalid address {text!r}: expected IP:PORT") from None
+
+
 def _name(text: str) -> str:
     if not _NAME.fullmatch(text):
         raise argparse.ArgumentTypeError(
@@ -380,3 +391,16 @@
     choice.add_argument(
         "--plot", metavar="PICTURE", help="write a plot of rejections per second to an image file"
     )
+
+
+def _add_queues(commands: Any) -> None:
+    text = "show what waits in a database group of the session proxy, and who is refused and why"
+    parser = _add_command(commands, "queues", _ctl_queues.show_queues, text, remote=False)
+    parser.add_argument("group", metavar="GROUP", type=_name)
+    parser.add_argument(
+        "addresses",
+        nargs="+",
+        metavar="ADDRESS",
+        type=_metrics_address,
+        help="metrics address of a host, IP:PORT",
+    )
--- a/packages/figcrank-transport/src/figcrank/transport/_http_client.py
+++ b/packages/figcrank-transport/src/figcrank/transport/_http_client.py
@@ -42,7 +42,7 @@
 
 
 class HttpClient:
-    """Sends POST requests and reuses idle connections."""
+    """Sends requests and reuses idle connections."""
 
     def __init__(self) -> None:
         self._idle: dict[str, list[_Connection]] = defaultdict(list)
@@ -56,13 +56,28 @@
         :param timeout_ms: timeout for connecting, request and response together, in milliseconds.
         :raises HttpCallError: if no complete response is received in time.
         """
+        return self._call(address, "POST", path, body, dict(headers), timeout_ms)
+
+    def get(self, address: str, path: str, timeout_ms: int) -> HttpReply:
+        """Send a GET request and return the response; see :meth:`post`."""
+        return self._call(address, "GET", path, None, {}, timeout_ms)
+
+    def _call(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: bytes | None,
+        headers: dict[str, str],
+        timeout_ms: int,
+    ) -> HttpReply:
         timer = eventlet.Timeout(timeout_ms / MS_PER_S)
         connection: _Connection | None = None
         sent = False
         try:
             connection = self._acquire(address)
             sent = True
-            connection.request("POST", path, body, dict(headers))
+            connection.request(method, path, body, headers)
             response = connection.getresponse()
             reply = HttpReply(response.status, response.read())
         except eventlet.Timeout as error:
