--- a/packages/figcrank-transport/tests/test_server_connection.py
+++ b/packages/figcrank-transport/tests/test_server_connection.py
@@ -2,9 +2,10 @@
 import pytest
 from eventlet.green import socket
 
-from figcrank.protocol.sessions import Decoder, StatementReply, TransactionState
+from figcrank.coordination.sessions import RefusalReason
+from figcrank.protocol.sessions import Decoder, SessionFailure, StatementReply, TransactionState
 from figcrank.transport import MonotonicClock
-from figcrank.transport.streams._connection import ServerConnection
+from figcrank.transport.streams._connection import OpenError, ServerConnection
 
 
 class _OneByteDecoder(Decoder):
@@ -52,3 +53,33 @@
     connection, _ = pair
     assert connection.send_and_wait(b"x", 20) is None
     assert connection.closed
+
+
+class _RejectingDecoder(Decoder):
+    """Wire format in which each byte is the same failure."""
+
+    def __init__(self, failure):
+        self._failure = failure
+
+    def feed(self, data):
+        return [StatementReply(b"", (), self._failure, "", TransactionState.IDLE, None)] * len(data)
+
+
+@pytest.mark.parametrize(
+    ("failure", "reason"),
+    [
+        (SessionFailure.BUSY, RefusalReason.SERVER_BUSY),
+        (SessionFailure.CONNECTION_LIMIT, RefusalReason.SERVER_BUSY),
+        (SessionFailure.WRONG_SERVER, RefusalReason.NO_SERVER),
+    ],
+)
+def test_connection_that_a_full_server_rejects_has_the_reason(failure, reason):
+    """Guards against refusals by full servers that count as servers that can't be reached."""
+    listener = eventlet.listen(("127.0.0.1", 0))
+    accepted = eventlet.spawn(listener.accept)
+    eventlet.spawn(lambda: accepted.wait()[0].sendall(b"."))
+    decoder = _RejectingDecoder(failure)
+    with pytest.raises(OpenError) as refused:
+        ServerConnection.open(listener.getsockname(), decoder, b"hi", "w", MonotonicClock())
+    assert refused.value.reason is reason
+    listener.close()
