Count refusals over the limit in one call

Change: RefusalRecorder.record_over_limit counts over_limit, the wrongful ones and the reason. Counters are unchanged.

--- a/packages/figcrank-transport/src/figcrank/transport/streams/_refusals.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_refusals.py
@@ -26,6 +26,12 @@
         self._metrics.count("callers_refused", reason=reason.value)
         self.recent.record(group, reason, workspace, self._clock.now_ms())
 
-    def record_wrongful(self) -> None:
-        """Count a refusal over the limit of a workspace that was within its limit."""
-        self._metrics.count("limit_refusals_wrongful")
+    def record_over_limit(self, group: str, workspace: str, is_wrongful: bool) -> None:
+        """Count a refusal that the rate limit of a workspace demands.
+
+        :param is_wrongful: whether the workspace was within its limit.
+        """
+        self._metrics.count("over_limit", workspace=workspace)
+        if is_wrongful:
+            self._metrics.count("limit_refusals_wrongful")
+        self.record(group, workspace, RefusalReason.OVER_LIMIT)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
@@ -314,12 +314,8 @@
         now_ms = services.clock.now_ms()
         if limit is None or limit.admit(now_ms):
             return True
-        retry_after_ms = limit.retry_after_ms()
-        is_wrongful = limit.is_wrongful(now_ms)
-        services.metrics.count("over_limit", workspace=workspace)
-        services.refusals.record(route.group, workspace, RefusalReason.OVER_LIMIT)
-        if is_wrongful:
-            services.refusals.record_wrongful()
+        retry_after_ms, is_wrongful = limit.retry_after_ms(), limit.is_wrongful(now_ms)
+        services.refusals.record_over_limit(route.group, workspace, is_wrongful)
         services.log.event(
             "over_limit",
             id=request.request_id,
