Judge wrongful refusals by the bucket of all hosts

A refusal is now wrongful while the bucket has a token as far as this host knows. This needs no window of its own and no setting.

--- a/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
@@ -89,7 +89,6 @@
     :param availability_zone: availability zone of this host.
     :param evacuation_ms: bound on an evacuation of a zone; 0 if zones can't be evacuated.
     :param regions: regions of the availability zones; one region by default.
-    :param limit_window_ms: period over which a workspace's limit is judged; 0 if not stated.
     """
 
     def __init__(
@@ -102,14 +101,12 @@
         availability_zone: str = "",
         evacuation_ms: int = 0,
         regions: RegionMap | None = None,
-        limit_window_ms: int = 0,
     ) -> None:
         self.itself = Owner(host, address, availability_zone)
         self.regions = regions or RegionMap(availability_zone)
         self.links = RegionLinks(self.regions)
         self.role = HostRole.UNDECIDED
         self._headroom = headroom
-        self._limit_window_ms = limit_window_ms
         self._started_ms = started_ms
         self.host = host
         self.boot_id = boot_id
@@ -167,9 +164,7 @@
             limit = self.limits.get(name)
             rate_per_s, burst = workspace.rate_per_s, workspace.burst
             if limit is None:
-                self.limits[name] = SharedLimit(
-                    rate_per_s, burst, self._headroom, now_ms, self._limit_window_ms
-                )
+                self.limits[name] = SharedLimit(rate_per_s, burst, self._headroom, now_ms)
             else:
                 limit.configure(rate_per_s, burst)
         for name in self.limits.keys() - catalog.workspaces.keys():
--- a/packages/figcrank-coordination/src/figcrank/coordination/quotas/_shared_limit.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/quotas/_shared_limit.py
@@ -9,8 +9,6 @@
 
 from dataclasses import dataclass
 
-from figcrank.coordination.quotas._admission_window import AdmissionWindow
-
 DEMAND_DECAY_MS = 2_000.0  # shares follow callers that move between hosts within two seconds
 DEMAND_FLOOR = 2.0  # lets a host without previous demand admit the first operations of a new caller
 OVERDUE_MS = 450  # 1.5 report intervals
@@ -52,12 +50,9 @@
     :param burst: operations that may be admitted at once, over all hosts.
     :param headroom: operations by which admissions may exceed the limit in any period.
     :param now_ms: time of creation.
-    :param window_ms: period over which the limit is judged; 0 if it is not stated.
     """
 
-    def __init__(
-        self, rate_per_s: float, burst: float, headroom: float, now_ms: int, window_ms: int = 0
-    ) -> None:
+    def __init__(self, rate_per_s: float, burst: float, headroom: float, now_ms: int) -> None:
         self._rate_per_s = rate_per_s
         self._headroom = headroom
         self._burst = burst + HEADROOM_FRACTION * headroom
@@ -70,17 +65,11 @@
         self._has_shares = False
         self._previous_unreserved_share = 1.0
         self._previous_admitted = 0
-        self._window = AdmissionWindow(window_ms)
-        self._stated_burst = burst
-        self._known_since_ms = now_ms  # since then the window counts under the present limit
         self.admitted = 0
         self.asked = 0
 
     def configure(self, rate_per_s: float, burst: float) -> None:
         """Change the limit; the level is reduced to a smaller burst."""
-        if (rate_per_s, burst) != (self._rate_per_s, self._stated_burst):
-            self._known_since_ms = self._updated_ms
-        self._stated_burst = burst
         self._rate_per_s = rate_per_s
         self._burst = burst + HEADROOM_FRACTION * self._headroom
         self._level = min(self._level, burst)
@@ -96,7 +85,6 @@
         self._allowance -= 1.0
         self._level -= 1.0
         self.admitted += 1
-        self._window.record(1, now_ms)
         return True
 
     def refund(self) -> None:
@@ -104,23 +92,16 @@
         self._allowance += 1.0
         self._level += 1.0
         self.admitted -= 1
-        self._window.refund()
 
     def is_wrongful(self, now_ms: int) -> bool:
-        """Return whether a refusal now is one of a workspace within its limit.
+        """Return whether a refusal now is due to this host's share and not to the limit.
 
-        It is if all hosts together admitted fewer operations in the last window than its limit
-        allows. What peers have not reported yet counts as far as it is expected, and a silent peer
-        counts with its share of the whole limit. Unknown, and then false, are the window after the
-        start and after a change of the limit.
+        It is if the bucket of all hosts has a token left, as far as this host knows. What peers
+        have not reported yet counts as far as it is expected, and the shares of silent peers count
+        as spent.
         """
-        window_ms = self._window.window_ms
-        if not window_ms or now_ms - self._known_since_ms < window_ms:
-            return False
-        allowed = self._rate_per_s * window_ms / 1_000 + self._stated_burst
-        silent = (1.0 - self._unreserved_share()) * allowed
-        admitted = self._window.count(now_ms) + self._expected_unreported(now_ms) + silent
-        return admitted + 1.0 <= allowed
+        self._refill(now_ms)
+        return self._level - self._expected_unreported(now_ms) >= 1.0
 
     def retry_after_ms(self) -> int:
         """Return the time until this host is expected to admit the next operation."""
@@ -148,13 +129,11 @@
         peer_state = self._peers.get(peer)
         if peer_state is None:
             self._peers[peer] = _Peer(admitted, asked, now_ms)
-            self._window.record(admitted, now_ms)  # a new process; it may be all of this window
             return
         if peer_state.reserved_share is None:
             self._level -= admitted - peer_state.admitted
         else:
             peer_state.reserved_share = None  # covered what the peer spent while silent
-        self._window.record(admitted - peer_state.admitted, now_ms)
         peer_state.demand += max(0, asked - peer_state.asked)
         peer_state.admitted = admitted
         peer_state.reported_ms = now_ms
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
@@ -89,7 +89,6 @@
             settings.availability_zone,
             settings.evacuation_ms,
             RegionMap(settings.availability_zone, settings.regions),
-            settings.limit_window_ms,
         )
         self._view.ownership.regions = settings.regions
         ip = settings.peer_address[0]
