Encode the queue page without msgspec, which entry hosts don't have

Cause: figcrank.protocol.queues imported msgspec, which is no library of requirements/platform.lock. Change: the page is data classes encoded by json; figcrankctl decodes it with msgspec.

--- a/packages/figcrank-cli/src/figcrank/cli/_ctl_queues.py
+++ b/packages/figcrank-cli/src/figcrank/cli/_ctl_queues.py
@@ -15,7 +15,6 @@
     RefusalCount,
     ServerQueue,
     WaitingWork,
-    decode_queues,
 )
 from figcrank.transport import HttpCallError, HttpClient
 
@@ -107,7 +106,8 @@
         problem = f"it has no page {QUEUES_PATH}; check that this is its metrics address."
         return QueueHost(address, problem=problem), None
     try:
-        page = decode_queues(reply.body)
+        # Fields of a later release are ignored.
+        page = msgspec.json.decode(reply.body, type=GroupQueues)
     except ValueError:
         return QueueHost(address, problem="it sent a page that can't be read."), None
     return QueueHost(address, page.host, page.is_owner), page
--- a/packages/figcrank-protocol/src/figcrank/protocol/queues.py
+++ b/packages/figcrank-protocol/src/figcrank/protocol/queues.py
@@ -1,13 +1,15 @@
-"""The page of a session proxy host that shows the queues of one database group."""
+"""The page of a session proxy host that shows the queues of one database group, as JSON."""
 
-import msgspec
+import json
+from dataclasses import asdict, dataclass
 
 MAX_SERVERS = 32
 MAX_WAITING_ROWS = 20
 MAX_REFUSAL_ROWS = 20
 
 
-class WaitingWork(msgspec.Struct, frozen=True):
+@dataclass(frozen=True, slots=True)
+class WaitingWork:
     """Statements of one kind and workspace that wait for servers.
 
     :param kind: route and ``read``, ``write`` or ``transaction``.
@@ -24,7 +26,8 @@
     oldest_ms: int
 
 
-class ServerQueue(msgspec.Struct, frozen=True):
+@dataclass(frozen=True, slots=True)
+class ServerQueue:
     """What one host does at one server.
 
     :param server: id of the server.
@@ -47,7 +50,8 @@
     service_ms_per_s: float
 
 
-class RefusalCount(msgspec.Struct, frozen=True):
+@dataclass(frozen=True, slots=True)
+class RefusalCount:
     """Refusals of one workspace for one reason.
 
     :param reason: label of the counter ``callers_refused``.
@@ -60,7 +64,8 @@
     count: int
 
 
-class GroupQueues(msgspec.Struct, frozen=True):
+@dataclass(frozen=True, slots=True)
+class GroupQueues:
     """The queues of a database group as one host sees them.
 
     :param host: name of the host.
@@ -89,12 +94,4 @@
 
 def encode_queues(page: GroupQueues) -> bytes:
     """Return the body of the page."""
-    return msgspec.json.encode(page)
-
-
-def decode_queues(body: bytes) -> GroupQueues:
-    """Return the content of the page; fields that this release doesn't know are ignored.
-
-    :raises ValueError: if the body is no such page.
-    """
-    return msgspec.json.decode(body, type=GroupQueues)
+    return json.dumps(asdict(page), separators=(",", ":")).encode()
--- a/packages/figcrank-transport/tests/test_queue_page.py
+++ b/packages/figcrank-transport/tests/test_queue_page.py
@@ -1,6 +1,7 @@
 """The page that shows the queues of a database group, and its bounds."""
 
 import eventlet
+import msgspec
 import pytest
 
 from figcrank.coordination.admission import Demand
@@ -12,8 +13,8 @@
     MAX_REFUSAL_ROWS,
     MAX_SERVERS,
     MAX_WAITING_ROWS,
+    GroupQueues,
     RefusalCount,
-    decode_queues,
 )
 from figcrank.state import ManualClock, revision_of
 from figcrank.state._catalog import Registry, ServerEntry
@@ -58,7 +59,7 @@
     def read(self, group="g"):
         status, body = self.page.render({"group": group})
         assert status == 200
-        return decode_queues(body)
+        return msgspec.json.decode(body, type=GroupQueues)
 
 
 @pytest.fixture
