Reject waiting statements that are likely to end after their deadlines

Cause: the last time at which a waiting statement may begin was its deadline less the mean service time measured when it arrived. Half of the statements that begin at that time take longer, and more of them when the service time rises while they wait: a read is then answered TIMEOUT and a write INDOUBT.

The last time to begin follows the present figures, so the heap of deadlines is kept by kind. Hedges have no margin.

Ruled out: the margin on top of the wait by the share of a level. That wait allows for later work already.

--- a/packages/figcrank-coordination/src/figcrank/coordination/admission/_level.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/admission/_level.py
@@ -25,14 +25,16 @@
     """A waiting statement.
 
     :param demand: what it asks for.
-    :param cost_ms: expected service time, with the connection that has to be opened for it.
+    :param cost_ms: expected service time at its arrival, with the connection that has to be opened.
     :param sequence: number of its arrival at the queue.
+    :param connects: whether a connection had to be opened for it when it arrived.
     :param level: where it waits, ``None`` once it does not.
     """
 
     demand: Demand
     cost_ms: float
     sequence: int
+    connects: bool = False
     level: "Level | None" = None
 
     @property
@@ -40,11 +42,6 @@
         """Return the last time at which it can begin and be in time."""
         return self.demand.target_ms - self.cost_ms
 
-    @property
-    def expires_after_ms(self) -> float:
-        """Return the last time at which it can begin and end before its deadline."""
-        return self.demand.deadline_ms - self.cost_ms
-
 
 @dataclass(slots=True, eq=False)
 class _Backlog:
--- a/packages/figcrank-coordination/src/figcrank/coordination/admission/_queue.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/admission/_queue.py
@@ -12,7 +12,7 @@
 from figcrank.coordination.admission._demand import Demand
 from figcrank.coordination.admission._level import MIN_SHARE, Level, Ticket
 from figcrank.coordination.admission._rejection import Rejection, RejectionReason
-from figcrank.coordination.admission._service_times import ServiceTimes
+from figcrank.coordination.admission._service_times import CONNECT_MS, ServiceTimes
 
 FLOOR = 0.1  # share of the service time that each priority level gets while it has work in time
 # With many levels the floors are lowered, so that half of the service time follows the priorities.
@@ -46,7 +46,8 @@
         self._in_time: Levels = {}
         self._late: Levels = {}
         self._late_heap: list[tuple[float, int, Ticket]] = []
-        self._expiry_heap: list[tuple[float, int, Ticket]] = []
+        # By kind, as the times that kinds take change while statements wait.
+        self._by_deadline: dict[tuple[str, bool], list[tuple[float, int, Ticket]]] = {}
         self._rejected: list[tuple[Ticket, Rejection]] = []
         self._next_return_ms: dict[tuple[int, int], float] = {}
         self._sequence = itertools.count()
@@ -78,13 +79,20 @@
         self._slots = max(1, slots)
         self.advance(now_ms)
         cost_ms = self._times.cost_ms(demand.kind, connects)
-        end_ms = now_ms + self._expected_wait_ms(demand, now_ms, cost_ms) + cost_ms
+        # The share that a level got allows for work that arrives later; a margin on top of it
+        # would reject what is likely to end in time.
+        wait_ms = max(
+            self._expected_wait_ms(demand, now_ms, cost_ms),
+            self._expected_wait_ms(demand, now_ms, cost_ms, by_share=False)
+            + self._margin_ms(demand.kind, demand.is_hedge),
+        )
+        end_ms = now_ms + wait_ms + cost_ms
         if end_ms > demand.deadline_ms:
             excess_ms = end_ms - demand.deadline_ms
             return self._reject(demand, cost_ms, RejectionReason.DEADLINE, now_ms, excess_ms)
         if self.waiting >= self._max_waiting and not self._displace(demand, cost_ms, now_ms):
             return self._reject(demand, cost_ms, RejectionReason.FULL, now_ms, 0.0)
-        ticket = Ticket(demand, cost_ms, next(self._sequence))
+        ticket = Ticket(demand, cost_ms, next(self._sequence), connects)
         self.put_back(ticket, now_ms)
         return ticket
 
@@ -92,7 +100,9 @@
         """Add a statement without a decision, for example one that was taken and could not run."""
         self._in_time.setdefault(ticket.demand.priority, Level()).add(ticket)
         heapq.heappush(self._late_heap, (ticket.late_after_ms, ticket.sequence, ticket))
-        heapq.heappush(self._expiry_heap, (ticket.expires_after_ms, ticket.sequence, ticket))
+        deadline_ms = ticket.demand.deadline_ms - (CONNECT_MS if ticket.connects else 0.0)
+        heap = self._by_deadline.setdefault((ticket.demand.kind, ticket.demand.is_hedge), [])
+        heapq.heappush(heap, (deadline_ms, ticket.sequence, ticket))
         self.advance(now_ms)
 
     def remove(self, ticket: Ticket) -> None:
@@ -118,10 +128,19 @@
             if ticket.level is not None and ticket.level is self._in_time.get(priority):
                 ticket.level.remove(ticket)
                 self._late.setdefault(priority, Level()).add(ticket)
-        while self._expiry_heap and self._expiry_heap[0][0] < now_ms:
-            ticket = heapq.heappop(self._expiry_heap)[2]
+        for key in list(self._by_deadline):
+            self._expire(key, now_ms)
+
+    def _expire(self, key: tuple[str, bool], now_ms: float) -> None:
+        """Reject the statements of a kind that can't be expected to end in time any more."""
+        needed_ms = self._times.mean_ms(key[0]) + self._margin_ms(*key)
+        heap = self._by_deadline[key]
+        while heap and (heap[0][2].level is None or heap[0][0] < now_ms + needed_ms):
+            ticket = heapq.heappop(heap)[2]
             if ticket.level is not None:
                 self._evict(ticket, RejectionReason.EXPIRED, now_ms)
+        if not heap:
+            del self._by_deadline[key]
 
     def drain_rejected(self) -> list[tuple[Ticket, Rejection]]:
         """Return the waiting statements that were rejected since the last call."""
@@ -130,39 +149,55 @@
 
     def drain_waiting(self) -> list[Ticket]:
         """Remove and return all waiting statements in the order of their arrival."""
-        waiting = {id(t): t for _, _, t in self._expiry_heap if t.level is not None}
+        entries = itertools.chain.from_iterable(self._by_deadline.values())
+        waiting = {id(t): t for _, _, t in entries if t.level is not None}
         tickets = sorted(waiting.values(), key=lambda t: (t.demand.arrived_ms, t.sequence))
         for ticket in tickets:
             self.remove(ticket)
         return tickets
 
+    def expires_after_ms(self, ticket: Ticket) -> float:
+        """Return the last time at which a statement can begin and be expected to end in time."""
+        demand = ticket.demand
+        needed_ms = self._times.cost_ms(demand.kind, ticket.connects)
+        return demand.deadline_ms - needed_ms - self._margin_ms(demand.kind, demand.is_hedge)
+
+    def _margin_ms(self, kind: str, is_hedge: bool) -> float:
+        """Return the margin before the deadline; that of a hedge is not the end of its caller."""
+        return 0.0 if is_hedge else self._times.margin_ms(kind)
+
     def expected_wait_ms(self, demand: Demand, now_ms: float, slots: int) -> float:
         """Return the expected wait of a statement that finds no free slot."""
         self._slots = max(1, slots)
         self.advance(now_ms)
         return self._expected_wait_ms(demand, now_ms, self._times.mean_ms(demand.kind))
 
-    def _expected_wait_ms(self, demand: Demand, now_ms: float, cost_ms: float) -> float:
+    def _expected_wait_ms(
+        self, demand: Demand, now_ms: float, cost_ms: float, by_share: bool = True
+    ) -> float:
         first_slot_ms = self._times.overall_ms / (self._slots + 1)  # the next slot becomes free
-        wait_ms = first_slot_ms + self._wait_in_ms(self._in_time, demand, cost_ms)
+        wait_ms = first_slot_ms + self._wait_in_ms(self._in_time, demand, cost_ms, by_share)
         if now_ms + wait_ms + cost_ms <= demand.target_ms:
             return wait_ms
         in_time_ms = sum(level.work_ms for level in self._in_time.values()) / self._slots
-        late_ms = first_slot_ms + in_time_ms + self._wait_in_ms(self._late, demand, cost_ms)
+        late_ms = first_slot_ms + in_time_ms
+        late_ms += self._wait_in_ms(self._late, demand, cost_ms, by_share)
         return max(wait_ms, late_ms)
 
-    def _wait_in_ms(self, levels: Levels, demand: Demand, cost_ms: float) -> float:
+    def _wait_in_ms(self, levels: Levels, demand: Demand, cost_ms: float, by_share: bool) -> float:
         """Return the time to serve what precedes a statement among those in time or late.
 
         Work that arrives later may precede it too. The share that its level got recently accounts
         for this, and the floor of the level bounds it; late work has no floor against work in time.
+
+        :param by_share: whether to use this share; otherwise only the work that waits now counts.
         """
         higher = [level for p, level in levels.items() if p < demand.priority and level.count]
         higher_ms = sum(level.work_ms for level in higher)
         level = levels.get(demand.priority)
         before_ms = level.work_before_ms(demand.workspace) if level and level.count else 0.0
         wait_ms = (higher_ms + before_ms) / self._slots
-        if before_ms:
+        if before_ms and by_share:
             wait_ms = max(wait_ms, before_ms / (self._slots * level.share))
         if not higher or levels is self._late:
             return wait_ms
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_admission_gate.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_admission_gate.py
@@ -130,7 +130,8 @@
         self._waiters[ticket] = waiter
         try:
             while waiter.is_waiting:
-                left_ms = math.floor(ticket.expires_after_ms) + 1 - self._clock.now_ms()
+                expires_after_ms = self._queue.expires_after_ms(ticket)
+                left_ms = math.floor(expires_after_ms) + 1 - self._clock.now_ms()
                 waiter.wait(min(CALLER_CHECK_MS, left_ms))
                 if waiter.is_waiting:
                     self._check(waiter, entry)
