Reject admitted statements once service times show that they can't begin in time

Cause: statements of a burst are admitted by the service times from before it. With more in flight the server is slower, so that the end of the queue waits for its deadline and is rejected only then. The work that waits was also counted by the times at each arrival, so that later arrivals were admitted too.

Change: waiting work is counted by the present times of its kinds. Every 50 ms each level is checked from its end, with the mean less one deviation as the service time, which a single outlier does not raise. Those rejected together get retry times by arrival, at the drain rate.

Ruled out: the mean less a quarter of the deviation (its standard error); by calculation, one sample over a suspension would reject part of the queue. The forecast excess as the retry time; capacity is free earlier, as a retry has a new deadline.

--- a/packages/figcrank-coordination/src/figcrank/coordination/admission/_level.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/admission/_level.py
@@ -11,9 +11,12 @@
 
 import heapq
 import itertools
+from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from figcrank.coordination.admission._demand import Demand
+from figcrank.coordination.admission._service_times import CONNECT_MS
 
 MAX_FINISH_TAGS = 256  # above this number, the tags that no longer matter are removed
 SHARE_WINDOW_MS = 500.0  # service time over which the share of a level is averaged
@@ -28,6 +31,7 @@
     :param cost_ms: expected service time at its arrival, with the connection that has to be opened.
     :param sequence: number of its arrival at the queue.
     :param connects: whether a connection had to be opened for it when it arrived.
+    :param slots: number of statements that this host could have in flight when it arrived.
     :param level: where it waits, ``None`` once it does not.
     """
 
@@ -35,6 +39,7 @@
     cost_ms: float
     sequence: int
     connects: bool = False
+    slots: int = 1
     level: "Level | None" = None
 
     @property
@@ -66,6 +71,7 @@
         self.share = 1.0  # of the service time while statements of the level waited
         self._virtual_ms = 0.0
         self._backlogs: dict[str, _Backlog] = {}
+        self._kinds: Counter[tuple[str, bool]] = Counter()  # by whether a connection is opened
         self._finish_ms: dict[str, float] = {}  # of workspaces that have nothing waiting
         self._order: list[tuple[float, int, str, _Backlog]] = []
         self._sequence = itertools.count()
@@ -84,6 +90,7 @@
         backlog.count += 1
         self.work_ms += ticket.cost_ms
         self.count += 1
+        self._kinds[demand.kind, ticket.connects] += 1
         ticket.level = self
 
     def remove(self, ticket: Ticket) -> None:
@@ -122,8 +129,18 @@
             backlog.entries.pop()
         return backlog.entries[-1][2]
 
+    def present_work_ms(self, service_ms: Callable[[str], float]) -> float:
+        """Return the waiting work by the present service times of its kinds."""
+        return sum(
+            count * (service_ms(kind) + (CONNECT_MS if connects else 0.0))
+            for (kind, connects), count in self._kinds.items()
+        )
+
     def work_before_ms(self, workspace: str) -> float:
-        """Return the waiting work that precedes a new statement of a workspace."""
+        """Return the waiting work that precedes a new statement of a workspace.
+
+        As :attr:`work_ms`, it is counted by the service times at the arrival of each statement.
+        """
         own = self._backlogs.get(workspace)
         own_work_ms = own.work_ms if own else 0.0
         start_ms = (own.start_ms if own else self._start_ms(workspace)) + own_work_ms
@@ -167,6 +184,10 @@
         backlog.count -= 1
         self.work_ms -= ticket.cost_ms
         self.count -= 1
+        key = ticket.demand.kind, ticket.connects
+        self._kinds[key] -= 1
+        if not self._kinds[key]:
+            del self._kinds[key]
         ticket.level = None
         return backlog
 
--- a/packages/figcrank-coordination/src/figcrank/coordination/admission/_queue.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/admission/_queue.py
@@ -8,6 +8,7 @@
 import heapq
 import itertools
 import math
+from collections.abc import Iterable
 
 from figcrank.coordination.admission._demand import Demand
 from figcrank.coordination.admission._level import MIN_SHARE, Level, Ticket
@@ -19,6 +20,8 @@
 MAX_FLOORS = 0.5
 MAX_WAITING = 1_000  # half of the sessions of a fleet; bounds the memory of one queue
 MIN_RETRY_MS = 25  # about one statement's duration
+# Several statements end in between, and a caller is told soon enough to do something else.
+RECHECK_MS = 50
 MAX_RETRY_MS = 5_000  # a forecast beyond a few seconds of the present load is worth little
 
 Levels = dict[tuple[int, int], Level]
@@ -52,6 +55,7 @@
         self._next_return_ms: dict[tuple[int, int], float] = {}
         self._sequence = itertools.count()
         self._slots = 1
+        self._recheck_ms = 0.0  # time of the next check of what was admitted
 
     @property
     def waiting(self) -> int:
@@ -92,7 +96,7 @@
             return self._reject(demand, cost_ms, RejectionReason.DEADLINE, now_ms, excess_ms)
         if self.waiting >= self._max_waiting and not self._displace(demand, cost_ms, now_ms):
             return self._reject(demand, cost_ms, RejectionReason.FULL, now_ms, 0.0)
-        ticket = Ticket(demand, cost_ms, next(self._sequence), connects)
+        ticket = Ticket(demand, cost_ms, next(self._sequence), connects, self._slots)
         self.put_back(ticket, now_ms)
         return ticket
 
@@ -130,6 +134,41 @@
                 self._late.setdefault(priority, Level()).add(ticket)
         for key in list(self._by_deadline):
             self._expire(key, now_ms)
+        if not 0 <= self._recheck_ms - now_ms <= RECHECK_MS:
+            self._recheck_ms = now_ms + RECHECK_MS
+            self._recheck(now_ms)
+
+    def _recheck(self, now_ms: float) -> None:
+        """Reject from the end of the order what can't begin in time by the present service times.
+
+        Service times rise in a burst, after the decisions on the arrivals of the burst. The work
+        that waits is counted by the least that the means may be, and by the slots of the decision
+        if they are fewer now, so that a limit that falls for a moment rejects nothing.
+        """
+        service_ms = self._times.low_mean_ms
+        before_ms = 0.0
+        for levels in (self._in_time, self._late):
+            backlogged = [levels[p] for p in sorted(levels) if levels[p].count]
+            floor = _floor(len(backlogged)) if levels is self._in_time else 0.0
+            for index, level in enumerate(backlogged):
+                work_ms = level.present_work_ms(service_ms)
+                rejected = []
+                while level.count and work_ms > level.work_ms:
+                    ticket = level.last()
+                    own_ms = work_ms * (1 - ticket.cost_ms / level.work_ms)
+                    wait_ms = before_ms + own_ms
+                    if index and floor:
+                        wait_ms = min(wait_ms, own_ms / floor)
+                    begin_ms = now_ms + wait_ms / max(self._slots, ticket.slots)
+                    if begin_ms <= self.expires_after_ms(ticket):
+                        break
+                    self.remove(ticket)
+                    rejected.append(ticket)
+                    work_ms = level.present_work_ms(service_ms)
+                # The first to arrive get the earliest retry times.
+                for ticket in sorted(rejected, key=lambda t: (t.demand.arrived_ms, t.sequence)):
+                    self._evict(ticket, RejectionReason.EXPIRED, now_ms)
+                before_ms += work_ms
 
     def _expire(self, key: tuple[str, bool], now_ms: float) -> None:
         """Reject the statements of a kind that can't be expected to end in time any more."""
@@ -179,7 +218,7 @@
         wait_ms = first_slot_ms + self._wait_in_ms(self._in_time, demand, cost_ms, by_share)
         if now_ms + wait_ms + cost_ms <= demand.target_ms:
             return wait_ms
-        in_time_ms = sum(level.work_ms for level in self._in_time.values()) / self._slots
+        in_time_ms = self._present_work_ms(self._in_time.values()) / self._slots
         late_ms = first_slot_ms + in_time_ms
         late_ms += self._wait_in_ms(self._late, demand, cost_ms, by_share)
         return max(wait_ms, late_ms)
@@ -193,9 +232,12 @@
         :param by_share: whether to use this share; otherwise only the work that waits now counts.
         """
         higher = [level for p, level in levels.items() if p < demand.priority and level.count]
-        higher_ms = sum(level.work_ms for level in higher)
+        higher_ms = self._present_work_ms(higher)
         level = levels.get(demand.priority)
-        before_ms = level.work_before_ms(demand.workspace) if level and level.count else 0.0
+        before_ms = 0.0
+        if level and level.count:
+            before_ms = level.work_before_ms(demand.workspace)
+            before_ms *= self._present_work_ms([level]) / level.work_ms
         wait_ms = (higher_ms + before_ms) / self._slots
         if before_ms and by_share:
             wait_ms = max(wait_ms, before_ms / (self._slots * level.share))
@@ -204,6 +246,9 @@
         backlogged = sum(1 for other in levels.values() if other.count and other is not level) + 1
         return min(wait_ms, (before_ms + cost_ms) / (self._slots * _floor(backlogged)))
 
+    def _present_work_ms(self, levels: Iterable[Level]) -> float:
+        return sum(level.present_work_ms(self._times.mean_ms) for level in levels)
+
     def _choose(self, levels: Levels) -> Level | None:
         """Return the level to serve: one that is owed service by its floor, else the highest."""
         backlogged = [levels[p] for p in sorted(levels) if levels[p].count]
@@ -236,7 +281,8 @@
 
     def _evict(self, ticket: Ticket, reason: RejectionReason, now_ms: float) -> None:
         self.remove(ticket)
-        rejection = self._reject(ticket.demand, ticket.cost_ms, reason, now_ms, 0.0)
+        cost_ms = self._times.cost_ms(ticket.demand.kind, ticket.connects)
+        rejection = self._reject(ticket.demand, cost_ms, reason, now_ms, 0.0)
         self._rejected.append((ticket, rejection))
 
     def _reject(
--- a/packages/figcrank-coordination/src/figcrank/coordination/admission/_service_times.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/admission/_service_times.py
@@ -54,6 +54,10 @@
         deviation_ms = self._deviations_ms.get(kind, 0.0)
         return min(deviation_ms, MAX_DEVIATION_FACTOR * self.mean_ms(kind))
 
+    def low_mean_ms(self, kind: str) -> float:
+        """Return what the mean is at least; one sample that is far off does not raise it."""
+        return max(MIN_MS, self.mean_ms(kind) - self.deviation_ms(kind))
+
     def margin_ms(self, kind: str) -> float:
         """Return the time beyond the mean that a statement has to be expected to take."""
         return MARGIN_DEVIATIONS * self.deviation_ms(kind)
--- a/packages/figcrank-coordination/tests/admission/test_spread.py
+++ b/packages/figcrank-coordination/tests/admission/test_spread.py
@@ -15,6 +15,7 @@
     RejectionReason,
     ServiceTimes,
 )
+from figcrank.coordination.admission._queue import MIN_RETRY_MS
 
 SLOTS = 4
 TARGET_MS = 300
@@ -25,8 +26,8 @@
 
 def demand(arrived_ms=0, kind="write", **changes):
     target_ms, deadline_ms = arrived_ms + TARGET_MS, arrived_ms + TIMEOUT_MS
-    fields = {"target_ms": target_ms, "deadline_ms": deadline_ms, **changes}
-    return Demand("w", kind, (0, 0), arrived_ms, **fields)
+    fields = {"priority": (0, 0), "target_ms": target_ms, "deadline_ms": deadline_ms, **changes}
+    return Demand("w", kind, arrived_ms=arrived_ms, **fields)
 
 
 def varying_times(samples=200):
@@ -121,3 +122,108 @@
     assert ended + rejected == 200
     # The slots are in use until a statement of the longest time could not end any more.
     assert ended >= SLOTS * (TIMEOUT_MS - 3 * LONGEST_MS) / (2 * MEAN_MS) - SLOTS
+
+
+class Burst:
+    """200 statements that arrive at once at a server with a measured service time of 20 ms.
+
+    :param service_ms: time that the statements take in the burst.
+    """
+
+    def __init__(self, service_ms, count=200):
+        self.times = ServiceTimes()
+        for _ in range(50):
+            self.times.record("write", MEAN_MS)
+        self.queue = AdmissionQueue(self.times)
+        self.service_ms = service_ms
+        arrivals = [self.queue.arrive(demand(), 0, SLOTS) for _ in range(count)]
+        self.admitted = sum(not isinstance(a, Rejection) for a in arrivals)
+        self.rejected = []  # times at which waiting statements were rejected
+        self.returns = []  # numbers of these statements by arrival, and the times of their retries
+        self.served = 0
+        self.now_ms = 0
+
+    def run(self, until_ms, slots=SLOTS):
+        """Serve the queue until a time, with as many statements in flight as there are slots."""
+        while self.now_ms < until_ms:
+            for _ in range(slots):
+                self.served += self.queue.take(self.now_ms, slots) is not None
+            rejected = self.queue.drain_rejected()
+            self.rejected += [self.now_ms] * len(rejected)
+            self.returns += [(t.sequence, self.now_ms + r.retry_after_ms) for t, r in rejected]
+            self.now_ms += self.service_ms
+            for _ in range(slots):
+                self.times.record("write", self.service_ms)
+
+
+def test_burst_that_slows_the_server_is_rejected_before_its_deadlines():
+    """Guards against callers that wait 3 s for nothing, as the server is slower in the burst."""
+    burst = Burst(service_ms=40)
+    burst.run(TIMEOUT_MS)
+    in_time = SLOTS * TIMEOUT_MS // 40
+    assert burst.served + len(burst.rejected) == burst.admitted
+    assert in_time - 2 * SLOTS <= burst.served <= in_time
+    early = [at_ms for at_ms in burst.rejected if at_ms <= TIMEOUT_MS / 2]
+    assert len(early) >= 0.8 * len(burst.rejected) > 0
+
+
+def test_callers_rejected_together_return_in_the_order_of_their_arrival_at_the_drain_rate():
+    """Guards against retries that come together, or all after that of the last in the order."""
+    burst = Burst(service_ms=40, count=150)
+    assert burst.admitted == 150  # no retry time is given yet
+    while not burst.rejected:
+        mean_ms = burst.times.mean_ms("write")
+        burst.run(burst.now_ms + 40)
+    batch = sorted(burst.returns)
+    assert len(batch) > 5
+    times_ms = [return_ms for _, return_ms in batch]
+    assert times_ms == sorted(times_ms)
+    assert times_ms[0] <= burst.now_ms + MIN_RETRY_MS
+    per_ms = (len(batch) - 1) / (times_ms[-1] - times_ms[0])
+    assert per_ms <= 1.1 * SLOTS / mean_ms
+
+
+def test_statement_that_arrives_in_a_burst_is_placed_by_the_present_service_times():
+    """Guards against admissions by times measured before the burst, while the queue is long."""
+    burst = Burst(service_ms=40, count=100)
+    burst.run(200)
+    wait_ms = burst.queue.expected_wait_ms(demand(200), 200, SLOTS)
+    assert burst.queue.waiting >= 50
+    assert wait_ms >= 0.9 * burst.queue.waiting * 40 / SLOTS
+
+
+def test_one_slow_statement_rejects_nothing_that_was_admitted():
+    """Guards against a suspension of the host that empties the end of the queue."""
+    burst = Burst(service_ms=20)
+    burst.times.record("write", 3_600_000)
+    burst.queue.advance(100)
+    assert burst.queue.drain_rejected() == []
+
+
+def test_fall_of_the_limit_for_a_moment_rejects_nothing_that_was_admitted():
+    """Guards against one rejection by the server that empties the end of the queue."""
+    burst = Burst(service_ms=20)
+    burst.run(100)
+    burst.queue.take(100, 1)
+    burst.queue.advance(160)
+    assert burst.queue.drain_rejected() == []
+    burst.run(TIMEOUT_MS)
+    assert burst.served >= SLOTS * TIMEOUT_MS // 20 - 2 * SLOTS
+
+
+def test_rise_of_one_kind_rejects_nothing_of_a_more_urgent_one():
+    """Guards against reads at a slow server that cause the rejection of submissions."""
+    times = ServiceTimes()
+    for _ in range(50):
+        times.record("write", MEAN_MS)
+        times.record("read", MEAN_MS)
+    queue = AdmissionQueue(times)
+    for _ in range(70):
+        queue.arrive(demand(), 0, SLOTS)
+        queue.arrive(demand(kind="read", priority=(2, 0)), 0, SLOTS)
+    for _ in range(50):
+        times.record("read", 5 * MEAN_MS)
+    queue.advance(100)
+    rejected = queue.drain_rejected()
+    assert rejected
+    assert {ticket.demand.kind for ticket, _ in rejected} == {"read"}
