Count statements that end after their deadlines in the replay of admission

Cause: the replay gave the late worth also to statements that ended after their timeouts, when the proxy has answered TIMEOUT or INDOUBT already.

Change: such statements are counted (overran) and have no worth.

--- a/packages/figcrank-measure/src/figcrank/measure/_admission_load.py
+++ b/packages/figcrank-measure/src/figcrank/measure/_admission_load.py
@@ -57,6 +57,7 @@
     """A statement of the load.
 
     :param attempts: how often it was sent to an owner.
+    :param deadline_ms: time after which its caller no longer waits for the last attempt.
     :param ended_ms: when the caller got its result, ``None`` if it did not.
     """
 
@@ -65,6 +66,7 @@
     arrived_ms: float
     service_ms: float
     attempts: int = 0
+    deadline_ms: float = 0.0
     ended_ms: float | None = None
 
     def demand(self, now_ms: float) -> Demand:
@@ -79,6 +81,11 @@
         """Return whether the caller got its result by the target, from its first attempt on."""
         return self.ended_ms is not None and self.ended_ms <= self.arrived_ms + self.kind.target_ms
 
+    @property
+    def overran(self) -> bool:
+        """Return whether it ended after its caller got an error: a write is then in doubt."""
+        return self.ended_ms is not None and self.ended_ms > self.deadline_ms
+
 
 class Order(ABC):
     """The queue of an owner.
@@ -230,6 +237,7 @@
 
     def _arrive(self, statement: Statement) -> None:
         statement.attempts += 1
+        statement.deadline_ms = self.now_ms + statement.kind.timeout_ms
         owner = self._rng.randrange(len(self._owners))
         if self._in_flight[owner] < self._owners[owner].allowed:
             self._send(statement, owner)
@@ -288,11 +296,13 @@
         for the workspace.
     :param worth: worth of what was served, as a share of that of all.
     :param rejected: number of rejected statements.
+    :param overran: number of statements that ended after their deadlines.
     """
 
     in_time: dict[tuple[str, str], float]
     worth: float
     rejected: int
+    overran: int
 
 
 def outcome(
@@ -318,10 +328,12 @@
         if statement.in_time:
             in_time[key] += 1
             worth += statement.kind.worth
-        elif statement.ended_ms is not None:
+        elif statement.ended_ms is not None and not statement.overran:
             worth += statement.kind.worth_late
     shares = {key: in_time[key] / sent[key] for key in sorted(sent)}
-    return Outcome(shares, worth / total, sum(s.ended_ms is None for s in load))
+    rejected = sum(statement.ended_ms is None for statement in load)
+    overran = sum(statement.overran for statement in load)
+    return Outcome(shares, worth / total, rejected, overran)
 
 
 def main() -> None:
@@ -331,7 +343,8 @@
             result = outcome(order, owners, retries, 1, 20_000, *factors)
             shares = " ".join(f"{k}/{w}={s:.3f}" for (k, w), s in result.in_time.items())
             title = f"{order.__name__} factors={factors} queues={owners} retries={retries}"
-            print(f"{title} worth={result.worth:.3f} rejected={result.rejected} {shares}")
+            counts = f"rejected={result.rejected} overran={result.overran}"
+            print(f"{title} worth={result.worth:.3f} {counts} {shares}")
 
 
 if __name__ == "__main__":
--- a/packages/figcrank-measure/tests/test_admission_load.py
+++ b/packages/figcrank-measure/tests/test_admission_load.py
@@ -44,6 +44,13 @@
     assert others > before.in_time["household", "others"]
 
 
+@pytest.mark.parametrize("owners", [1, 3])
+@pytest.mark.parametrize("retries", [0, 2])
+def test_no_statement_that_begins_ends_after_its_deadline(owners, retries):
+    """Guards against reads answered TIMEOUT and writes in doubt that used a slot for nothing."""
+    assert outcome(AdmissionOrder, owners, retries).overran == 0
+
+
 @pytest.mark.parametrize("owners", [1, 3])
 def test_usual_load_is_served_as_before(owners):
     """Guards against statements rejected or delayed while there is capacity for them."""
