Don't take a stall of a server for a rise of its service times

Cause: a stall lengthens every statement in flight. Several such samples raise the mean faster than its deviation, and the check of what waits rejected statements that could all end in time.

Change: the check rejects only if the times are higher still after as many more statements have ended as can be in flight.

--- a/packages/figcrank-coordination/src/figcrank/coordination/admission/_queue.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/admission/_queue.py
@@ -57,6 +57,7 @@
         self._sequence = itertools.count()
         self._slots = 1
         self._recheck_ms = 0.0  # time of the next check of what was admitted
+        self._risen_samples: int | None = None  # when the service times rose, while they are higher
 
     @property
     def waiting(self) -> int:
@@ -144,7 +145,23 @@
             self._expire(key, now_ms)
         if not 0 <= self._recheck_ms - now_ms <= RECHECK_MS:
             self._recheck_ms = now_ms + RECHECK_MS
-            self._recheck(now_ms)
+            if self._has_slowed():
+                self._recheck(now_ms)
+
+    def _has_slowed(self) -> bool:
+        """Return whether waiting work takes longer than at its arrival, and not after a stall only.
+
+        A stall lengthens every statement that is in flight. The times have to be higher still when
+        as many more have ended.
+        """
+        levels = (*self._in_time.values(), *self._late.values())
+        service_ms = self._times.low_mean_ms
+        if not any(o.count and o.present_work_ms(service_ms) > o.work_ms for o in levels):
+            self._risen_samples = None
+            return False
+        if self._risen_samples is None:
+            self._risen_samples = self._times.samples
+        return self._times.samples - self._risen_samples >= self._slots
 
     def _recheck(self, now_ms: float) -> None:
         """Reject from the end of the order what can't begin in time by the present service times.
--- a/packages/figcrank-coordination/src/figcrank/coordination/admission/_service_times.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/admission/_service_times.py
@@ -29,9 +29,11 @@
         self._means: dict[str, float] = {}
         self._deviations_ms: dict[str, float] = {}
         self._overall_ms: float | None = None
+        self.samples = 0  # number of all samples
 
     def record(self, kind: str, took_ms: float) -> None:
         """Add the service time of one statement, or the sum over those of one transaction."""
+        self.samples += 1
         mean_ms = self.mean_ms(kind)
         sample_ms = min(max(MIN_MS, took_ms), MAX_SAMPLE_FACTOR * mean_ms)
         if kind in self._means:
