--- a/packages/figcrank-coordination/src/figcrank/coordination/admission/_queue.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/admission/_queue.py
@@ -68,8 +68,9 @@
     @property
     def waiting_tickets(self) -> list[Ticket]:
         """Return the waiting statements, in no particular order."""
-        tickets = {id(t): t for _, _, t in self._expiry_heap if t.level is not None}
-        return list(tickets.values())
+        entries = itertools.chain.from_iterable(self._by_deadline.values())
+        # A statement that was put back has two entries.
+        return list({id(t): t for _, _, t in entries if t.level is not None}.values())
 
     def waiting_by_priority(self) -> dict[int, int]:
         """Return the number of waiting statements by the priority of their route."""
@@ -219,9 +220,7 @@
 
     def drain_waiting(self) -> list[Ticket]:
         """Remove and return all waiting statements in the order of their arrival."""
-        entries = itertools.chain.from_iterable(self._by_deadline.values())
-        waiting = {id(t): t for _, _, t in entries if t.level is not None}
-        tickets = sorted(waiting.values(), key=lambda t: (t.demand.arrived_ms, t.sequence))
+        tickets = sorted(self.waiting_tickets, key=lambda t: (t.demand.arrived_ms, t.sequence))
         for ticket in tickets:
             self.remove(ticket)
         return tickets
