Count bytes by kind of message and by distance

Cause: a fleet in two regions pays four times as much for bytes between regions as for bytes between zones, and no counter told which messages cross.

Change: TrafficMeter counts into traffic_bytes{kind,direction,way}, at most 40 combinations. Heartbeats, views, relayed sessions, server statements and store calls are counted where they are sent and received. Status queries of relays count as relayed sessions. An owner learns the zone of a relay from the options of the start, so the bytes of the start are counted once it is read. The store and a relay that sends a status query have no known zone: direction "unknown". HTTP is counted with its headers, TCP, UDP and IP headers are not.

The fake server of test_server_pool takes the new argument of ServerConnection.open; no assertion changed.

--- a/packages/figcrank-transport/src/figcrank/transport/streams/_caller_connection.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_caller_connection.py
@@ -12,6 +12,7 @@
     TransactionState,
 )
 from figcrank.transport.streams._metrics import Metrics
+from figcrank.transport.streams._traffic import TrafficChannel
 
 RECEIVE_BYTES = 16_384
 SESSION_START_TIMEOUT_MS = 10_000  # closes connections that never send a handshake
@@ -42,6 +43,8 @@
         self._receiving = False
         self._closing = False
         self._caller_closed = False
+        self._traffic: TrafficChannel | None = None  # of a relay's connection, once it is known
+        self._uncounted_bytes = 0  # received before that
 
     @property
     @abstractmethod
@@ -136,12 +139,23 @@
             if not data:
                 self._caller_closed = True
                 return None
+            if self._traffic is None:
+                self._uncounted_bytes += len(data)
+            else:
+                self._traffic.received(len(data))
             self._pending_messages = self._decoder.feed(data)
         return self._pending_messages.pop(0)
 
     def _send(self, data: bytes) -> None:
         self._sock.settimeout(None)
         self._sock.sendall(data)
+        if self._traffic is not None:
+            self._traffic.sent(len(data))
+
+    def _count_bytes(self, traffic: TrafficChannel) -> None:
+        """Count the bytes of this connection, including those received already."""
+        self._traffic = traffic
+        traffic.received(self._uncounted_bytes)
 
     def _reply(self, body: bytes) -> None:
         self._send(self._codec.reply(body, self.transaction_state))
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_connection.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_connection.py
@@ -17,6 +17,7 @@
     TransactionState,
 )
 from figcrank.state._clock import Clock
+from figcrank.transport.streams._traffic import MessageKind, TrafficChannel, uncounted
 
 CONNECT_TIMEOUT_MS = 300  # 100 round trips in a region; TCP resends a lost SYN after 1 s or more
 HANDSHAKE_TIMEOUT_MS = 700  # a handshake holds a slot for 12 ms, and may wait behind a full queue
@@ -53,6 +54,7 @@
     :param clock: this host's clock.
     :param may_send: asked right before each message; if it returns false, the connection is reset
         and nothing is sent.
+    :param traffic: counts the bytes sent and received.
     """
 
     def __init__(
@@ -62,11 +64,13 @@
         workspace: str,
         clock: Clock,
         may_send: Callable[[], bool] | None = None,
+        traffic: TrafficChannel | None = None,
     ) -> None:
         self._sock = sock
         self._decoder = decoder
         self._clock = clock
         self._may_send = may_send
+        self._traffic = traffic or uncounted().channel(MessageKind.STATEMENT, "")
         self._reply_handler: ReplyHandler | None = None
         self.workspace = workspace
         self.variables: dict[str, str] = {}
@@ -91,12 +95,14 @@
         workspace: str,
         clock: Clock,
         may_send: Callable[[], bool] | None = None,
+        traffic: TrafficChannel | None = None,
     ) -> "tuple[ServerConnection, Reply]":
         """Connect and wait for the server's handshake reply.
 
         :param decoder: decodes the replies.
         :param start_message: handshake message.
         :param may_send: asked right before each message, also the handshake.
+        :param traffic: counts the bytes sent and received.
         :raises OpenError: if connecting or the handshake fails.
         """
         sock = socket.socket(std_socket.AF_INET, std_socket.SOCK_STREAM)
@@ -115,7 +121,7 @@
         if may_send is not None and not may_send():
             sock.close()
             raise OpenError(SessionFailure.BUSY, "nothing may be sent to the server now")
-        connection = cls(sock, decoder, workspace, clock, may_send)
+        connection = cls(sock, decoder, workspace, clock, may_send, traffic)
         eventlet.spawn_n(connection._receive)
         reply = connection.send_and_wait(start_message, HANDSHAKE_TIMEOUT_MS)
         if reply is None or reply.failure is not None:
@@ -155,6 +161,7 @@
             return
         try:
             self._sock.sendall(data)
+            self._traffic.sent(len(data))
         except OSError:
             # Closing calls the reply handler.
             self.close()
@@ -203,6 +210,7 @@
         while not self.closed:
             try:
                 data = self._sock.recv(RECEIVE_BYTES)
+                self._traffic.received(len(data))
                 replies = self._decoder.feed(data) if data else []
             except (OSError, EOFError, ValueError):
                 # Lost, closed by this host, or a protocol violation: close it.
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
@@ -41,6 +41,7 @@
 from figcrank.transport.streams._settings import SessionHostSettings
 from figcrank.transport.streams._status_responder import StatusResponder
 from figcrank.transport.streams._store_reader import StoreReader
+from figcrank.transport.streams._traffic import MessageKind, TrafficMeter
 
 BACKLOG = 512  # callers reconnect at the same time after a restart
 TICK_INTERVAL_MS = 100
@@ -78,6 +79,9 @@
         self._clock = BootClock()
         self._log = EventLog(settings.host, self._clock)
         self._metrics = Metrics()
+        regions = RegionMap(settings.availability_zone, settings.regions)
+        traffic = TrafficMeter(regions, self._metrics)
+        store.count_traffic(traffic.channel(MessageKind.STORE, ""))  # its zone is not known
         boot_id = random.SystemRandom().getrandbits(48)
         self._view = FleetView(
             settings.host,
@@ -87,7 +91,7 @@
             self._clock.now_ms(),
             settings.availability_zone,
             settings.evacuation_ms,
-            RegionMap(settings.availability_zone, settings.regions),
+            regions,
         )
         self._view.ownership.regions = settings.regions
         ip = settings.peer_address[0]
@@ -97,6 +101,7 @@
             ip,
             self._clock,
             self._log,
+            traffic,
         )
         self._responder = StatusResponder(
             (ip, settings.relay_port),
@@ -117,7 +122,7 @@
             cold_headroom=settings.cold_headroom,
         )
         self._link = PeerLink(
-            settings.peer_address, self._view, self._router, store, self._clock, self._log
+            settings.peer_address, self._view, self._router, store, self._clock, self._log, traffic
         )
         self._store = StoreReader(
             store, self._link, self._view, self._router, self._clock, self._log, self._metrics
@@ -173,7 +178,9 @@
             self._log,
             self._metrics,
             self._services.sessions,
-            OwnerOpener(settings.availability_zone, self._tracker, self._clock, self._metrics),
+            OwnerOpener(
+                settings.availability_zone, self._tracker, self._clock, self._metrics, traffic
+            ),
         )
         self._group_owner_monitor = GroupOwnerMonitor(
             self._view, self._tracker, self._clock, self._log, self._metrics
@@ -293,7 +300,12 @@
         serve_http(sock, {READINESS_PATH: self._readiness})
 
     def _serve_peer(self, sock: socket.socket) -> None:
-        serve_http(sock, {VIEW_PATH: self._link.view_page})
+        try:
+            traffic = self._link.view_channel(sock.getpeername()[0])
+        except OSError:
+            sock.close()  # the peer has disconnected already
+            return
+        serve_http(sock, {VIEW_PATH: self._link.view_page}, traffic)
 
     def _serve_metrics(self, sock: socket.socket) -> None:
         serve_http(sock, {METRICS_PATH: self._metrics_page})
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_http.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_http.py
@@ -9,6 +9,8 @@
 
 from eventlet.green import socket
 
+from figcrank.transport.streams._traffic import TrafficChannel
+
 RESPONSE_TIMEOUT_MS = 2_000  # clients are in the same region; requests have a few hundred bytes
 MAX_HEAD_BYTES = 8_192  # far above any request of a metrics collector or load balancer
 
@@ -16,10 +18,13 @@
 _REASONS = {200: "OK", 404: "Not Found", 503: "Service Unavailable"}
 
 
-def serve_http(sock: socket.socket, handlers: dict[str, HttpHandler]) -> None:
+def serve_http(
+    sock: socket.socket, handlers: dict[str, HttpHandler], traffic: TrafficChannel | None = None
+) -> None:
     """Answer requests on a connection until it is closed.
 
     :param handlers: request handlers by path; each gets the query and returns status and body.
+    :param traffic: counts the bytes; ``None`` if they are not counted.
     """
     sock.settimeout(None)
     pending = b""
@@ -30,10 +35,15 @@
                 data = sock.recv(MAX_HEAD_BYTES)
                 if not data or len(head) > MAX_HEAD_BYTES:
                     return
+                if traffic is not None:
+                    traffic.received(len(data))
                 pending = head + data
                 continue
             sock.settimeout(RESPONSE_TIMEOUT_MS / 1_000)
-            sock.sendall(_render_response(head, handlers))
+            response = _render_response(head, handlers)
+            sock.sendall(response)
+            if traffic is not None:
+                traffic.sent(len(response))
             sock.settimeout(None)
     except (OSError, EOFError):
         return  # the client disconnected
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_interfaces.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_interfaces.py
@@ -9,6 +9,7 @@
 from figcrank.protocol.heartbeats import StoredPrimaries
 from figcrank.protocol.owners import Owner, SeatEntry
 from figcrank.state._catalog import Catalog, Registry
+from figcrank.transport.streams._traffic import TrafficChannel
 
 
 class StoreErrorKind(Enum):
@@ -55,6 +56,10 @@
     era before :attr:`era` fails the call, and so does a conditional write for another era.
     """
 
+    @abstractmethod
+    def count_traffic(self, traffic: TrafficChannel) -> None:
+        """Count the bytes of the calls made from now on."""
+
     @property
     @abstractmethod
     def era(self) -> int:
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_owner_opener.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_owner_opener.py
@@ -10,6 +10,7 @@
 from figcrank.transport.streams._connection import OpenError, ServerConnection
 from figcrank.transport.streams._metrics import Metrics
 from figcrank.transport.streams._owner_tracker import OwnerTracker
+from figcrank.transport.streams._traffic import MessageKind, TrafficMeter, uncounted
 
 START_TIMEOUT_MS = 1_800  # callers close a session that does not start within 2 s
 NO_OWNER_RETRY_MS = 100
@@ -37,15 +38,22 @@
     :param owners: chooses owners and watches them.
     :param clock: this host's clock.
     :param metrics: metrics registry.
+    :param traffic: counts the bytes of the sessions.
     """
 
     def __init__(
-        self, availability_zone: str, owners: OwnerTracker, clock: Clock, metrics: Metrics
+        self,
+        availability_zone: str,
+        owners: OwnerTracker,
+        clock: Clock,
+        metrics: Metrics,
+        traffic: TrafficMeter | None = None,
     ) -> None:
         self._zone = availability_zone
         self._owners = owners
         self._clock = clock
         self._metrics = metrics
+        self._traffic = traffic or uncounted()
 
     def open(self, start: SessionStart) -> OpenedSession | None:
         """Open a session as a relay; return ``None`` if no owner answers in time."""
@@ -123,6 +131,7 @@
                 encode_start(start, self._owners.seen_version, options),
                 "",
                 self._clock,
+                traffic=self._traffic.channel(MessageKind.RELAY, owner.availability_zone),
             )
         except OpenError as error:
             self._owners.record_failure(owner, str(error))
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_owner_session.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_owner_session.py
@@ -6,6 +6,7 @@
 from figcrank.protocol.sessions import CallerMessage, ConfigurationSeen, StartOptions
 from figcrank.transport.streams._caller_connection import SESSION_START_TIMEOUT_MS
 from figcrank.transport.streams._session import CallerSession, SessionServices
+from figcrank.transport.streams._traffic import MessageKind, TrafficMeter
 
 MAX_REDIRECTED_OWNERS = 3  # the group owner and two successors; a start tries no more in its time
 
@@ -30,6 +31,9 @@
             else:
                 self._options = message
             message = self._next_message(SESSION_START_TIMEOUT_MS)
+        zone = self._options.availability_zone if self._options else ""
+        meter = TrafficMeter(self._services.router.view.regions, self._services.metrics)
+        self._count_bytes(meter.channel(MessageKind.RELAY, zone))
         return message
 
     def _is_redirected(self) -> bool:
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_owner_tracker.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_owner_tracker.py
@@ -15,6 +15,12 @@
 from figcrank.state._clock import Clock
 from figcrank.transport.streams._connection import ServerConnection
 from figcrank.transport.streams._log import EventLog
+from figcrank.transport.streams._traffic import (
+    MessageKind,
+    TrafficChannel,
+    TrafficMeter,
+    uncounted,
+)
 
 Address = tuple[str, int]
 QUERY_INTERVAL_MS = 1_500  # a leaving owner also refuses sessions itself
@@ -34,11 +40,19 @@
     :param ip: address of this host.
     :param clock: this host's clock.
     :param log: event log.
+    :param traffic: counts the bytes of queries and answers.
     """
 
     def __init__(
-        self, directory: OwnerDirectory, relay_port: int, ip: str, clock: Clock, log: EventLog
+        self,
+        directory: OwnerDirectory,
+        relay_port: int,
+        ip: str,
+        clock: Clock,
+        log: EventLog,
+        traffic: TrafficMeter | None = None,
     ) -> None:
+        self._traffic = traffic or uncounted()
         self._directory = directory
         self._relay_port = relay_port
         self._clock = clock
@@ -152,14 +166,21 @@
     def _send(self, datagram: bytes, ip: str) -> None:
         try:
             self._socket.sendto(datagram, (ip, self._relay_port))
+            self.channel_to(ip).sent(len(datagram))
         except OSError as error:
             self._log.event("owner_query_failed", peer=ip, reason=str(error))
 
+    def channel_to(self, ip: str) -> TrafficChannel:
+        """Return the counter for status queries and answers exchanged with a host."""
+        zones = (o.availability_zone for o in self._directory.owners() if o.address[0] == ip)
+        return self._traffic.channel(MessageKind.RELAY, next(zones, ""))
+
     def run_receiver(self) -> None:
         """Receive the answers to status queries until the process ends."""
         while True:
             try:
                 data, address = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+                self.channel_to(address[0]).received(len(data))
                 self._receive(decode_status(data), address[0])
             except OSError as error:
                 self._log.event("owner_query_failed", reason=str(error))
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_peer_link.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_peer_link.py
@@ -16,9 +16,16 @@
 from figcrank.protocol.owners import Owner
 from figcrank.state._catalog import Registry, ServerEntry
 from figcrank.state._clock import Clock
+from figcrank.transport.streams._counted_http import CountedHttpConnection
 from figcrank.transport.streams._interfaces import Store
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._router import Router
+from figcrank.transport.streams._traffic import (
+    MessageKind,
+    TrafficChannel,
+    TrafficMeter,
+    uncounted,
+)
 
 HEARTBEAT_INTERVAL_MS = 300  # five per lease; eight hosts send 190 datagrams/s in all
 MAX_DATAGRAM_BYTES = 65_000
@@ -42,6 +49,7 @@
     :param store: decodes configurations.
     :param clock: this host's clock.
     :param log: event log.
+    :param traffic: counts the bytes of heartbeats and views.
     """
 
     def __init__(
@@ -52,7 +60,9 @@
         store: Store,
         clock: Clock,
         log: EventLog,
+        traffic: TrafficMeter | None = None,
     ) -> None:
+        self._traffic = traffic or uncounted()
         self._view = view
         self._router = router
         self._store = store
@@ -92,6 +102,7 @@
         while True:
             try:
                 data, address = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+                self._channel_to(MessageKind.HEARTBEAT, address[0]).received(len(data))
                 self._receive(data, address)
             except OSError as error:
                 self._log.event("heartbeat_error", reason=str(error))
@@ -99,6 +110,14 @@
             except HeartbeatError as error:
                 self._log.event("heartbeat_unreadable", sender=address, reason=str(error))
 
+    def _channel_to(self, kind: MessageKind, ip: str) -> TrafficChannel:
+        zones = (p.availability_zone for p in self._view.peers.all() if p.address[0] == ip)
+        return self._traffic.channel(kind, next(zones, ""))
+
+    def view_channel(self, ip: str) -> TrafficChannel:
+        """Return the counter for the views that a host fetches from this one."""
+        return self._channel_to(MessageKind.VIEW, ip)
+
     def _receive(self, data: bytes, address: Address) -> None:
         if not self._view.is_owner:
             return
@@ -195,6 +214,7 @@
         data = self._view.links.encode(peer, heartbeat)
         try:
             self._socket.sendto(data, peer.address)
+            self._traffic.channel(MessageKind.HEARTBEAT, peer.availability_zone).sent(len(data))
         except OSError as error:
             self._log.event("heartbeat_error", peer=peer.name, reason=str(error))
 
@@ -224,13 +244,12 @@
             with eventlet.Timeout(
                 FETCH_TIMEOUT_MS / 1_000, OSError("the peer did not answer in time")
             ):
-                connection = http_client.HTTPConnection(
-                    *address, timeout=CONNECT_TIMEOUT_MS / 1_000
-                )
+                traffic = self._channel_to(MessageKind.VIEW, address[0])
+                connection = CountedHttpConnection(address, CONNECT_TIMEOUT_MS, traffic)
                 connection.connect()
                 connection.sock.settimeout(FETCH_TIMEOUT_MS / 1_000)
                 connection.request("GET", f"{VIEW_PATH}?catalog={version}&packed=1")
-                body = connection.getresponse().read()
+                _, body = connection.read_response()
                 connection.close()
             self._apply_peer_view(json.loads(body), started_ms)
         except (
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_pool.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_pool.py
@@ -23,6 +23,7 @@
 from figcrank.transport.streams._connection import OpenError, ServerConnection
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._metrics import Metrics
+from figcrank.transport.streams._traffic import MessageKind, TrafficMeter, uncounted
 
 LAGGING_RETRY_MS = 60  # about one replication delay; a lagging replica is skipped for this long
 
@@ -45,6 +46,7 @@
     :param clock: this host's clock.
     :param metrics: metrics registry.
     :param log: event log, ``None`` to log nothing.
+    :param traffic: counts the bytes exchanged with the server.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         clock: Clock,
         metrics: Metrics,
         log: EventLog | None = None,
+        traffic: TrafficMeter | None = None,
     ) -> None:
         self.entry = entry
         self.health = ServerHealth()
@@ -67,6 +70,7 @@
         self._codec = codec
         self._clock = clock
         self._metrics = metrics
+        self._traffic = traffic or uncounted()
         self._idle: list[ServerConnection] = []
         self._busy: set[ServerConnection] = set()
         self._opening: dict[str, int] = {}
@@ -214,6 +218,7 @@
                 workspace,
                 self._clock,
                 lambda: self.may_send(),
+                self._traffic.channel(MessageKind.STATEMENT, self.entry.availability_zone),
             )
             self._add_opened(connection, reply)
             return connection
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
@@ -32,6 +32,7 @@
 from figcrank.transport.streams._metrics import Metrics
 from figcrank.transport.streams._pool import LAGGING_RETRY_MS, ServerPool, split_address
 from figcrank.transport.streams._server_loads import ServerLoads
+from figcrank.transport.streams._traffic import MessageKind, TrafficMeter
 
 PRIMARY_RECHECK_MS = 100  # a lease can expire and be renewed without an event
 UNREGISTERED_GRACE_MS = 2_500  # after a store outage, expired entries return within 2 s
@@ -74,6 +75,7 @@
         self._zone = availability_zone
         self._log = log
         self._metrics = metrics
+        self.traffic = TrafficMeter(view.regions, metrics)
         self._pools: dict[str, ServerPool] = {}
         # By group, when a read last lacked a position that replicas must have reached.
         self.position_lacking_ms: dict[str, int] = {}
@@ -103,7 +105,9 @@
             # The record of primaries has no zone; an evacuation of the last known one still holds.
             entry = replace(entry, availability_zone=pool.entry.availability_zone)
         if pool is None:
-            pool = ServerPool(entry, self.codec, self._clock, self._metrics, self._log)
+            pool = ServerPool(
+                entry, self.codec, self._clock, self._metrics, self._log, self.traffic
+            )
             self._set_limit(pool)
             self.loads.limit(pool)
             self._pools[server_id] = pool
@@ -460,6 +464,7 @@
                 self.view.host,
                 self._clock,
                 pool.may_send,
+                self.traffic.channel(MessageKind.STATEMENT, entry.availability_zone),
             )
         except OpenError as error:
             self._record_failed_probe(pool, error)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_server_commands.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_server_commands.py
@@ -6,6 +6,7 @@
 from figcrank.transport.streams._connection import OpenError, ServerConnection
 from figcrank.transport.streams._pool import split_address
 from figcrank.transport.streams._router import Router
+from figcrank.transport.streams._traffic import MessageKind
 
 COMMAND_TIMEOUT_MS = 250  # a status query needs a round trip and a server slot
 
@@ -53,6 +54,7 @@
                 self._host,
                 self._clock,
                 lambda: self._router.may_send_to(entry),
+                self._router.traffic.channel(MessageKind.STATEMENT, entry.availability_zone),
             )
         except OpenError as error:
             pool = self._router.pool(entry.server_id)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_status_responder.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_status_responder.py
@@ -48,10 +48,14 @@
         while True:
             try:
                 data, sender = self._socket.recvfrom(MAX_QUERY_BYTES)
+                traffic = self._tracker.channel_to(sender[0])
+                traffic.received(len(data))
                 if data == RELAY_NOTICE:
                     self._view.ownership.record_relay(self._clock.now_ms())
                 if data == STATUS_QUERY:
-                    self._socket.sendto(encode_status(self.status()), sender)
+                    answer = encode_status(self.status())
+                    self._socket.sendto(answer, sender)
+                    traffic.sent(len(answer))
             except OSError as error:
                 self._log.event("owner_query_failed", reason=str(error))
                 eventlet.sleep(ERROR_PAUSE_MS / 1_000)
--- a/packages/figcrank-transport/tests/test_server_pool.py
+++ b/packages/figcrank-transport/tests/test_server_pool.py
@@ -51,7 +51,7 @@
         self.dead = False
         self.opened = []
 
-    def open(self, _address, _decoder, _start_message, workspace, _clock, _may_send):
+    def open(self, _address, _decoder, _start_message, workspace, _clock, _may_send, _traffic):
         eventlet.sleep(0)
         if self.dead:
             raise OpenError(SessionFailure.UNREACHABLE, "refused", refused=True)
