Run confined statements only at servers of their regions

Cause: allowedRegions of routes and workspaces was decoded and used by nothing, so a statement could reach any server of its group.

Reads leave out servers elsewhere; what needs the primary is refused at once, as not run, if the primary is elsewhere or no server of the group is in an allowed region. While a primary is being replaced such a statement waits, as a server of an allowed region may become the primary. A transaction that is open when the configuration changes is aborted before its next statement or commit is sent. A server whose region is not known runs nothing that is confined. Fleets without regions are unchanged.

A read whose allowed replicas lag is refused instead of going to the primary of another region.

The fake routers of test_acquirer and test_statement_runner answer the two new questions; no assertion changed.

--- a/packages/figcrank-coordination/src/figcrank/coordination/regions/_region_map.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/regions/_region_map.py
@@ -34,6 +34,11 @@
         self._regions = dict(regions or {})
         self.region = self.region_of(availability_zone)
 
+    @property
+    def is_configured(self) -> bool:
+        """Return whether the region of any zone is configured."""
+        return any(self._regions.values())
+
     def region_of(self, availability_zone: str) -> str:
         """Return the region of a zone, empty if it is not configured."""
         return self._regions.get(availability_zone, "")
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_acquirer.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_acquirer.py
@@ -79,12 +79,16 @@
     ) -> tuple[ServerPool, ServerConnection]:
         """Return a connection to the primary.
 
-        :raises OpenError: if no connection is available by the deadline.
+        :raises OpenError: if no connection is available by the deadline, or the primary is in a
+            region where the statement may not run.
         """
         deadline_ms = demand.deadline_ms
         while True:
             self._router.await_evacuations()
+            self._router.require_allowed_primary(route, demand.workspace)
             pool = self._router.await_primary(route.group, deadline_ms, demand.arrived_ms)
+            # Another server may have become the primary meanwhile.
+            self._router.require_allowed_primary(route, demand.workspace)
             try:
                 connection = pool.acquire(demand, session.variables)
             except AdmissionError:
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
@@ -14,6 +14,7 @@
     max_retained_connections,
     rank,
 )
+from figcrank.coordination.regions import allowed_regions
 from figcrank.protocol.heartbeats import PrimaryFailure
 from figcrank.protocol.sessions import (
     ServerCodec,
@@ -222,6 +223,32 @@
             raise OpenError(SessionFailure.BUSY, f"the primary is {use.name.lower()}")
         return None
 
+    def may_run(self, pool: ServerPool, route: DatabaseRoute, workspace: str) -> bool:
+        """Return whether a server is in a region where a workspace's statements may run now.
+
+        :param route: a route of the statements, perhaps of an earlier configuration.
+        """
+        catalog = self.view.catalog
+        route = catalog.routes.get(route.database, route) if catalog else route
+        allowed = allowed_regions(route, workspace, catalog, self.view.regions)
+        return allowed.permits_server(pool.entry.availability_zone)
+
+    def require_allowed_primary(self, route: DatabaseRoute, workspace: str) -> None:
+        """Reject what needs a primary if no server of an allowed region can be the one.
+
+        :raises OpenError: if that is so.
+        """
+        allowed = allowed_regions(route, workspace, self.view.catalog, self.view.regions)
+        if not allowed.is_confined:
+            return
+        zones = {e.server_id: e.availability_zone for e in self.entries_of(route.group)}
+        record = self.view.primary_table.get(route.group)
+        is_settled = record is not None and not record.moving
+        primary_zone = zones.get(record.server_id, "") if is_settled else None
+        refusal = allowed.refusal(zones.values(), primary_zone)
+        if refusal is not None:
+            raise OpenError(SessionFailure.BUSY, refusal)
+
     def wait_for_primary_change(self, wait_ms: float) -> None:
         """Wait at most ``wait_ms`` for a change of any primary."""
         changed = self._changed
@@ -253,6 +280,7 @@
         now_ms = self._clock.now_ms()
         pools: dict[str, tuple[ServerPool, Position | None]] = {}
         candidates = []
+        allowed = allowed_regions(route, demand.workspace, self.view.catalog, self.view.regions)
         min_position = self._min_read_position(route, last_commit, now_ms)
         usable = self.view.primary_use(route.group, now_ms) is PrimaryUse.USABLE
         if min_position is None and route.mode is not ReadMode.PRIMARY:
@@ -261,6 +289,8 @@
             pool = self.pool(entry.server_id)
             if entry.server_id in tried or not pool.health.usable(now_ms):
                 continue
+            if not allowed.permits_server(pool.entry.availability_zone):
+                continue
             if self.guard.is_closed(entry) or self.cold.is_exhausted(pool):
                 continue
             at_primary = self.is_primary(pool)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_runner.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_runner.py
@@ -27,6 +27,8 @@
 if TYPE_CHECKING:
     from figcrank.transport.streams._session import CallerSession, Transaction
 
+# Told to a transaction that was open when the configuration changed.
+REGION_LEFT = "the server is in a region that is no longer allowed"
 SLOW_ANSWER_MS = 300  # ten times a usual read; the answer is lost or the server is stuck
 
 
@@ -356,8 +358,13 @@
                     # A first statement whose answer was lost may have run.
                     failure = SessionFailure.ABORTED if tries else SessionFailure.BUSY
                     return Answer(b"", failure, detail, tries)
-            tries += 1
             pool, connection = transaction.pool, transaction.connection
+            if not self._router.may_run(pool, transaction.route, transaction.workspace):
+                transaction.failed = True
+                self.abort(transaction)
+                failure = SessionFailure.ABORTED
+                return Answer(b"", failure, REGION_LEFT, tries, pool.entry.server_id)
+            tries += 1
             transaction.wrote = transaction.wrote or statement.is_write
             self._router.await_evacuations()
             self._router.record_at_cold(pool)
@@ -456,6 +463,9 @@
         server_id = pool.entry.server_id
         transaction.connection = None
         self._router.await_evacuations()
+        if not self._router.may_run(pool, route, transaction.workspace):
+            pool.discard(connection)  # the commit was not sent; the server rolls back
+            return Answer(b"", SessionFailure.ABORTED, REGION_LEFT, 0, server_id)
         if transaction.wrote and not self._await_lease(pool, deadline_ms):
             pool.discard(connection)  # the server rolls back
             detail = "this host has no lease on the primary"
--- a/packages/figcrank-transport/tests/test_acquirer.py
+++ b/packages/figcrank-transport/tests/test_acquirer.py
@@ -87,6 +87,12 @@
     def await_primary(self, _group, _deadline_ms, _arrived_ms):
         raise OpenError(SessionFailure.BUSY, "the primary is moving")
 
+    def require_allowed_primary(self, _route, _workspace):
+        pass
+
+    def may_run(self, _pool, _route, _workspace):
+        return True
+
     def primary_usable(self, _group):
         return False
 
--- a/packages/figcrank-transport/tests/test_statement_runner.py
+++ b/packages/figcrank-transport/tests/test_statement_runner.py
@@ -99,11 +99,18 @@
         self.lease_returns_ms = None
         self.replaced = False
         self.evacuated = False
+        self.region_allowed = True
         self.cold_allowance = 99
         self.admitted = []
         self._pool = pool
         self._clock = clock
 
+    def require_allowed_primary(self, _route, _workspace):
+        pass
+
+    def may_run(self, _pool, _route, _workspace):
+        return self.region_allowed
+
     def has_lease(self):
         returned = self.lease_returns_ms is not None
         return self.lease or (returned and self._clock.now_ms() >= self.lease_returns_ms)
@@ -372,3 +379,17 @@
     assert scenario.runner.run_single(Session(), read, bounded, "w").failure is SessionFailure.BUSY
     assert refused == [scenario.pool]
     assert scenario.connection.sent == []
+
+
+@pytest.mark.parametrize("run", ["run_in_transaction", "commit"])
+def test_open_transaction_is_aborted_when_its_region_is_no_longer_allowed(scenario, run):
+    """Guards against statements that go on to a server after the configuration forbids it."""
+    connection = OpenTransactionConnection()
+    transaction = Transaction(WRITE.request, False, ROUTE, "w", Pool(connection), connection)
+    scenario.router.region_allowed = False
+    statement = COMMIT if run == "commit" else WRITE
+    answer = getattr(scenario.runner, run)(Session(), statement, transaction)
+    assert (answer.failure, answer.tries) == (SessionFailure.ABORTED, 0)
+    assert answer.detail == "the server is in a region that is no longer allowed"
+    assert connection.sent == []
+    assert connection.closed
