Run confined sessions only at owners that they may pass through

Cause: a relay whose zone or region has no live owner sends its sessions to owners of any region, so statements of a route or workspace with allowedRegions could pass through a host of a third region.

Change: the owner that a start reaches decides, as relays have no configuration. An owner of a region that is neither allowed nor the caller's redirects the session to a permitted one, and rejects it, as not run, if there is none or the start is final. A start without options does not tell the caller's zone and is accepted in allowed regions only. A session that is open when the configuration changes is refused its next request and ends. An owner that leaves forwards its own callers to permitted owners only. A relay remembers an owner for a database only if no listed one is nearer, so that the sessions of one confined workspace don't send those of the others across.

--- a/packages/figcrank-coordination/src/figcrank/coordination/fleet/_group_ownership.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/fleet/_group_ownership.py
@@ -3,7 +3,7 @@
 Fleets without relays have none: there every host serves all groups.
 """
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING
 
 from figcrank.coordination.owners import assign_groups, serving_zone
@@ -81,12 +81,22 @@
         assignments = self.assignments(now_ms).values()
         return [assigned[group][0] for assigned in assignments if group in assigned]
 
-    def owners_for(self, group: str, zone: str, now_ms: int) -> list[Owner]:
+    def owners_for(
+        self,
+        group: str,
+        zone: str,
+        now_ms: int,
+        permits: Callable[[str], bool] | None = None,
+    ) -> list[Owner]:
         """Return the owners for a zone's sessions in a group, the group owner first.
 
-        :returns: an empty list if any owner may run them.
+        :param permits: tells whether the sessions may pass through hosts of an availability zone;
+            ``None`` if they may pass through all.
+        :returns: an empty list if there is no group owner that may run them.
         """
         assignments = self.assignments(now_ms)
+        if permits is not None:
+            assignments = {name: owners for name, owners in assignments.items() if permits(name)}
         serving = serving_zone(zone, assignments, self.regions)
         if serving is None or group not in assignments[serving]:
             return []
--- a/packages/figcrank-coordination/src/figcrank/coordination/owners/_directory.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/owners/_directory.py
@@ -100,6 +100,12 @@
         """Return whether any owner is known that is not avoided."""
         return any(now_ms >= state.avoided_until_ms for state in self._states.values())
 
+    def is_nearest(self, owner: Owner) -> bool:
+        """Return whether no known owner is nearer to the relay than this one."""
+        zones = [owner.availability_zone for owner in self.owners()]
+        nearest = min((zone_distance(self._zone, z, self._regions) for z in zones), default=0)
+        return zone_distance(self._zone, owner.availability_zone, self._regions) <= nearest
+
     def choose(
         self, session_key: str, now_ms: int, tried: Collection[Address] = ()
     ) -> Owner | None:
--- a/packages/figcrank-coordination/src/figcrank/coordination/regions/_allowed_regions.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/regions/_allowed_regions.py
@@ -45,6 +45,25 @@
         region = self.regions.region_of(zone)
         return bool(region) and region == self.regions.region_of(caller_zone)
 
+    def host_refusal(self, zone: str, caller_zone: str) -> str | None:
+        """Return why a host may not run the session of a caller, ``None`` if it may.
+
+        :param zone: availability zone of the host.
+        :param caller_zone: as in :meth:`permits_host`.
+        """
+        if self.permits_host(zone, caller_zone):
+            return None
+        place = self.regions.region_of(zone) or "an unknown region"
+        caller = self.regions.region_of(caller_zone) or "unknown"
+        return (
+            f"no owner was reached in an allowed region ({self._allowed_text}) or in the caller's"
+            f" ({caller}); this one is in {place}"
+        )
+
+    @property
+    def _allowed_text(self) -> str:
+        return ", ".join(sorted(self.names or ())) or "none"
+
     def refusal(self, server_zones: Collection[str], primary_zone: str | None) -> str | None:
         """Return why no server can run what needs the primary, ``None`` if one may.
 
@@ -53,7 +72,7 @@
         """
         if not self.is_confined:
             return None
-        allowed = ", ".join(sorted(self.names)) or "none"
+        allowed = self._allowed_text
         if server_zones and not any(map(self.permits_server, server_zones)):
             return f"the group has no server in an allowed region ({allowed})"
         if primary_zone is None or self.permits_server(primary_zone):
--- a/packages/figcrank-coordination/tests/owners/test_directory.py
+++ b/packages/figcrank-coordination/tests/owners/test_directory.py
@@ -110,3 +110,14 @@
     asked = known.owners_to_query(10)
     assert set(OWNERS[:4]) < set(asked)
     assert asked[0].availability_zone != "a"
+
+
+def test_nearest_owners_are_those_of_the_zone_else_of_the_region_else_any():
+    """Guards against a zone without owners whose relays remember no owner."""
+    regions = {"a": "north", "b": "north", "c": "south"}
+    known = OwnerDirectory("a", regions)
+    for zones, nearest in (("abc", "a"), ("bc", "b"), ("c", "c")):
+        known.update([owner for owner in OWNERS if owner.availability_zone in zones])
+        assert {o.availability_zone for o in known.owners() if known.is_nearest(o)} == {nearest}
+    known.update([])
+    assert known.is_nearest(OWNERS[0])
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_entry_session.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_entry_session.py
@@ -2,6 +2,7 @@
 
 from eventlet.green import socket
 
+from figcrank.coordination.regions import allowed_regions
 from figcrank.protocol.sessions import SessionFailure, SessionStart, TransactionState
 from figcrank.transport.streams._caller_connection import (
     SESSION_START_TIMEOUT_MS,
@@ -51,7 +52,14 @@
         zone = view.itself.availability_zone
         # The group owner must not use an older configuration than this host does.
         self._relay_services.owners.record_version(view.catalog.version)
-        owners = view.ownership.owners_for(route.group, zone, self._services.clock.now_ms())
+        workspace = view.catalog.workspace_by_key.get(start.key, "")
+        allowed = allowed_regions(route, workspace, view.catalog, view.regions)
+        owners = view.ownership.owners_for(
+            route.group,
+            zone,
+            self._services.clock.now_ms(),
+            lambda owner_zone: allowed.permits_host(owner_zone, zone),
+        )
         return self._relay_services.opener.forward(start, owners, view.itself)
 
     @property
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_owner_opener.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_owner_opener.py
@@ -84,7 +84,9 @@
                 final = hops >= MAX_HOPS or usable[:1] != list(opened.reply.redirect[:1])
                 next_owners = usable
             else:
-                if options is not None and not (final or opened.reply.ended):
+                # The regions of one workspace may lead to an owner that the others don't need.
+                accepted = options is not None and not (final or opened.reply.ended)
+                if accepted and self._owners.is_nearest(owner):
                     self._owners.memory.remember(start.database, owner)
                 return opened
         return None
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_owner_session.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_owner_session.py
@@ -2,8 +2,14 @@
 
 from eventlet.green import socket
 
+from figcrank.coordination.regions import AllowedRegions, allowed_regions
 from figcrank.protocol.relays import RelayCallerCodec
-from figcrank.protocol.sessions import CallerMessage, ConfigurationSeen, StartOptions
+from figcrank.protocol.sessions import (
+    CallerMessage,
+    ConfigurationSeen,
+    SessionFailure,
+    StartOptions,
+)
 from figcrank.transport.streams._caller_connection import SESSION_START_TIMEOUT_MS
 from figcrank.transport.streams._session import CallerSession, SessionServices
 from figcrank.transport.streams._traffic import MessageKind, TrafficMeter
@@ -31,20 +37,44 @@
             else:
                 self._options = message
             message = self._next_message(SESSION_START_TIMEOUT_MS)
-        zone = self._options.availability_zone if self._options else ""
         meter = TrafficMeter(self._services.router.view.regions, self._services.metrics)
-        self._count_bytes(meter.channel(MessageKind.RELAY, zone))
+        self._count_bytes(meter.channel(MessageKind.RELAY, self._caller_zone))
         return message
 
-    def _is_redirected(self) -> bool:
+    @property
+    def _caller_zone(self) -> str:
+        """Return the zone of the host that the caller reached; empty if it did not tell."""
+        return self._options.availability_zone if self._options else ""
+
+    def _allowed_regions(self) -> AllowedRegions:
+        view = self._services.router.view
+        route = view.catalog.routes.get(self._database)
+        if route is None:
+            return AllowedRegions()
+        workspace = view.catalog.workspace_by_key.get(self._key, "")
+        return allowed_regions(route, workspace, view.catalog, view.regions)
+
+    def _host_refusal(self) -> str | None:
+        own_zone = self._services.router.view.itself.availability_zone
+        return self._allowed_regions().host_refusal(own_zone, self._caller_zone)
+
+    def _is_sent_away(self) -> bool:
         services, view, options = self._services, self._services.router.view, self._options
         now_ms = services.clock.now_ms()
         if options is None or not options.from_owner:
             view.ownership.record_relay(now_ms)
-        if options is None or options.final:
-            return False
+        refusal = self._host_refusal()
         group = view.catalog.routes[self._database].group
-        owners = view.ownership.owners_for(group, options.availability_zone, now_ms)
+        owners = []
+        if options is not None and not options.final:
+            allowed, zone = self._allowed_regions(), options.availability_zone
+            owners = view.ownership.owners_for(
+                group, zone, now_ms, lambda owner_zone: allowed.permits_host(owner_zone, zone)
+            )
+        if not owners and refusal is not None:
+            self._record_refusal("", SessionFailure.BUSY, refusal)
+            self._send(self._codec.rejection(SessionFailure.BUSY, refusal))
+            return True
         if not owners or owners[0].address == view.itself.address:
             return False
         self._send(self._relay_codec.redirect(owners[:MAX_REDIRECTED_OWNERS]))
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_owner_tracker.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_owner_tracker.py
@@ -129,6 +129,10 @@
         """Return whether new sessions go to other owners than this one."""
         return self._directory.is_avoided(owner.address, self._clock.now_ms())
 
+    def is_nearest(self, owner: Owner) -> bool:
+        """Return whether no known owner is nearer to this host than this one."""
+        return self._directory.is_nearest(owner)
+
     def reads_options(self, owner: Owner) -> bool:
         """Return whether an owner has shown that it reads the options of a session's start."""
         return self._directory.reads_options(owner.address)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
@@ -176,15 +176,19 @@
             self._record_refusal("", failure, "during the handshake")
             self._send(self._codec.rejection(failure, session_start.database))
             return False
-        if self._is_redirected():
+        if self._is_sent_away():
             return False
         self._reply(b"")
         return True
 
-    def _is_redirected(self) -> bool:
-        """Return whether the session was sent to another owner instead of being accepted."""
+    def _is_sent_away(self) -> bool:
+        """Return whether the session was redirected or rejected instead of being accepted."""
         return False
 
+    def _host_refusal(self) -> str | None:
+        """Return why this host may not run the session, ``None`` if it may."""
+        return None
+
     def _await_catalog(self) -> Catalog | None:
         view = self._services.router.view
         deadline_ms = self._services.clock.now_ms() + CATALOG_WAIT_MS
@@ -211,6 +215,11 @@
         transaction = self._transaction
         if self._catalog_is_outdated() and not self._await_newer_catalog(request):
             return
+        refusal = self._host_refusal()
+        if refusal is not None:
+            self._closing = True  # the caller's next session starts at an owner that may run it
+            self._refuse(request, refusal)
+            return
         if transaction is not None and transaction.failed:
             self._handle_in_failed_transaction(request)
         elif request.verb in LOCAL_VERBS:
@@ -234,13 +243,17 @@
             f"this host has configuration {catalog.version if catalog else 0},"
             f" and {self._seen_version} is in use"
         )
+        self._refuse(request, reason)
+        return False
+
+    def _refuse(self, request: Request, reason: str) -> None:
+        """Refuse a request that this host may not handle, and abort an open transaction."""
         failure = SessionFailure.ABORTED if self.in_transaction else SessionFailure.BUSY
         self._abort_open_transaction()
         if request.verb in (Verb.COMMIT, Verb.ROLLBACK):
             self._transaction = None
         self._record_refusal(request.request_id, failure, reason)
         self._reply_failure(failure, reason)
-        return False
 
     def _handle_in_failed_transaction(self, request: Request) -> None:
         if request.verb is Verb.ROLLBACK:
--- a/packages/figcrank-transport/tests/test_relayed_session.py
+++ b/packages/figcrank-transport/tests/test_relayed_session.py
@@ -1,5 +1,7 @@
 """What a relay does with a session whose owner is lost, before in-process owners."""
 
+from dataclasses import replace
+
 import eventlet
 import pytest
 from eventlet.green import socket
@@ -421,6 +423,20 @@
     assert relay.tracker.memory.get("db") is None
 
 
+@THREE_OWNERS
+def test_owner_of_another_zone_is_not_remembered_while_there_are_nearer_ones(relay):
+    """Guards against sessions of all workspaces that cross because those of one have to."""
+    let_answer(relay)
+    group_owner = redirect_to_last(relay)
+    distant = replace(group_owner.owner, availability_zone="zone-b")
+    for owner in relay.owners[:-1]:
+        owner.redirect = (distant,)
+    relay.tracker.update([*(owner.owner for owner in relay.owners[:-1]), distant])
+    assert relay.call().recv(200) == b"ok IDLE\n"
+    assert starts(group_owner) == [StartOptions("zone-a")]
+    assert relay.tracker.memory.get("db") is None
+
+
 def test_remembered_owner_that_redirects_is_replaced(relay):
     """Replays a group that moves to another owner of the zone."""
     let_answer(relay)
