Ask a primary for its position on behalf of reads that may not run there

A replica serves a bounded read only at a position of the primary that is known, and that is told by the primary's replies to statements. In a group that gets only reads confined to other regions, there are none.

Change: such a read marks its group, and the position prober then asks the primary for its status, also while the host has a lease; the answer of the primary suffices then. The read waits for the position up to 300 ms (the prober checks every 100 ms and the query takes 50 ms to another region) and is then refused as not run.

Ruled out: letting the first such read go to the primary, which its configuration forbids.

The fakes of test_acquirer, test_statement_runner and test_position_prober got the new members; no assertion changed.

--- a/packages/figcrank-transport/src/figcrank/transport/streams/_acquirer.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_acquirer.py
@@ -21,6 +21,8 @@
 
 RETRY_PAUSE_MS = 25  # about one statement's duration; then a slot or connection is likely free
 HEDGE_ACQUIRE_MS = 40  # a hedged read only helps if a connection is free at once
+# The position prober checks every 100 ms, and a status query to another region takes 50 ms.
+POSITION_WAIT_MS = 300
 ANSWER_MARGIN_MS = 20  # time to send the answer before the caller's timeout
 
 
@@ -130,6 +132,7 @@
         :raises OpenError: if no connection is available by the deadline.
         """
         rejections: dict[str, AdmissionError] = {}
+        position_due_ms = min(demand.deadline_ms, self._clock.now_ms() + POSITION_WAIT_MS)
         while True:
             self._router.await_evacuations()
             if route.mode is ReadMode.PRIMARY or force_primary:
@@ -143,6 +146,10 @@
                 tried.clear()
                 pools = self._router.read_pools(route, last_commit, demand, tried)
             if not pools:
+                in_time = self._clock.now_ms() < position_due_ms
+                if in_time and self._router.awaits_position(route, demand.workspace):
+                    eventlet.sleep(RETRY_PAUSE_MS / 1_000)
+                    continue
                 force_primary = True
                 continue
             pool, min_position = pools[0]
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_position_prober.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_position_prober.py
@@ -1,4 +1,8 @@
-"""Asks servers for their positions while this host has no lease on their primaries."""
+"""Asks servers for their positions while no replies of their primaries tell them.
+
+That is so while this host has no lease on a primary, and for reads that may not run in the region
+of a primary which no statement reaches.
+"""
 
 import eventlet
 
@@ -54,18 +58,35 @@
                 eventlet.spawn_n(self.probe, group)
 
     def due_groups(self, now_ms: int) -> list[str]:
-        """Return the groups to probe: reads lack a position, and there is no lease."""
+        """Return the groups to probe.
+
+        Reads lack a position there, and there is no lease or they may not run at the primary.
+        """
         return [
             group
             for group, lacking_ms in self._router.position_lacking_ms.items()
             if now_ms - lacking_ms <= DEMAND_MS
             and now_ms - self._probed_ms.get(group, -PROBE_INTERVAL_MS) >= PROBE_INTERVAL_MS
-            and self._view.primary_use(group, now_ms) is PrimaryUse.NO_LEASE
+            and (
+                self._view.primary_use(group, now_ms) is PrimaryUse.NO_LEASE
+                or self._is_probed_with_lease(group, now_ms)
+            )
         ]
 
+    def _is_probed_with_lease(self, group: str, now_ms: int) -> bool:
+        lacking_ms = self._router.confined_lacking_ms.get(group)
+        usable = self._view.primary_use(group, now_ms) is PrimaryUse.USABLE
+        return usable and lacking_ms is not None and now_ms - lacking_ms <= DEMAND_MS
+
     def probe(self, group: str) -> None:
-        """Query every server of a group and observe the position that the answers prove."""
+        """Query a group's servers and observe the position that the answers prove.
+
+        With a lease, the answer of the primary suffices.
+        """
         started_ms = self._clock.now_ms()
+        if self._view.primary_use(group, started_ms) is PrimaryUse.USABLE:
+            self._probe_primary(group, started_ms)
+            return
         entries = self._router.entries_of(group)
         reports = list(eventlet.GreenPool().imap(self._commands.status, entries))
         position = proven_position(reports)
@@ -80,3 +101,12 @@
         )
         if position is not None:
             self._view.position_history(group).observe(started_ms, position)
+
+    def _probe_primary(self, group: str, started_ms: int) -> None:
+        record = self._view.primary_table.get(group)
+        pool = self._router.pool(record.server_id)
+        report = self._commands.status(pool.entry) if pool else None
+        answered = report is not None and report.is_primary and report.position is not None
+        self._metrics.count("position_probes", result="primary" if answered else "unproven")
+        if answered:
+            self._router.observe_position(pool, started_ms, report.position)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
@@ -14,7 +14,7 @@
     max_retained_connections,
     rank,
 )
-from figcrank.coordination.regions import allowed_regions
+from figcrank.coordination.regions import AllowedRegions, allowed_regions
 from figcrank.protocol.heartbeats import PrimaryFailure
 from figcrank.protocol.sessions import (
     ServerCodec,
@@ -80,6 +80,8 @@
         self._pools: dict[str, ServerPool] = {}
         # By group, when a read last lacked a position that replicas must have reached.
         self.position_lacking_ms: dict[str, int] = {}
+        # The same for reads that may not run at the primary, whose replies would have told it.
+        self.confined_lacking_ms: dict[str, int] = {}
         self.loads = ServerLoads(view, clock, log)
         cold_servers = ColdServers(view.host, cold_overage, cold_headroom)
         self.cold = ColdAdmission(cold_servers, view, clock, log, metrics)
@@ -233,6 +235,24 @@
         allowed = allowed_regions(route, workspace, catalog, self.view.regions)
         return allowed.permits_server(pool.entry.availability_zone)
 
+    def awaits_position(self, route: DatabaseRoute, workspace: str) -> bool:
+        """Return whether a read could run in its regions once the primary's position is known."""
+        allowed = allowed_regions(route, workspace, self.view.catalog, self.view.regions)
+        return self._needs_position(route, allowed, self._clock.now_ms())
+
+    def _needs_position(self, route: DatabaseRoute, allowed: AllowedRegions, now_ms: int) -> bool:
+        if route.mode is ReadMode.PRIMARY or not allowed.is_confined:
+            return False
+        primary = self.view.primary_of(route.group)
+        if primary is not None and allowed.permits_server(primary.availability_zone):
+            return False
+        zones = (entry.availability_zone for entry in self.entries_of(route.group))
+        return (
+            self._min_read_position(route, None, now_ms) is None
+            and any(map(allowed.permits_server, zones))
+            and self.view.primary_use(route.group, now_ms) is PrimaryUse.USABLE
+        )
+
     def require_allowed_primary(self, route: DatabaseRoute, workspace: str) -> None:
         """Reject what needs a primary if no server of an allowed region can be the one.
 
@@ -285,6 +305,8 @@
         usable = self.view.primary_use(route.group, now_ms) is PrimaryUse.USABLE
         if min_position is None and route.mode is not ReadMode.PRIMARY:
             self.position_lacking_ms[route.group] = now_ms
+            if self._needs_position(route, allowed, now_ms):
+                self.confined_lacking_ms[route.group] = now_ms
         for entry in self.entries_of(route.group):
             pool = self.pool(entry.server_id)
             if entry.server_id in tried or not pool.health.usable(now_ms):
@@ -397,9 +419,13 @@
         if reply.position is None:
             return
         pool.position = reply.position
-        self._observe_position(pool, sent_ms, reply.position)
+        self.observe_position(pool, sent_ms, reply.position)
 
-    def _observe_position(self, pool: ServerPool, sent_ms: int, position: Position) -> None:
+    def observe_position(self, pool: ServerPool, sent_ms: int, position: Position) -> None:
+        """Record the position that a server reported, if it is the primary.
+
+        :param sent_ms: time at which it was asked.
+        """
         group = pool.entry.group
         record = self.view.primary_table.get(group)
         if record is None or record.moving or record.server_id != pool.entry.server_id:
--- a/packages/figcrank-transport/tests/test_acquirer.py
+++ b/packages/figcrank-transport/tests/test_acquirer.py
@@ -87,6 +87,9 @@
     def await_primary(self, _group, _deadline_ms, _arrived_ms):
         raise OpenError(SessionFailure.BUSY, "the primary is moving")
 
+    def awaits_position(self, _route, _workspace):
+        return False
+
     def require_allowed_primary(self, _route, _workspace):
         pass
 
--- a/packages/figcrank-transport/tests/test_position_prober.py
+++ b/packages/figcrank-transport/tests/test_position_prober.py
@@ -1,3 +1,5 @@
+from dataclasses import dataclass, replace
+
 from figcrank.coordination.fleet import FleetView
 from figcrank.coordination.primaries import LEASE_MS
 from figcrank.protocol.heartbeats import PrimaryRecord
@@ -14,13 +16,26 @@
 LOST_MS = LEASE_MS + 10_000
 
 
+@dataclass
+class FakePool:
+    entry: str
+
+
 class FakeRouter:
     def __init__(self):
         self.position_lacking_ms = {}
+        self.confined_lacking_ms = {}
+        self.observed = []
 
     def entries_of(self, group):
         return ["s1", "s2", "s3"]
 
+    def pool(self, server_id):
+        return FakePool(server_id)
+
+    def observe_position(self, pool, sent_ms, position):
+        self.observed.append((pool.entry, sent_ms, position))
+
 
 class FakeCommands:
     """Servers that report after some time."""
@@ -87,3 +102,35 @@
     scenario.router.position_lacking_ms["g"] = LOST_MS
     scenario.view.confirmed_ms = LOST_MS
     assert scenario.prober.due_groups(LOST_MS) == []
+
+
+def with_lease(scenario):
+    scenario.view.confirmed_ms = LOST_MS
+    scenario.router.position_lacking_ms["g"] = LOST_MS
+    scenario.router.confined_lacking_ms["g"] = LOST_MS
+    return scenario
+
+
+def test_group_is_probed_under_a_lease_for_reads_that_may_not_run_at_the_primary():
+    """Guards against a quiet group whose position no reply of the primary tells."""
+    scenario = with_lease(Scenario())
+    assert scenario.prober.due_groups(LOST_MS) == ["g"]
+    scenario.router.confined_lacking_ms["g"] = LOST_MS - DEMAND_MS - 1
+    assert scenario.prober.due_groups(LOST_MS) == []
+
+
+def test_answer_of_the_primary_suffices_under_a_lease():
+    """Guards against a dark replica that keeps the position from confined reads."""
+    scenario = with_lease(Scenario())
+    scenario.commands.reports["s3"] = None
+    scenario.prober.probe("g")
+    assert scenario.router.observed == [("s1", LOST_MS, Position(3, 70))]
+
+
+def test_position_of_a_server_that_is_not_the_primary_is_not_observed():
+    scenario = with_lease(Scenario())
+    scenario.commands.reports["s1"] = replace(scenario.commands.reports["s1"], is_primary=False)
+    scenario.prober.probe("g")
+    scenario.commands.reports["s1"] = None
+    scenario.prober.probe("g")
+    assert scenario.router.observed == []
--- a/packages/figcrank-transport/tests/test_region_routing.py
+++ b/packages/figcrank-transport/tests/test_region_routing.py
@@ -12,6 +12,8 @@
 from figcrank.protocol.sessions import Request, SessionFailure, Verb
 from figcrank.state import ManualClock, Position
 from figcrank.state._catalog import Catalog, DatabaseRoute, ReadMode, Registry, ServerEntry
+from figcrank.transport.streams import _acquirer
+from figcrank.transport.streams._connection import OpenError
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._metrics import Metrics
 from figcrank.transport.streams._router import Router
@@ -192,3 +194,64 @@
     route = replace(scenario.route, allowed_regions=("south",))
     scenario.view.adopt_catalog(Catalog(3, {"db": route}), 1_000)
     assert not scenario.router.may_run(pool, scenario.route, "other")
+
+
+class QuietScenario(Scenario):
+    """No reply of the primary has told its position lately; a probe tells it at a set time."""
+
+    def __init__(self, monkeypatch, told_ms=None, **fields):
+        super().__init__((), ("south",), **fields)
+        self.clock.advance_to(10_000)
+        self.told_ms = told_ms
+        monkeypatch.setattr(_acquirer.eventlet, "sleep", self.sleep)
+
+    def sleep(self, seconds):
+        self.clock.advance_to(self.clock.now_ms() + int(seconds * 1_000))
+        assert self.clock.now_ms() < 12_000, "the read goes on to wait"
+        if self.told_ms is not None and self.clock.now_ms() >= self.told_ms:
+            pool = self.router.pool("primary")
+            self.router.observe_position(pool, self.told_ms, Position(1, 5))
+
+    def acquire(self):
+        """Return the server to which a read is sent."""
+        connection = type("Connection", (), {"variables": {}})()
+        self.router.pool("south").acquire = lambda _demand, _variables: connection
+        runner = StatementRunner(self.router, self.clock, Metrics(), self.log)
+        demand = runner._acquirer.demand(Session(), self.route, "w", "read")
+        attempt = runner._acquirer.acquire_server(Session(), self.route, demand, set(), False)
+        return attempt.pool.entry.server_id
+
+
+def test_confined_read_of_a_quiet_group_waits_for_the_position_of_its_primary(monkeypatch):
+    """Guards against a group without writes whose confined reads are all refused.
+
+    Replies of the primary tell its position, and these reads don't reach it.
+    """
+    scenario = QuietScenario(monkeypatch, told_ms=10_100)
+    assert scenario.acquire() == "south"
+    assert scenario.router.confined_lacking_ms["g"] >= 10_000
+    assert scenario.clock.now_ms() <= 10_100 + _acquirer.RETRY_PAUSE_MS
+
+
+def test_confined_read_is_refused_if_the_position_is_not_told_in_time(monkeypatch):
+    scenario = QuietScenario(monkeypatch)
+    with pytest.raises(OpenError, match="the primary is in region north"):
+        scenario.acquire()
+    assert scenario.clock.now_ms() <= 10_000 + _acquirer.POSITION_WAIT_MS
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"route_regions": ("north",)},  # its primary is allowed
+        {"route_regions": ("west",)},  # it has no server there
+        {"workspace_regions": ("south",), "mode": "primary"},
+        {},
+    ],
+)
+def test_reads_that_a_position_does_not_help_wait_for_none(fields):
+    scenario = Scenario(**fields)
+    scenario.clock.advance_to(10_000)
+    assert not scenario.router.awaits_position(scenario.route, "w")
+    scenario.servers_of_read()
+    assert scenario.router.confined_lacking_ms == {}
--- a/packages/figcrank-transport/tests/test_statement_runner.py
+++ b/packages/figcrank-transport/tests/test_statement_runner.py
@@ -105,6 +105,9 @@
         self._pool = pool
         self._clock = clock
 
+    def awaits_position(self, _route, _workspace):
+        return False
+
     def require_allowed_primary(self, _route, _workspace):
         pass
 
