--- a/packages/figcrank-coordination/src/figcrank/coordination/sessions/_refusal_reason.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/sessions/_refusal_reason.py
@@ -23,6 +23,7 @@
     PRIMARY_FAILED = "primary_failed"  # the primary does not answer
     NO_LEASE = "no_lease"  # this host reaches neither a majority nor the store
     EVACUATED = "evacuated"  # only a server in an evacuated availability zone could run it
+    REGION = "region"  # no server or host of an allowed region can run it
     COLD = "cold"  # only a server that has just started could run it
     SERVER_BUSY = "server_busy"  # a server rejected the statement or the connection for it
     NO_SERVER = "no_server"  # no server could be reached or was suitable in time
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_pool.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_pool.py
@@ -24,6 +24,7 @@
 from figcrank.transport.streams._connection import OpenError, ServerConnection
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._metrics import Metrics
+from figcrank.transport.streams._traffic import MessageKind, TrafficMeter, uncounted
 
 LAGGING_RETRY_MS = 60  # about one replication delay; a lagging replica is skipped for this long
 
@@ -46,6 +47,7 @@
     :param clock: this host's clock.
     :param metrics: metrics registry.
     :param log: event log, ``None`` to log nothing.
+    :param traffic: counts the bytes exchanged with the server.
     """
 
     def __init__(
@@ -55,6 +57,7 @@
         clock: Clock,
         metrics: Metrics,
         log: EventLog | None = None,
+        traffic: TrafficMeter | None = None,
     ) -> None:
         self.entry = entry
         self.health = ServerHealth()
@@ -68,6 +71,7 @@
         self._codec = codec
         self._clock = clock
         self._metrics = metrics
+        self._traffic = traffic or uncounted()
         self._idle: list[ServerConnection] = []
         self._busy: set[ServerConnection] = set()
         self._opening: dict[str, int] = {}
@@ -225,6 +229,7 @@
                 workspace,
                 self._clock,
                 lambda: self.may_send(),
+                self._traffic.channel(MessageKind.STATEMENT, self.entry.availability_zone),
             )
             self._add_opened(connection, reply)
             return connection
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
@@ -14,6 +14,7 @@
     max_retained_connections,
     rank,
 )
+from figcrank.coordination.regions import AllowedRegions, allowed_regions
 from figcrank.coordination.sessions import RefusalReason, reason_of_primary
 from figcrank.protocol.heartbeats import PrimaryFailure
 from figcrank.protocol.sessions import (
@@ -33,6 +34,7 @@
 from figcrank.transport.streams._metrics import Metrics
 from figcrank.transport.streams._pool import LAGGING_RETRY_MS, ServerPool, split_address
 from figcrank.transport.streams._server_loads import ServerLoads
+from figcrank.transport.streams._traffic import MessageKind, TrafficMeter
 
 PRIMARY_RECHECK_MS = 100  # a lease can expire and be renewed without an event
 UNREGISTERED_GRACE_MS = 2_500  # after a store outage, expired entries return within 2 s
@@ -75,9 +77,12 @@
         self._zone = availability_zone
         self._log = log
         self._metrics = metrics
+        self.traffic = TrafficMeter(view.regions, metrics)
         self._pools: dict[str, ServerPool] = {}
         # By group, when a read last lacked a position that replicas must have reached.
         self.position_lacking_ms: dict[str, int] = {}
+        # The same for reads that may not run at the primary, whose replies would have told it.
+        self.confined_lacking_ms: dict[str, int] = {}
         self.loads = ServerLoads(view, clock, log)
         cold_servers = ColdServers(view.host, cold_overage, cold_headroom)
         self.cold = ColdAdmission(cold_servers, view, clock, log, metrics)
@@ -104,7 +109,9 @@
             # The record of primaries has no zone; an evacuation of the last known one still holds.
             entry = replace(entry, availability_zone=pool.entry.availability_zone)
         if pool is None:
-            pool = ServerPool(entry, self.codec, self._clock, self._metrics, self._log)
+            pool = ServerPool(
+                entry, self.codec, self._clock, self._metrics, self._log, self.traffic
+            )
             self._set_limit(pool)
             self.loads.limit(pool)
             self._pools[server_id] = pool
@@ -228,6 +235,50 @@
             raise OpenError(SessionFailure.BUSY, detail, reason=reason_of_primary(use))
         return None
 
+    def may_run(self, pool: ServerPool, route: DatabaseRoute, workspace: str) -> bool:
+        """Return whether a server is in a region where a workspace's statements may run now.
+
+        :param route: a route of the statements, perhaps of an earlier configuration.
+        """
+        catalog = self.view.catalog
+        route = catalog.routes.get(route.database, route) if catalog else route
+        allowed = allowed_regions(route, workspace, catalog, self.view.regions)
+        return allowed.permits_server(pool.entry.availability_zone)
+
+    def awaits_position(self, route: DatabaseRoute, workspace: str) -> bool:
+        """Return whether a read could run in its regions once the primary's position is known."""
+        allowed = allowed_regions(route, workspace, self.view.catalog, self.view.regions)
+        return self._needs_position(route, allowed, self._clock.now_ms())
+
+    def _needs_position(self, route: DatabaseRoute, allowed: AllowedRegions, now_ms: int) -> bool:
+        if route.mode is ReadMode.PRIMARY or not allowed.is_confined:
+            return False
+        primary = self.view.primary_of(route.group)
+        if primary is not None and allowed.permits_server(primary.availability_zone):
+            return False
+        zones = (entry.availability_zone for entry in self.entries_of(route.group))
+        return (
+            self._min_read_position(route, None, now_ms) is None
+            and any(map(allowed.permits_server, zones))
+            and self.view.primary_use(route.group, now_ms) is PrimaryUse.USABLE
+        )
+
+    def require_allowed_primary(self, route: DatabaseRoute, workspace: str) -> None:
+        """Reject what needs a primary if no server of an allowed region can be the one.
+
+        :raises OpenError: if that is so.
+        """
+        allowed = allowed_regions(route, workspace, self.view.catalog, self.view.regions)
+        if not allowed.is_confined:
+            return
+        zones = {e.server_id: e.availability_zone for e in self.entries_of(route.group)}
+        record = self.view.primary_table.get(route.group)
+        is_settled = record is not None and not record.moving
+        primary_zone = zones.get(record.server_id, "") if is_settled else None
+        refusal = allowed.refusal(zones.values(), primary_zone)
+        if refusal is not None:
+            raise OpenError(SessionFailure.BUSY, refusal, reason=RefusalReason.REGION)
+
     def wait_for_primary_change(self, wait_ms: float) -> None:
         """Wait at most ``wait_ms`` for a change of any primary."""
         changed = self._changed
@@ -259,14 +310,19 @@
         now_ms = self._clock.now_ms()
         pools: dict[str, tuple[ServerPool, Position | None]] = {}
         candidates = []
+        allowed = allowed_regions(route, demand.workspace, self.view.catalog, self.view.regions)
         min_position = self._min_read_position(route, last_commit, now_ms)
         usable = self.view.primary_use(route.group, now_ms) is PrimaryUse.USABLE
         if min_position is None and route.mode is not ReadMode.PRIMARY:
             self.position_lacking_ms[route.group] = now_ms
+            if self._needs_position(route, allowed, now_ms):
+                self.confined_lacking_ms[route.group] = now_ms
         for entry in self.entries_of(route.group):
             pool = self.pool(entry.server_id)
             if entry.server_id in tried or not pool.health.usable(now_ms):
                 continue
+            if not allowed.permits_server(pool.entry.availability_zone):
+                continue
             if self.guard.is_closed(entry) or self.cold.is_exhausted(pool):
                 continue
             at_primary = self.is_primary(pool)
@@ -373,9 +429,13 @@
         if reply.position is None:
             return
         pool.position = reply.position
-        self._observe_position(pool, sent_ms, reply.position)
+        self.observe_position(pool, sent_ms, reply.position)
 
-    def _observe_position(self, pool: ServerPool, sent_ms: int, position: Position) -> None:
+    def observe_position(self, pool: ServerPool, sent_ms: int, position: Position) -> None:
+        """Record the position that a server reported, if it is the primary.
+
+        :param sent_ms: time at which it was asked.
+        """
         group = pool.entry.group
         record = self.view.primary_table.get(group)
         if record is None or record.moving or record.server_id != pool.entry.server_id:
@@ -470,6 +530,7 @@
                 self.view.host,
                 self._clock,
                 pool.may_send,
+                self.traffic.channel(MessageKind.STATEMENT, entry.availability_zone),
             )
         except OpenError as error:
             self._record_failed_probe(pool, error)
--- a/packages/figcrank-transport/tests/test_acquirer.py
+++ b/packages/figcrank-transport/tests/test_acquirer.py
@@ -87,6 +87,15 @@
     def await_primary(self, _group, _deadline_ms, _arrived_ms):
         raise OpenError(SessionFailure.BUSY, "the primary is moving")
 
+    def awaits_position(self, _route, _workspace):
+        return False
+
+    def require_allowed_primary(self, _route, _workspace):
+        pass
+
+    def may_run(self, _pool, _route, _workspace):
+        return True
+
     def primary_usable(self, _group):
         return False
 
