--- a/packages/figcrank-coordination/src/figcrank/coordination/evacuation/_zones.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/evacuation/_zones.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 
-from figcrank.coordination.evacuation._lists import merge_lists
+from figcrank.coordination.evacuation._lists import is_provisional, merge_lists
 from figcrank.protocol.heartbeats import NEVER_MS, Evacuations, HeartbeatExtension
 
 # Of the bound, the share between the adoption and the stop. The rest covers two attempts to read
@@ -106,7 +106,8 @@
             self._stop_ms[zone] = self._stop_of(now_ms)
         for zone in withdrawn:
             del self._adopted_ms[zone], self._stop_ms[zone]
-        self.known_as_of_ms = max(self.known_as_of_ms, as_of_ms)
+        if not is_provisional(received):  # such a list may lack acknowledged entries
+            self.known_as_of_ms = max(self.known_as_of_ms, as_of_ms)
         self._heard_ms = max(self._heard_ms, as_of_ms)
         return EvacuationChange(tuple(sorted(adopted)), tuple(sorted(withdrawn)))
 
--- a/packages/figcrank-coordination/tests/evacuation/test_zones.py
+++ b/packages/figcrank-coordination/tests/evacuation/test_zones.py
@@ -5,6 +5,7 @@
     ZoneEvacuations,
     ZoneUse,
     completed_zones,
+    provisional_list,
     refusal_detail,
 )
 from figcrank.protocol.heartbeats import NEVER_MS, Evacuations, HeartbeatExtension
@@ -70,6 +71,18 @@
     assert evacuations.use_of("z", 8_000 + BOUND_MS - 250) is ZoneUse.CLOSED
 
 
+def test_list_read_right_after_the_store_came_back_does_not_postpone_the_stop():
+    """Guards against a stop after the bound for an entry that the store's copy has lost.
+
+    The entry is acknowledged right after a reading, the store comes back without it, and a host
+    reads the store's list just before the operator writes the entry again.
+    """
+    evacuations = make_evacuations()
+    evacuations.adopt(provisional_list(revision_of(2, 1), frozenset()), 13_300, 13_300)
+    evacuations.adopt(provisional_list(revision_of(2, 2), frozenset("z")), 13_650, 13_650)
+    assert evacuations.use_of("z", 10_001 + BOUND_MS) is ZoneUse.CLOSED
+
+
 def test_evacuation_that_is_listed_again_keeps_its_stop():
     """Guards against an object that is written twice and thereby extends the use of the zone."""
     evacuations = make_evacuations()
