Let provisional lists count for hosts that know no settled one

Now only a host that has known a settled list ignores the times of provisional ones. Left open: a host that starts right after the store came back without an entry that no host had listed.

--- a/packages/figcrank-coordination/src/figcrank/coordination/evacuation/_zones.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/evacuation/_zones.py
@@ -70,6 +70,7 @@
         self._stop_ms: dict[str, int] = {}
         # Latest time at which the store is known to have had the list in force.
         self.known_as_of_ms = NEVER_MS
+        self._knows_settled_list = False
         self._heard_ms = NEVER_MS
         self._ran_ms = NEVER_MS
         self._resumed_ms: int | None = None
@@ -106,7 +107,10 @@
             self._stop_ms[zone] = self._stop_of(now_ms)
         for zone in withdrawn:
             del self._adopted_ms[zone], self._stop_ms[zone]
-        if not is_provisional(received):  # such a list may lack acknowledged entries
+        settled = not is_provisional(received)
+        self._knows_settled_list |= settled
+        # A provisional list may lack an entry that was acknowledged after the last settled one.
+        if settled or not self._knows_settled_list:
             self.known_as_of_ms = max(self.known_as_of_ms, as_of_ms)
         self._heard_ms = max(self._heard_ms, as_of_ms)
         return EvacuationChange(tuple(sorted(adopted)), tuple(sorted(withdrawn)))
