--- a/packages/figcrank-transport/src/figcrank/transport/streams/_position_prober.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_position_prober.py
@@ -74,7 +74,7 @@
         ]
 
     def _is_probed_with_lease(self, group: str, now_ms: int) -> bool:
-        lacking_ms = self._router.confined_lacking_ms.get(group)
+        lacking_ms = self._router.confinement.lacking_ms.get(group)
         usable = self._view.primary_use(group, now_ms) is PrimaryUse.USABLE
         return usable and lacking_ms is not None and now_ms - lacking_ms <= DEMAND_MS
 
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_preparer.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_preparer.py
@@ -8,8 +8,8 @@
 from figcrank.transport.streams._metrics import Metrics
 
 if TYPE_CHECKING:
-    from figcrank.transport.streams._runner import Statement
     from figcrank.transport.streams._session import CallerSession
+    from figcrank.transport.streams._statements import Statement
 
 PROXY_STATEMENT_TIMEOUT_MS = 300  # needs no server slot; ten times a slow round trip
 
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
@@ -14,9 +14,7 @@
     max_retained_connections,
     rank,
 )
-from figcrank.coordination.regions import AllowedRegions, allowed_regions
 from figcrank.coordination.sessions import RefusalReason, reason_of_primary
-from figcrank.protocol.heartbeats import PrimaryFailure
 from figcrank.protocol.sessions import (
     ServerCodec,
     SessionFailure,
@@ -32,16 +30,15 @@
 from figcrank.transport.streams._evacuation_guard import EvacuationGuard
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._metrics import Metrics
-from figcrank.transport.streams._pool import LAGGING_RETRY_MS, ServerPool, split_address
+from figcrank.transport.streams._pool import LAGGING_RETRY_MS, ServerPool
+from figcrank.transport.streams._primary_monitor import PrimaryMonitor
+from figcrank.transport.streams._region_confinement import RegionConfinement
 from figcrank.transport.streams._server_loads import ServerLoads
-from figcrank.transport.streams._traffic import MessageKind, TrafficMeter
+from figcrank.transport.streams._server_prober import ServerProber
+from figcrank.transport.streams._traffic import TrafficMeter
 
 PRIMARY_RECHECK_MS = 100  # a lease can expire and be renewed without an event
 UNREGISTERED_GRACE_MS = 2_500  # after a store outage, expired entries return within 2 s
-PROBE_AFTER_MS = 500  # a statement unanswered for this long triggers a probe
-RECENT_ANSWER_MS = 200  # an answer newer than this outweighs a peer's failure report
-FAILOVER_DRAIN_MS = 200  # running statements at an unreachable primary are closed after this
-PLANNED_DRAIN_MS = 500  # transactions still open in a planned switch are closed after this
 RETRY_AFTER_MS = 1_000  # the store and the primary are both tried once per second
 DEFAULT_MAX_CONNECTIONS = 8  # for a group that is not configured yet
 
@@ -81,15 +78,15 @@
         self._pools: dict[str, ServerPool] = {}
         # By group, when a read last lacked a position that replicas must have reached.
         self.position_lacking_ms: dict[str, int] = {}
-        # The same for reads that may not run at the primary, whose replies would have told it.
-        self.confined_lacking_ms: dict[str, int] = {}
+        self.confinement = RegionConfinement(view)
         self.loads = ServerLoads(view, clock, log)
         cold_servers = ColdServers(view.host, cold_overage, cold_headroom)
         self.cold = ColdAdmission(cold_servers, view, clock, log, metrics)
+        self._prober = ServerProber(view, codec, clock, log, self.traffic)
+        self._primaries = PrimaryMonitor(view, self._pools, log)
         self._changed = Event()
         self.guard = EvacuationGuard(view, clock, log)
         self._primary_arrivals: dict[str, ArrivalOrder] = {}  # by group
-        self._serving_primaries: set[str] = set()
 
     def workspace_priority(self, workspace: str) -> int:
         """Return the priority of a workspace, 0 is served first."""
@@ -158,20 +155,10 @@
 
     def notify_primary_change(self) -> None:
         """Wake all waiters for a change of a primary."""
-        self._release_replaced_primaries()
+        self._primaries.release_replaced()
         changed, self._changed = self._changed, Event()
         changed.send(None)
 
-    def _release_replaced_primaries(self) -> None:
-        """Make statements that wait at a primary leave it when it ceases to serve."""
-        records = self.view.primary_table.all().values()
-        serving = {record.server_id for record in records if not record.moving}
-        for server_id in self._serving_primaries - serving:
-            pool = self._pools.get(server_id)
-            if pool is not None:
-                pool.send_waiters_elsewhere("the primary is being replaced")
-        self._serving_primaries = serving
-
     def await_primary(self, group: str, deadline_ms: int, arrived_ms: int) -> ServerPool:
         """Return the primary's pool once the primary is usable.
 
@@ -236,48 +223,21 @@
         return None
 
     def may_run(self, pool: ServerPool, route: DatabaseRoute, workspace: str) -> bool:
-        """Return whether a server is in a region where a workspace's statements may run now.
-
-        :param route: a route of the statements, perhaps of an earlier configuration.
-        """
-        catalog = self.view.catalog
-        route = catalog.routes.get(route.database, route) if catalog else route
-        allowed = allowed_regions(route, workspace, catalog, self.view.regions)
-        return allowed.permits_server(pool.entry.availability_zone)
+        """Return whether a server is in a region where a workspace's statements may run now."""
+        return self.confinement.may_run(pool.entry, route, workspace)
 
     def awaits_position(self, route: DatabaseRoute, workspace: str) -> bool:
         """Return whether a read could run in its regions once the primary's position is known."""
-        allowed = allowed_regions(route, workspace, self.view.catalog, self.view.regions)
-        return self._needs_position(route, allowed, self._clock.now_ms())
-
-    def _needs_position(self, route: DatabaseRoute, allowed: AllowedRegions, now_ms: int) -> bool:
-        if route.mode is ReadMode.PRIMARY or not allowed.is_confined:
-            return False
-        primary = self.view.primary_of(route.group)
-        if primary is not None and allowed.permits_server(primary.availability_zone):
-            return False
-        zones = (entry.availability_zone for entry in self.entries_of(route.group))
-        return (
-            self._min_read_position(route, None, now_ms) is None
-            and any(map(allowed.permits_server, zones))
-            and self.view.primary_use(route.group, now_ms) is PrimaryUse.USABLE
-        )
+        allowed = self.confinement.allowed(route, workspace)
+        entries = self.entries_of(route.group)
+        return self.confinement.needs_position(route, allowed, entries, self._clock.now_ms())
 
     def require_allowed_primary(self, route: DatabaseRoute, workspace: str) -> None:
         """Reject what needs a primary if no server of an allowed region can be the one.
 
         :raises OpenError: if that is so.
         """
-        allowed = allowed_regions(route, workspace, self.view.catalog, self.view.regions)
-        if not allowed.is_confined:
-            return
-        zones = {e.server_id: e.availability_zone for e in self.entries_of(route.group)}
-        record = self.view.primary_table.get(route.group)
-        is_settled = record is not None and not record.moving
-        primary_zone = zones.get(record.server_id, "") if is_settled else None
-        refusal = allowed.refusal(zones.values(), primary_zone)
-        if refusal is not None:
-            raise OpenError(SessionFailure.BUSY, refusal, reason=RefusalReason.REGION)
+        self.confinement.require_primary(route, workspace, self.entries_of(route.group))
 
     def wait_for_primary_change(self, wait_ms: float) -> None:
         """Wait at most ``wait_ms`` for a change of any primary."""
@@ -310,14 +270,15 @@
         now_ms = self._clock.now_ms()
         pools: dict[str, tuple[ServerPool, Position | None]] = {}
         candidates = []
-        allowed = allowed_regions(route, demand.workspace, self.view.catalog, self.view.regions)
+        allowed = self.confinement.allowed(route, demand.workspace)
+        entries = self.entries_of(route.group)
         min_position = self._min_read_position(route, last_commit, now_ms)
         usable = self.view.primary_use(route.group, now_ms) is PrimaryUse.USABLE
         if min_position is None and route.mode is not ReadMode.PRIMARY:
             self.position_lacking_ms[route.group] = now_ms
-            if self._needs_position(route, allowed, now_ms):
-                self.confined_lacking_ms[route.group] = now_ms
-        for entry in self.entries_of(route.group):
+            if self.confinement.needs_position(route, allowed, entries, now_ms):
+                self.confinement.lacking_ms[route.group] = now_ms
+        for entry in entries:
             pool = self.pool(entry.server_id)
             if entry.server_id in tried or not pool.health.usable(now_ms):
                 continue
@@ -459,20 +420,24 @@
         for record in self.view.primary_table.all().values():
             # Creates the pool, so that hosts without traffic to the primary probe it too.
             self.pool(record.server_id)
-        self._release_replaced_primaries()
+        self._primaries.release_replaced()
         self.loads.tick(self.pools())
         self.cold.tick()
         for pool in self.pools():
             self._set_limit(pool)
             pool.tick()
             self._check_registration(pool, now_ms)
-            self._probe_if_suspect(pool, now_ms)
-        self._close_drained_primaries(now_ms)
+            self._prober.probe_if_suspect(pool, now_ms)
+        self._primaries.close_drained(now_ms)
         self.guard.update(self.pools())
-        self._publish_observations(now_ms)
+        self._primaries.publish(now_ms)
         for group in self.view.primary_failures:
             self.view.observe_failing_primary(group, now_ms)
 
+    def probe_server(self, pool: ServerPool) -> None:
+        """Probe a server by opening and closing a separate connection."""
+        self._prober.probe(pool)
+
     def _check_registration(self, pool: ServerPool, now_ms: int) -> None:
         entry = self.view.registry.servers.get(pool.entry.server_id)
         if entry is not None:
@@ -487,102 +452,3 @@
             self._log.event("server_gone", server=pool.entry.server_id, group=pool.entry.group)
             pool.close_all()
             del self._pools[pool.entry.server_id]
-
-    def _probe_if_suspect(self, pool: ServerPool, now_ms: int) -> None:
-        waited_ms = pool.oldest_outstanding_ms(now_ms)
-        unanswered = (
-            waited_ms >= PROBE_AFTER_MS and now_ms - pool.health.last_response_ms >= PROBE_AFTER_MS
-        )
-        at_primary = self.is_primary(pool)
-        failing = at_primary and pool.health.failing_since_ms is not None
-        reported_failing = at_primary and self._is_reported_failing(pool, now_ms)
-        if (
-            (unanswered or failing or reported_failing)
-            and pool.health.usable(now_ms)
-            and self.may_send_to(pool.entry)
-            and not pool.probe_running
-        ):
-            pool.probe_running = True
-            eventlet.spawn_n(self.probe_server, pool)
-
-    def _is_reported_failing(self, pool: ServerPool, now_ms: int) -> bool:
-        """Return whether a peer reports a primary failing and this host has no recent answer."""
-        if (
-            now_ms - pool.health.last_response_ms < RECENT_ANSWER_MS
-            or pool.health.failing_since_ms is not None
-        ):
-            return False
-        reports = (
-            peer.heartbeat.primary_failures.get(pool.entry.group)
-            for peer in self.view.peers.live(now_ms)
-        )
-        return any(report and report.server_id == pool.entry.server_id for report in reports)
-
-    def probe_server(self, pool: ServerPool) -> None:
-        """Probe a server by opening and closing a separate connection."""
-        entry = pool.entry
-        start_message = self.codec.start(entry.group, self.view.host, entry.server_id)
-        try:
-            connection, _ = ServerConnection.open(
-                split_address(entry.address),
-                self.codec.decoder(),
-                start_message,
-                self.view.host,
-                self._clock,
-                pool.may_send,
-                self.traffic.channel(MessageKind.STATEMENT, entry.availability_zone),
-            )
-        except OpenError as error:
-            self._record_failed_probe(pool, error)
-        else:
-            connection.close()
-            pool.health.record_answer(self._clock.now_ms())
-        finally:
-            pool.probe_running = False
-
-    def _record_failed_probe(self, pool: ServerPool, error: OpenError) -> None:
-        now_ms = self._clock.now_ms()
-        if error.failure in (SessionFailure.BUSY, SessionFailure.CONNECTION_LIMIT):
-            pool.health.record_answer(now_ms)
-            return
-        pool.health.record_failure(now_ms, error.refused)
-        self._log.event(
-            "server_unreachable",
-            server=pool.entry.server_id,
-            group=pool.entry.group,
-            failing_ms=pool.health.failing_for_ms(now_ms),
-            reason=str(error),
-        )
-
-    def _publish_observations(self, now_ms: int) -> None:
-        failures = {}
-        for group, record in self.view.primary_table.all().items():
-            pool = self._pools.get(record.server_id)
-            if pool is None or pool.health.failing_since_ms is None:
-                continue
-            refused = pool.health.last_refused_ms is not None
-            # Failures from before the server became the primary don't count.
-            known_ms = self.view.primary_table.unchanged_for_ms(group, now_ms)
-            failing_ms = max(1, min(known_ms, pool.health.failing_for_ms(now_ms)))
-            failures[group] = PrimaryFailure(record.server_id, failing_ms, refused)
-        self.view.primary_failures = failures
-        self.view.quiesced_groups = {
-            group
-            for group, record in self.view.primary_table.all().items()
-            if record.moving and self._are_unused(self.view.primary_table.replaced_servers(group))
-        }
-
-    def _close_drained_primaries(self, now_ms: int) -> None:
-        """Close connections to replaced primaries when the drain time is over."""
-        for group, record in self.view.primary_table.all().items():
-            moving_ms = self.view.primary_table.moving_for_ms(group, now_ms)
-            if moving_ms < (PLANNED_DRAIN_MS if record.planned else FAILOVER_DRAIN_MS):
-                continue
-            for server_id in self.view.primary_table.replaced_servers(group):
-                if not self._are_unused({server_id}):
-                    self._log.event("fenced_work_ended", group=group, server=server_id)
-                    self._pools[server_id].close_all()
-
-    def _are_unused(self, server_ids: set[str]) -> bool:
-        pools = (self._pools.get(server_id) for server_id in server_ids)
-        return all(pool is None or pool.is_unused for pool in pools)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_runner.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_runner.py
@@ -1,86 +1,31 @@
-"""Runs the statements of sessions on backend servers, with retries and hedged reads."""
+"""Runs the writes and transactions of sessions on backend servers, with retries."""
 
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from eventlet.queue import Empty, LightQueue
-
 from figcrank.coordination.admission import Demand
-from figcrank.coordination.sessions import (
-    RefusalReason,
-    RetryAction,
-    after_read,
-    after_write,
-)
-from figcrank.protocol.sessions import (
-    Request,
-    SessionFailure,
-    StatementReply,
-    TransactionState,
-)
+from figcrank.coordination.sessions import RefusalReason, RetryAction, after_write
+from figcrank.protocol.sessions import SessionFailure, StatementReply, TransactionState
 from figcrank.state._catalog import DatabaseRoute
 from figcrank.state._clock import Clock
-from figcrank.state._positions import Position
-from figcrank.transport.streams._acquirer import RETRY_PAUSE_MS, Attempt, ConnectionAcquirer
+from figcrank.transport.streams._acquirer import RETRY_PAUSE_MS, ConnectionAcquirer
 from figcrank.transport.streams._connection import OpenError, ServerConnection
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._metrics import Metrics
 from figcrank.transport.streams._pool import ServerPool
 from figcrank.transport.streams._preparer import ConnectionPreparer
+from figcrank.transport.streams._read_runner import ReadRunner
+from figcrank.transport.streams._replies import ReplyObserver, release_or_discard
 from figcrank.transport.streams._router import Router
+from figcrank.transport.streams._statements import Answer, Statement
 
 if TYPE_CHECKING:
-    from figcrank.transport.streams._session import CallerSession, Transaction
+    from figcrank.transport.streams._session import CallerSession
+    from figcrank.transport.streams._session_state import Transaction
 
 # Told to a transaction that was open when the configuration changed.
 REGION_LEFT = "the server is in a region that is no longer allowed"
-SLOW_ANSWER_MS = 300  # ten times a usual read; the answer is lost or the server is stuck
-
-
-@dataclass(frozen=True, slots=True)
-class Statement:
-    """A statement to run.
-
-    :param request: the caller's request.
-    :param is_write: whether it changes data.
-    :param definition: definition of the prepared statement to execute, ``None`` if not prepared.
-    """
-
-    request: Request
-    is_write: bool
-    definition: str | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class Answer:
-    """Answer to a statement.
-
-    :param payload: server reply to forward; empty if this host answers itself.
-    :param failure: ``None`` on success.
-    :param detail: reason for a failure.
-    :param tries: number of attempts.
-    :param server_id: server that was used last.
-    :param took_ms: time since the request was received.
-    :param required: minimum position required of a replica.
-    :param refusal: why nothing has run if this host refuses the statement itself.
-    """
-
-    payload: bytes
-    failure: SessionFailure | None = None
-    detail: str = ""
-    tries: int = 0
-    server_id: str = ""
-    took_ms: int = 0
-    required: Position | None = None
-    refusal: RefusalReason | None = None
-
-
-def _not_run(unanswered: bool) -> SessionFailure:
-    """Return the failure of a read that no server accepts now.
-
-    ``BUSY`` says that nothing has run, which is unknown after an attempt without a reply.
-    """
-    return SessionFailure.TIMEOUT if unanswered else SessionFailure.BUSY
+ROLLBACK_TIMEOUT_MS = 300  # ten times a usual statement; the connection is closed after it
 
 
 class StatementRunner:
@@ -93,12 +38,13 @@
     """
 
     def __init__(self, router: Router, clock: Clock, metrics: Metrics, log: EventLog) -> None:
-        self._log = log
         self._router = router
         self._codec = router.codec
         self._clock = clock
         self._preparer = ConnectionPreparer(router.codec, metrics)
         self._acquirer = ConnectionAcquirer(router, clock, self._preparer)
+        self._observer = ReplyObserver(router, clock)
+        self._reads = ReadRunner(router, clock, self._preparer, self._acquirer, self._observer, log)
 
     def run_single(
         self, session: "CallerSession", statement: Statement, route: DatabaseRoute, workspace: str
@@ -109,7 +55,7 @@
         if statement.is_write:
             answer = self._run_write(session, statement, route, demand)
         else:
-            answer = self._run_read(session, statement, route, demand)
+            answer = self._reads.run(session, statement, route, demand)
         return self._with_duration(answer, demand.arrived_ms)
 
     def _with_duration(self, answer: Answer, started_ms: int) -> Answer:
@@ -149,10 +95,10 @@
                 self._router.discard_failed_connection(pool, connection)
                 detail = "the primary did not answer"
                 return Answer(b"", SessionFailure.IN_DOUBT, detail, tries, pool.entry.server_id)
-            self._observe_reply(pool, connection, reply)
+            self._observer.observe(pool, connection, reply)
             if reply.failure is None:
                 self._record_commit_position(session, route, reply)
-            self._release_or_discard(pool, connection)
+            release_or_discard(pool, connection)
             if reply.failure is None or not self._wait_for_retry(
                 after_write(reply.failure, tries), deadline_ms
             ):
@@ -201,143 +147,12 @@
             raise OpenError(SessionFailure.BUSY, detail, reason=RefusalReason.EVACUATED)
         return connection.send_and_wait(data, deadline_ms - self._clock.now_ms())
 
-    def _observe_reply(
-        self, pool: ServerPool, connection: ServerConnection, reply: StatementReply
-    ) -> None:
-        if reply.failure in (None, SessionFailure.FAILED):
-            pool.record_service(connection, self._clock.now_ms() - connection.sent_ms)
-        self._router.observe_reply(pool, connection.sent_ms, reply)
-
     def _record_commit_position(
         self, session: "CallerSession", route: DatabaseRoute, reply: StatementReply
     ) -> None:
         if reply.position is not None:
             session.last_commit[route.group] = reply.position
 
-    def _release_or_discard(self, pool: ServerPool, connection: ServerConnection) -> None:
-        if connection.state is TransactionState.IDLE:
-            pool.release(connection)
-        else:
-            pool.discard(connection)
-
-    def _run_read(
-        self,
-        session: "CallerSession",
-        statement: Statement,
-        route: DatabaseRoute,
-        demand: Demand,
-    ) -> Answer:
-        deadline_ms = demand.deadline_ms
-        tried: set[str] = set()
-        results: LightQueue = LightQueue()
-        running = 0
-        tries = 0
-        unanswered = False  # an attempt without a reply may have run
-        failure, detail = SessionFailure.BUSY, "no server is available"
-        force_primary = False
-        while self._clock.now_ms() < deadline_ms:
-            attempt_demand = self._acquirer.hedge(demand) if running else demand
-            try:
-                attempt = self._acquirer.acquire_server(
-                    session, route, attempt_demand, tried, force_primary
-                )
-            except OpenError as error:
-                if not running:
-                    not_run = _not_run(unanswered)
-                    return Answer(b"", not_run, str(error), tries, refusal=error.reason)
-                attempt = None
-            if attempt is not None:
-                tries += 1
-                try:
-                    data = self._preparer.encode(
-                        attempt.connection, statement, attempt.min_position
-                    )
-                except OpenError:
-                    self._router.discard_failed_connection(attempt.pool, attempt.connection)
-                    tried.add(attempt.pool.entry.server_id)
-                    continue
-                if not self._router.may_send_to(attempt.pool.entry):
-                    attempt.pool.discard(attempt.connection)
-                    tries -= 1
-                    continue
-                running += 1
-                attempt.connection.send(data, self._reply_handler(results, attempt))
-            wait_ms = deadline_ms - self._clock.now_ms()
-            if attempt is not None and running == 1:
-                wait_ms = min(wait_ms, SLOW_ANSWER_MS)
-            try:
-                finished_attempt, reply = results.get(timeout=max(0.001, wait_ms / 1_000))
-            except Empty:
-                if attempt is None:
-                    break
-                tried.add(attempt.pool.entry.server_id)
-                continue
-            running -= 1
-            server_id = finished_attempt.pool.entry.server_id
-            if reply is None:
-                unanswered = True
-                failure, detail = SessionFailure.UNREACHABLE, "the server did not answer"
-            elif reply.failure is None:
-                return Answer(
-                    reply.payload, None, "", tries, server_id, 0, finished_attempt.min_position
-                )
-            else:
-                failure, detail = reply.failure, reply.detail
-            action = after_read(failure, tries)
-            self._log_failed_attempt(statement, finished_attempt, failure, detail, action)
-            if action is RetryAction.TELL:
-                payload = reply.payload if reply else b""
-                if failure is SessionFailure.BUSY and unanswered:
-                    payload, failure = b"", SessionFailure.TIMEOUT
-                return Answer(
-                    payload, failure, detail, tries, server_id, 0, finished_attempt.min_position
-                )
-            if action is RetryAction.TRY_PRIMARY:
-                force_primary = not self._router.is_primary(finished_attempt.pool)
-            elif action is RetryAction.TRY_ELSEWHERE:
-                tried.add(server_id)
-            elif action is RetryAction.WAIT_AND_RETRY:
-                self._router.wait_for_primary_change(RETRY_PAUSE_MS)
-            elif action is RetryAction.PREPARE_AGAIN:
-                finished_attempt.connection.prepared.clear()
-        if running:
-            detail = "no server answered within the statement timeout"
-            return Answer(b"", SessionFailure.TIMEOUT, detail, tries)
-        is_busy = tries > 0 and failure is SessionFailure.BUSY
-        refusal = RefusalReason.SERVER_BUSY if is_busy else RefusalReason.NO_SERVER
-        return Answer(b"", _not_run(unanswered), detail, tries, refusal=refusal)
-
-    def _log_failed_attempt(
-        self,
-        statement: Statement,
-        finished_attempt: Attempt,
-        failure: SessionFailure,
-        detail: str,
-        action: RetryAction,
-    ) -> None:
-        self._log.event(
-            "try_failed",
-            id=statement.request.request_id,
-            server=finished_attempt.pool.entry.server_id,
-            group=finished_attempt.pool.entry.group,
-            failure=failure.name.lower(),
-            reason=detail,
-            required=finished_attempt.min_position,
-            held=finished_attempt.pool.position,
-            next=action.name.lower(),
-        )
-
-    def _reply_handler(self, results: LightQueue, attempt: Attempt):  # noqa: ANN202
-        def handle(connection: ServerConnection, reply: StatementReply | None) -> None:
-            if reply is None:
-                self._router.discard_failed_connection(attempt.pool, connection)
-            else:
-                self._observe_reply(attempt.pool, connection, reply)
-                self._release_or_discard(attempt.pool, connection)
-            results.put((attempt, reply))
-
-        return handle
-
     def run_in_transaction(
         self, session: "CallerSession", statement: Statement, transaction: "Transaction"
     ) -> Answer:
@@ -390,7 +205,7 @@
                 transaction.failed = True
                 detail = self._lost_detail(pool)
                 return Answer(b"", SessionFailure.ABORTED, detail, tries, server_id)
-            self._observe_reply(pool, connection, reply)
+            self._observer.observe(pool, connection, reply)
             if reply.state is not TransactionState.OPEN:
                 transaction.failed = True
                 self.abort(transaction)
@@ -450,7 +265,7 @@
                 transaction.pool = attempt.pool
                 transaction.connection = attempt.connection
                 return None
-            self._release_or_discard(attempt.pool, attempt.connection)
+            release_or_discard(attempt.pool, attempt.connection)
             if reply.failure is SessionFailure.LAGGING:
                 force_primary = True
             else:
@@ -501,10 +316,10 @@
             return self._with_duration(
                 Answer(b"", SessionFailure.UNREACHABLE, "", 1, server_id), started_ms
             )
-        self._observe_reply(pool, connection, reply)
+        self._observer.observe(pool, connection, reply)
         if reply.failure is None and transaction.wrote:
             self._record_commit_position(session, route, reply)
-        self._release_or_discard(pool, connection)
+        release_or_discard(pool, connection)
         return self._with_duration(
             Answer(reply.payload, reply.failure, reply.detail, 1, server_id), started_ms
         )
@@ -514,11 +329,11 @@
         pool, connection = transaction.pool, transaction.connection
         transaction.connection = None
         data = self._codec.query(request_id, self._codec.rollback())
-        reply = connection.send_and_wait(data, SLOW_ANSWER_MS)
+        reply = connection.send_and_wait(data, ROLLBACK_TIMEOUT_MS)
         if reply is None or reply.failure is not None:
             pool.discard(connection)
         else:
-            self._release_or_discard(pool, connection)
+            release_or_discard(pool, connection)
 
     def abort(self, transaction: "Transaction") -> None:
         """Roll back a transaction without a caller request, by closing its connection."""
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
@@ -24,13 +24,13 @@
     SESSION_START_TIMEOUT_MS,
     CallerConnection,
 )
-from figcrank.transport.streams._connection import ServerConnection
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._metrics import Metrics
-from figcrank.transport.streams._pool import ServerPool
 from figcrank.transport.streams._refusals import RefusalRecorder
 from figcrank.transport.streams._router import Router
-from figcrank.transport.streams._runner import Answer, Statement, StatementRunner
+from figcrank.transport.streams._runner import StatementRunner
+from figcrank.transport.streams._session_state import PreparedStatement, Transaction
+from figcrank.transport.streams._statements import Answer, Statement
 
 CATALOG_WAIT_MS = 2_000  # callers don't wait longer for the handshake reply
 CATALOG_POLL_MS = 20
@@ -40,44 +40,6 @@
 LOCAL_VERBS = (Verb.SET, Verb.PREPARE, Verb.DEALLOCATE)
 
 
-@dataclass(slots=True)
-class PreparedStatement:
-    """A prepared statement of a session.
-
-    :param is_write: whether it changes data.
-    :param definition: definition of the statement, as the caller sent it.
-    """
-
-    is_write: bool
-    definition: str
-
-
-@dataclass(slots=True)
-class Transaction:
-    """An open transaction.
-
-    :param begin: request that opened it.
-    :param read_only: whether the caller declared it read-only.
-    :param route: route in force when it was opened.
-    :param workspace: workspace of the caller.
-    :param pool: pool of the server that runs it, ``None`` before the first statement.
-    :param connection: connection to that server.
-    :param wrote: whether a statement that changes data was sent.
-    :param failed: whether it can only be rolled back.
-    :param sent: whether any part of it was sent to a server.
-    """
-
-    begin: Request
-    read_only: bool
-    route: DatabaseRoute
-    workspace: str
-    pool: ServerPool | None = None
-    connection: ServerConnection | None = None
-    wrote: bool = False
-    failed: bool = False
-    sent: bool = False
-
-
 @dataclass(slots=True)
 class SessionServices:
     """Services shared by all sessions of a host.
--- a/packages/figcrank-transport/tests/test_acquirer.py
+++ b/packages/figcrank-transport/tests/test_acquirer.py
@@ -16,7 +16,8 @@
 from figcrank.transport.streams._connection import OpenError
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._metrics import Metrics
-from figcrank.transport.streams._runner import Statement, StatementRunner
+from figcrank.transport.streams._runner import StatementRunner
+from figcrank.transport.streams._statements import Statement
 
 ROUTE = DatabaseRoute("r", "db", "g", ReadMode.BOUNDED, 1_000, 100)
 READ = Statement(Request("1", Verb.READ, "READ x"), False)
--- a/packages/figcrank-transport/tests/test_cold_admission.py
+++ b/packages/figcrank-transport/tests/test_cold_admission.py
@@ -54,7 +54,7 @@
         self.router = Router(
             self.view, None, self.clock, "zone-a", log, self.metrics, cold_overage=overage
         )
-        self.router.probe_server = lambda _pool: None
+        self.router._prober.probe = lambda _pool: None
         for entry in entries:
             self.router.pool(entry.server_id)
         while self.clock.now_ms() < NOW_MS:
--- a/packages/figcrank-transport/tests/test_owner_session.py
+++ b/packages/figcrank-transport/tests/test_owner_session.py
@@ -30,8 +30,8 @@
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._metrics import Metrics
 from figcrank.transport.streams._owner_session import OwnerSession
-from figcrank.transport.streams._runner import Answer
 from figcrank.transport.streams._session import SessionServices
+from figcrank.transport.streams._statements import Answer
 
 ROUTE = DatabaseRoute("route", "db", "g", ReadMode.PRIMARY, 700, 300)
 
--- a/packages/figcrank-transport/tests/test_position_prober.py
+++ b/packages/figcrank-transport/tests/test_position_prober.py
@@ -12,6 +12,7 @@
     PROBE_INTERVAL_MS,
     PositionProber,
 )
+from figcrank.transport.streams._region_confinement import RegionConfinement
 
 LOST_MS = LEASE_MS + 10_000
 
@@ -24,7 +25,7 @@
 class FakeRouter:
     def __init__(self):
         self.position_lacking_ms = {}
-        self.confined_lacking_ms = {}
+        self.confinement = RegionConfinement(None)
         self.observed = []
 
     def entries_of(self, group):
@@ -107,7 +108,7 @@
 def with_lease(scenario):
     scenario.view.confirmed_ms = LOST_MS
     scenario.router.position_lacking_ms["g"] = LOST_MS
-    scenario.router.confined_lacking_ms["g"] = LOST_MS
+    scenario.router.confinement.lacking_ms["g"] = LOST_MS
     return scenario
 
 
@@ -115,7 +116,7 @@
     """Guards against a quiet group whose position no reply of the primary tells."""
     scenario = with_lease(Scenario())
     assert scenario.prober.due_groups(LOST_MS) == ["g"]
-    scenario.router.confined_lacking_ms["g"] = LOST_MS - DEMAND_MS - 1
+    scenario.router.confinement.lacking_ms["g"] = LOST_MS - DEMAND_MS - 1
     assert scenario.prober.due_groups(LOST_MS) == []
 
 
--- a/packages/figcrank-transport/tests/test_region_routing.py
+++ b/packages/figcrank-transport/tests/test_region_routing.py
@@ -17,8 +17,9 @@
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._metrics import Metrics
 from figcrank.transport.streams._router import Router
-from figcrank.transport.streams._runner import Statement, StatementRunner
+from figcrank.transport.streams._runner import StatementRunner
 from figcrank.transport.streams._session import Transaction
+from figcrank.transport.streams._statements import Statement
 
 REGIONS = {"n1": "north", "n2": "north", "s1": "south"}
 READ = Statement(Request("1", Verb.READ, "READ x"), False)
@@ -229,7 +230,7 @@
     """
     scenario = QuietScenario(monkeypatch, told_ms=10_100)
     assert scenario.acquire() == "south"
-    assert scenario.router.confined_lacking_ms["g"] >= 10_000
+    assert scenario.router.confinement.lacking_ms["g"] >= 10_000
     assert scenario.clock.now_ms() <= 10_100 + _acquirer.RETRY_PAUSE_MS
 
 
@@ -254,4 +255,4 @@
     scenario.clock.advance_to(10_000)
     assert not scenario.router.awaits_position(scenario.route, "w")
     scenario.servers_of_read()
-    assert scenario.router.confined_lacking_ms == {}
+    assert scenario.router.confinement.lacking_ms == {}
--- a/packages/figcrank-transport/tests/test_statement_runner.py
+++ b/packages/figcrank-transport/tests/test_statement_runner.py
@@ -19,8 +19,9 @@
 from figcrank.transport.streams._admission_gate import AdmissionError
 from figcrank.transport.streams._connection import OpenError
 from figcrank.transport.streams._metrics import Metrics
-from figcrank.transport.streams._runner import Statement, StatementRunner
+from figcrank.transport.streams._runner import StatementRunner
 from figcrank.transport.streams._session import Transaction
+from figcrank.transport.streams._statements import Statement
 
 ROUTE = DatabaseRoute("r", "db", "g", ReadMode.PRIMARY, 1_000, 100)
 ENTRY = ServerEntry("s1", "g", "10.1.0.1:80", "zone-a", 5, False, True)
