--- a/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
@@ -304,8 +304,9 @@
     def _serve_peer(self, sock: socket.socket) -> None:
         try:
             traffic = self._link.view_channel(sock.getpeername()[0])
-        except OSError:
-            sock.close()  # the peer has disconnected already
+        except OSError as error:  # the peer has disconnected already
+            self._log.event("view_request_lost", reason=str(error))
+            sock.close()
             return
         serve_http(sock, {VIEW_PATH: self._link.view_page}, traffic)
 
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_read_runner.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_read_runner.py
@@ -91,7 +91,10 @@
                     data = self._preparer.encode(
                         attempt.connection, statement, attempt.min_position
                     )
-                except OpenError:
+                except OpenError as error:
+                    self._log_failed_attempt(
+                        statement, attempt, error.failure, str(error), RetryAction.TRY_ELSEWHERE
+                    )
                     self._router.discard_failed_connection(attempt.pool, attempt.connection)
                     tried.add(attempt.pool.entry.server_id)
                     continue
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_runner.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_runner.py
@@ -38,6 +38,7 @@
     """
 
     def __init__(self, router: Router, clock: Clock, metrics: Metrics, log: EventLog) -> None:
+        self._log = log
         self._router = router
         self._codec = router.codec
         self._clock = clock
@@ -81,8 +82,9 @@
                 continue
             try:
                 data = self._preparer.encode(connection, statement, None)
-            except OpenError:
+            except OpenError as error:
                 tries += 1
+                self._log_unsent(statement, pool, error)
                 self._router.discard_failed_connection(pool, connection)
                 continue
             # The lease may have expired while the connection was prepared.
@@ -228,9 +230,20 @@
             return None
         try:
             return self._send(pool, connection, statement, deadline_ms)
-        except OpenError:
+        except OpenError as error:
+            self._log_unsent(statement, pool, error)
             return None  # aborts the transaction, as a lost connection does
 
+    def _log_unsent(self, statement: Statement, pool: ServerPool, error: OpenError) -> None:
+        self._log.event(
+            "try_failed",
+            id=statement.request.request_id,
+            server=pool.entry.server_id,
+            group=pool.entry.group,
+            failure=error.failure.name.lower(),
+            reason=str(error),
+        )
+
     def _open_transaction(
         self, session: "CallerSession", transaction: "Transaction", demand: Demand
     ) -> Answer | None:
--- a/packages/figcrank-transport/tests/test_statement_runner.py
+++ b/packages/figcrank-transport/tests/test_statement_runner.py
@@ -18,6 +18,7 @@
 from figcrank.state._catalog import DatabaseRoute, ReadMode, ServerEntry
 from figcrank.transport.streams._admission_gate import AdmissionError
 from figcrank.transport.streams._connection import OpenError
+from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._metrics import Metrics
 from figcrank.transport.streams._runner import StatementRunner
 from figcrank.transport.streams._session import Transaction
@@ -193,7 +194,10 @@
         self.connection = Connection()
         self.pool = Pool(self.connection)
         self.router = LeaseRouter(self.pool, self.clock)
-        self.runner = StatementRunner(self.router, self.clock, Metrics(), None)
+        self.events = []
+        log = EventLog("a", self.clock, len)
+        log.event = lambda event, **fields: self.events.append((event, fields["reason"]))
+        self.runner = StatementRunner(self.router, self.clock, Metrics(), log)
 
     def end_lease(self):
         self.router.lease = False
@@ -358,6 +362,7 @@
     assert answer.failure is SessionFailure.ABORTED
     assert scenario.connection.sent == ["SET v 1"]
     assert transaction.failed and scenario.connection.closed
+    assert scenario.events == [("try_failed", "busy: nothing may be sent to the server now")]
 
 
 def test_write_counts_at_a_cold_server_and_is_refused_beyond_what_it_bears(scenario):
