Log what a late configuration waited for

No decision changes.

Tests: transport and fleet 646 passed; platform test_http, test_calm_day, test_explaining and test_failures 35 passed.

--- a/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
@@ -171,6 +171,11 @@
             del self.limits[name]
         return True
 
+    def newest_named_version(self) -> int:
+        """Return the newest version of the configuration in the peers' heartbeats."""
+        heartbeats = (peer.heartbeat for peer in self.peers.all())
+        return max((h.catalog_version for h in heartbeats if h is not None), default=0)
+
     def adopt_registry(
         self, registry: Registry, as_of_ms: int, now_ms: int, from_peer: bool
     ) -> bool:
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_peer_link.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_peer_link.py
@@ -72,6 +72,7 @@
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind(address)
         self._fetching = False
+        self._named = 0, NEVER_MS  # newest version that a peer has named, and when it first was
         self.is_removed = False  # whether peers removed this host; it must register again
         self.catalog_content = b""
         self._packed = b"", ""  # the configuration that was last compressed, and the result
@@ -228,6 +229,8 @@
 
     def _fetch_if_newer(self, catalog_version: int, revision: int, address: Address) -> None:
         own_version = self._view.catalog.version if self._view.catalog else 0
+        if catalog_version > max(own_version, self._named[0]):
+            self._named = catalog_version, self._clock.now_ms()
         newer = catalog_version > own_version or revision > self._view.registry.revision
         if newer:
             self._start_fetch(address)
@@ -259,7 +262,15 @@
             zlib.error,
             http_client.HTTPException,
         ) as error:
-            self._log.event("view_not_fetched", peer=address, reason=str(error))
+            took_ms = self._clock.now_ms() - started_ms
+            self._log.event(
+                "view_not_fetched",
+                peer=address,
+                reason=str(error),
+                took_ms=took_ms,
+                version=version,
+                newest_named=self._named[0],
+            )
         finally:
             self._fetching = False
 
@@ -300,14 +311,18 @@
         except ValueError as error:
             self._log.event("configuration_unreadable", source=source, reason=str(error))
             return
-        if self._view.adopt_catalog(catalog, self._clock.now_ms()):
+        now_ms = self._clock.now_ms()
+        if self._view.adopt_catalog(catalog, now_ms):
             self.catalog_content = content
+            named_version, named_ms = self._named
+            is_named = catalog.version <= named_version
             self._log.event(
                 "configuration_adopted",
                 version=catalog.version,
                 routes=len(catalog.routes),
                 keys=len(catalog.workspace_by_key),
                 source=source,
+                named_before_ms=now_ms - named_ms if is_named else None,
             )
             eventlet.spawn_n(self.broadcast_heartbeat)
 
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
@@ -141,7 +141,7 @@
         self._key = session_start.key
         failure = self._access_failure(self._await_catalog())
         if failure is not None:
-            self._record_refusal("", failure, "during the handshake")
+            self._record_refusal("", failure, f"during the handshake, {self._describe_catalog()}")
             self._send(self._codec.rejection(failure, session_start.database))
             return False
         if self._is_sent_away():
@@ -169,6 +169,12 @@
         catalog = self._services.router.view.catalog
         return catalog is None or catalog.version < self._seen_version
 
+    def _describe_catalog(self) -> str:
+        """Return the version of this host's configuration and the newest that a peer has named."""
+        view = self._services.router.view
+        version = view.catalog.version if view.catalog else 0
+        return f"configuration {version}, newest named by a peer {view.newest_named_version()}"
+
     def _access_failure(self, catalog: Catalog | None) -> SessionFailure | None:
         if catalog is None:
             return SessionFailure.BUSY
@@ -268,7 +274,7 @@
         catalog = self._services.router.view.catalog
         failure = self._access_failure(catalog)
         if failure is not None:
-            self._record_refusal(request.request_id, failure, f"configuration {catalog.version}")
+            self._record_refusal(request.request_id, failure, self._describe_catalog())
             self._reply_failure(failure, self._database)
             return
         route = catalog.routes[self._database]
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_store_reader.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_store_reader.py
@@ -243,8 +243,13 @@
     def run_catalog_reads(self) -> None:
         """Read the configuration once, then watch it while this host has to read it."""
         revision = 0
+        was_reader = False
         while True:
-            if revision and not self._must_read(self._clock.now_ms()):
+            is_reader = self._must_read(self._clock.now_ms())
+            if is_reader != was_reader:
+                self._log.event("store_reader", reads=is_reader, store_ok=self._view.store_ok)
+            was_reader = is_reader
+            if revision and not is_reader:
                 eventlet.sleep(READER_CHECK_MS / 1_000)
                 continue
             try:
