--- a/packages/figcrank-transport/tests/test_owner_tracker.py
+++ b/packages/figcrank-transport/tests/test_owner_tracker.py
@@ -65,3 +65,13 @@
     assert scenario.queried == ["127.0.0.1"]
     scenario.answer("127.0.0.1", OWNERS[:1])
     assert scenario.tracker.is_usable()
+
+
+def test_version_that_an_owner_reports_counts_as_seen():
+    """Guards against a relay whose callers an owner refuses by an older configuration.
+
+    The owner compares its version with the newest that the relay has seen.
+    """
+    scenario = Scenario()
+    scenario.answer("127.0.0.1", OWNERS)
+    assert scenario.tracker.seen_version == 5
--- a/packages/figcrank-transport/tests/test_replacer.py
+++ b/packages/figcrank-transport/tests/test_replacer.py
@@ -4,13 +4,10 @@
 service in memory.
 """
 
-from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field, replace
 
 import eventlet
 import pytest
-from eventlet import hubs
-from eventlet.hubs.hub import BaseHub
 
 from figcrank.coordination.fleet import FleetView
 from figcrank.coordination.primaries import (
@@ -24,9 +21,9 @@
 )
 from figcrank.protocol.heartbeats import Evacuations, PrimaryRecord, StoredPrimaries
 from figcrank.protocol.sessions import ServerReport
+from figcrank.standins.virtual_time import HubClock, in_virtual_time
 from figcrank.state import Position, era_of, number_of, revision_of
 from figcrank.state._catalog import Registry, ServerEntry
-from figcrank.state._clock import Clock
 from figcrank.transport.streams._interfaces import PromoteOutcome, StoreError, StoreErrorKind
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._metrics import Metrics
@@ -41,39 +38,6 @@
 EVACUATION_MS = 5_000
 
 
-class VirtualTimeHub(BaseHub):
-    """Event loop that advances its own clock to the next timer instead of waiting."""
-
-    def __init__(self):
-        self.now_s = 0.0
-        super().__init__(clock=lambda: self.now_s)
-
-    @staticmethod
-    def is_available():
-        return True
-
-    def wait(self, seconds=None):
-        self.now_s += seconds or 0
-
-
-class HubClock(Clock):
-    """Clock of the current thread's event loop."""
-
-    def now_ms(self):
-        return round(hubs.get_hub().clock() * 1_000)
-
-
-def in_virtual_time(scenario):
-    """Run a function on a :class:`VirtualTimeHub`, which belongs to a thread of its own."""
-
-    def run():
-        hubs.use_hub(VirtualTimeHub)
-        return scenario()
-
-    with ThreadPoolExecutor(1) as executor:
-        return executor.submit(run).result()
-
-
 def sleep_ms(wait_ms):
     eventlet.sleep(wait_ms / 1_000)
 
