Send reads of the store again whose idle connection has died

Cause: a client keeps up to three idle connections. When they died, the next call on one failed, the host counted the store as lost and stopped reading for the fleet, and the next host took over with dead connections of its own. On a connection that went silent each step cost 800 ms, or 2,300 ms in a watch.

--- a/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
@@ -345,6 +345,7 @@
             "hosts": view.host_count(),
             "is_owner": float(view.is_owner),
             "owners_known": len(self._tracker.owners()),
+            "store_connections_lost": self._store.lost_connections,
             "evacuated_zones": len(view.evacuation.zones),
         }
         for zone, count in self._router.guard.connection_counts(self._router.pools()).items():
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_interfaces.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_interfaces.py
@@ -60,6 +60,11 @@
     def count_traffic(self, traffic: TrafficChannel) -> None:
         """Count the bytes of the calls made from now on."""
 
+    @property
+    @abstractmethod
+    def lost_connections(self) -> int:
+        """Return how many connections had died while they were idle; no call failed by that."""
+
     @property
     @abstractmethod
     def era(self) -> int:
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_store_reader.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_store_reader.py
@@ -77,6 +77,11 @@
         """
         return self._era or 0
 
+    @property
+    def lost_connections(self) -> int:
+        """Return how many connections to the store had died while they were idle."""
+        return self._store.lost_connections
+
     def call(self, name: str, *arguments: object) -> object:
         """Call a method of the store and count the call by its result.
 
