Fetch from another peer when one stops answering

Cause: a host fetched from one peer at a time, for up to 2,500 ms, and dropped what other peers named meanwhile. A peer that named a new version and then stopped answering was asked again by its next heartbeat.

ViewFetches now decides from whom to fetch: offers are kept until the peer's next heartbeat, a fetch that has received nothing for 300 ms no longer keeps another one from starting, and a peer that failed comes after the others. ViewFetcher does the calls, moved out of PeerLink.

--- a/packages/figcrank-transport/src/figcrank/transport/streams/_counted_http.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_counted_http.py
@@ -1,9 +1,13 @@
 """HTTP client connections whose bytes are counted."""
 
+from collections.abc import Callable
+
 from eventlet.green.http import client as http_client
 
 from figcrank.transport.streams._traffic import TrafficChannel
 
+MAX_PART_BYTES = 65_536
+
 
 class CountedHttpConnection(http_client.HTTPConnection):
     """Connection that counts the bytes of requests and responses, with their headers.
@@ -22,10 +26,20 @@
         super().send(data)
         self._traffic.sent(len(data))
 
-    def read_response(self) -> tuple[http_client.HTTPResponse, bytes]:
-        """Return the response to the last request and its body."""
+    def read_response(
+        self, on_progress: Callable[[], None] | None = None
+    ) -> tuple[http_client.HTTPResponse, bytes]:
+        """Return the response to the last request and its body.
+
+        :param on_progress: called after each part that has arrived.
+        """
         response = self.getresponse()
-        body = response.read()
+        parts = []
+        while part := response.read1(MAX_PART_BYTES):
+            parts.append(part)
+            if on_progress:
+                on_progress()
+        body = b"".join(parts)
         self._traffic.received(_head_bytes(response) + len(body))
         return response, body
 
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
@@ -30,7 +30,7 @@
 from figcrank.transport.streams._owner_opener import OwnerOpener
 from figcrank.transport.streams._owner_session import OwnerSession
 from figcrank.transport.streams._owner_tracker import OwnerTracker
-from figcrank.transport.streams._peer_link import VIEW_PATH, PeerLink
+from figcrank.transport.streams._peer_link import PeerLink
 from figcrank.transport.streams._position_prober import PositionProber
 from figcrank.transport.streams._queue_page import QUEUES_PATH, QueuePage
 from figcrank.transport.streams._relayed_session import RelayedSession, RelayServices
@@ -43,6 +43,7 @@
 from figcrank.transport.streams._status_responder import StatusResponder
 from figcrank.transport.streams._store_reader import StoreReader
 from figcrank.transport.streams._traffic import MessageKind, TrafficMeter
+from figcrank.transport.streams._view_fetcher import VIEW_PATH
 
 BACKLOG = 512  # callers reconnect at the same time after a restart
 TICK_INTERVAL_MS = 100
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_peer_link.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_peer_link.py
@@ -6,7 +6,6 @@
 
 import eventlet
 from eventlet.green import socket
-from eventlet.green.http import client as http_client
 
 from figcrank.coordination.evacuation import EvacuationChange
 from figcrank.coordination.fleet import FleetView
@@ -16,7 +15,6 @@
 from figcrank.protocol.owners import Owner
 from figcrank.state._catalog import Registry, ServerEntry
 from figcrank.state._clock import Clock
-from figcrank.transport.streams._counted_http import CountedHttpConnection
 from figcrank.transport.streams._interfaces import Store
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._router import Router
@@ -26,14 +24,10 @@
     TrafficMeter,
     uncounted,
 )
+from figcrank.transport.streams._view_fetcher import ViewFetcher
 
 HEARTBEAT_INTERVAL_MS = 300  # five per lease; eight hosts send 190 datagrams/s in all
 MAX_DATAGRAM_BYTES = 65_000
-# A packed configuration of several megabytes over a link of 10 Mbit/s; a peer that does not accept
-# the connection is given up sooner.
-FETCH_TIMEOUT_MS = 2_500
-CONNECT_TIMEOUT_MS = 600
-VIEW_PATH = "/view"
 FAST_COMPRESSION = 1  # a configuration shrinks by most of its size at the fastest level
 # Fields of a server in the view page.
 SERVER_FIELDS = tuple(name for name in ServerEntry.__slots__ if name != "cold_remaining_ms")
@@ -71,8 +65,7 @@
         self._address = address
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind(address)
-        self._fetching = False
-        self._named = 0, NEVER_MS  # newest version that a peer has named, and when it first was
+        self._fetcher = ViewFetcher(view, self._apply_peer_view, self.view_channel, clock, log)
         self.is_removed = False  # whether peers removed this host; it must register again
         self.catalog_content = b""
         self._packed = b"", ""  # the configuration that was last compressed, and the result
@@ -116,7 +109,7 @@
         return self._traffic.channel(kind, next(zones, ""))
 
     def view_channel(self, ip: str) -> TrafficChannel:
-        """Return the counter for the views that a host fetches from this one."""
+        """Return the counter for the views that this host and another one fetch from each other."""
         return self._channel_to(MessageKind.VIEW, ip)
 
     def _receive(self, data: bytes, address: Address) -> None:
@@ -137,8 +130,7 @@
             peer = self._view.peers.by_address(address)
             if peer is not None:
                 self._send(peer, self._view.heartbeat_for(peer, self._clock.now_ms()))
-            self._start_fetch(address)  # the peer may know hosts that this host doesn't
-        self._fetch_if_newer(heartbeat.catalog_version, heartbeat.registry_revision, address)
+        self._fetcher.record_heartbeat(heartbeat, address, is_new)
 
     def _adopt_from_heartbeat(self, heartbeat: Heartbeat, address: Address) -> None:
         peer = self._view.peers.by_address(address)
@@ -227,53 +219,6 @@
             self.broadcast_heartbeat()
             eventlet.sleep(HEARTBEAT_INTERVAL_MS / 1_000)
 
-    def _fetch_if_newer(self, catalog_version: int, revision: int, address: Address) -> None:
-        own_version = self._view.catalog.version if self._view.catalog else 0
-        if catalog_version > max(own_version, self._named[0]):
-            self._named = catalog_version, self._clock.now_ms()
-        newer = catalog_version > own_version or revision > self._view.registry.revision
-        if newer:
-            self._start_fetch(address)
-
-    def _start_fetch(self, address: Address) -> None:
-        if not self._fetching:
-            self._fetching = True
-            eventlet.spawn_n(self._fetch, address)
-
-    def _fetch(self, address: Address) -> None:
-        version = self._view.catalog.version if self._view.catalog else 0
-        started_ms = self._clock.now_ms()
-        try:
-            with eventlet.Timeout(
-                FETCH_TIMEOUT_MS / 1_000, OSError("the peer did not answer in time")
-            ):
-                traffic = self._channel_to(MessageKind.VIEW, address[0])
-                connection = CountedHttpConnection(address, CONNECT_TIMEOUT_MS, traffic)
-                connection.connect()
-                connection.sock.settimeout(FETCH_TIMEOUT_MS / 1_000)
-                connection.request("GET", f"{VIEW_PATH}?catalog={version}&packed=1")
-                _, body = connection.read_response()
-                connection.close()
-            self._apply_peer_view(json.loads(body), started_ms)
-        except (
-            OSError,
-            ValueError,
-            KeyError,
-            zlib.error,
-            http_client.HTTPException,
-        ) as error:
-            took_ms = self._clock.now_ms() - started_ms
-            self._log.event(
-                "view_not_fetched",
-                peer=address,
-                reason=str(error),
-                took_ms=took_ms,
-                version=version,
-                newest_named=self._named[0],
-            )
-        finally:
-            self._fetching = False
-
     def _apply_peer_view(self, view: dict, as_of_ms: int) -> None:
         for name, address, *zone in view["hosts"]:  # earlier releases send no zone
             if not self._view.was_removed(tuple(address)):
@@ -314,15 +259,13 @@
         now_ms = self._clock.now_ms()
         if self._view.adopt_catalog(catalog, now_ms):
             self.catalog_content = content
-            named_version, named_ms = self._named
-            is_named = catalog.version <= named_version
             self._log.event(
                 "configuration_adopted",
                 version=catalog.version,
                 routes=len(catalog.routes),
                 keys=len(catalog.workspace_by_key),
                 source=source,
-                named_before_ms=now_ms - named_ms if is_named else None,
+                named_before_ms=self._fetcher.named_before_ms(catalog.version, now_ms),
             )
             eventlet.spawn_n(self.broadcast_heartbeat)
 
--- a/packages/figcrank-transport/tests/test_peer_link.py
+++ b/packages/figcrank-transport/tests/test_peer_link.py
@@ -1,8 +1,10 @@
 import json
 
+import eventlet
 import pytest
 
 from figcrank.coordination.fleet import FleetView
+from figcrank.protocol.heartbeats import Heartbeat
 from figcrank.state import ManualClock, revision_of
 from figcrank.state._catalog import Catalog, Registry, ServerEntry
 from figcrank.transport.streams._log import EventLog
@@ -113,8 +115,10 @@
 def test_list_of_servers_is_fetched_if_its_era_or_else_its_number_is_newer(link, revision, fetched):
     link._view.registry = Registry(revision_of(1, 7), {})
     asked = []
-    link._start_fetch = asked.append
-    link._fetch_if_newer(0, revision, ("10.0.0.2", 7000))
+    link._fetcher._fetch = asked.append
+    heartbeat = Heartbeat("b", 2, 1, registry_revision=revision)
+    link._fetcher.record_heartbeat(heartbeat, ("10.0.0.2", 7000), is_new=False)
+    eventlet.sleep(0)
     assert bool(asked) is fetched
 
 
--- a/packages/figcrank-transport/tests/test_traffic.py
+++ b/packages/figcrank-transport/tests/test_traffic.py
@@ -220,7 +220,7 @@
     sent = len(peer.recvfrom(65_000)[0])
     datagram = encode_heartbeat(Heartbeat("b", 2, 1))
     receiver = eventlet.spawn(link.run_receiver)
-    link._start_fetch = lambda _address: None
+    link._fetcher.start_fetch = lambda: None
     peer.sendto(datagram, link._socket.getsockname())
     with eventlet.Timeout(10):
         while view.peers.by_address(peer.getsockname()).heartbeat is None:
@@ -264,7 +264,7 @@
         serve_http(listener.accept()[0], {"/view": link.view_page})
 
     eventlet.spawn_n(serve)
-    link._fetch(listener.getsockname())
+    link._fetcher._fetch(listener.getsockname())
     listener.close()
     assert counts(metrics)["view", "other_region", "received"] > len(link.view_page({})[1])
     assert counts(metrics)["view", "other_region", "sent"] > len("GET /view")
