Send a watch again whose connection ends while it waits

Cause: a watch that the store or the network cuts off counted as a lost store, as a dead idle connection did; both readers stopped at once when the store dropped its history. It is now sent again on a new connection, once.

--- a/packages/figcrank-transport/src/figcrank/transport/streams/_counted_http.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_counted_http.py
@@ -39,6 +39,7 @@
             parts.append(part)
             if on_progress:
                 on_progress()
+        response.read()  # nothing is left; it releases the connection for the next request
         body = b"".join(parts)
         self._traffic.received(_head_bytes(response) + len(body))
         return response, body
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_interfaces.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_interfaces.py
@@ -63,7 +63,10 @@
     @property
     @abstractmethod
     def lost_connections(self) -> int:
-        """Return how many connections had died while they were idle; no call failed by that."""
+        """Return how many connections died while they were idle or a watch waited.
+
+        No call has failed by that.
+        """
 
     @property
     @abstractmethod
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_store_reader.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_store_reader.py
@@ -79,7 +79,7 @@
 
     @property
     def lost_connections(self) -> int:
-        """Return how many connections to the store had died while they were idle."""
+        """Return how many connections to the store died while they were idle or a watch waited."""
         return self._store.lost_connections
 
     def call(self, name: str, *arguments: object) -> object:
