Have every host know the age of its configuration and read it in time

Cause: a host learned of a change only through a chain (watch of a reader, heartbeat, fetch) that nothing measured. Whether it had to read for itself depended on the age of the peers' lists of servers, which another call renews: while watches were rejected, hung, or had ended with an exception, no host read the configuration, without end. A reader was chosen by name, also right after it had come back or failed, and both readers were in one zone.

ConfigurationAge holds up to when a host has every change. Reads, watches and the heartbeats of peers confirm it, a newer version only once it is adopted, and a heartbeat from its sending on. From 0.55 of the bound on (1,650 ms of 3,000) a host reads the whole document, whatever its watch or the readers do. A watch waits for a third of the bound; one that lags behind other responses confirms nothing. Readers are in two zones, and one that failed reads again only after a call that succeeded.

The test that a rejected host is eligible again after a growing delay held the fault; it is replaced by two: the delay before the next call, and that only an answer makes the host a reader.

--- a/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/fleet/_view.py
@@ -7,6 +7,7 @@
 from enum import Enum, auto
 
 from figcrank.coordination.evacuation import ZoneEvacuations
+from figcrank.coordination.fleet._configuration_age import ConfigurationAge
 from figcrank.coordination.fleet._group_ownership import GroupOwnership
 from figcrank.coordination.fleet._region_links import RegionLinks
 from figcrank.coordination.owners import HostRole
@@ -110,9 +111,10 @@
         self._started_ms = started_ms
         self.host = host
         self.boot_id = boot_id
-        self.peers = PeerTable(host, address)
+        self.peers = PeerTable(host, address, availability_zone)
         self.primary_table = PrimaryTable()
         self.catalog: Catalog | None = None
+        self.configuration_age = ConfigurationAge()
         self.registry = Registry()
         self.registry_ms = NEVER_MS
         # When a list of a new era of the store was adopted; entries may be missing for a moment.
@@ -159,6 +161,7 @@
         if self.catalog is not None and catalog.version <= self.catalog.version:
             return False
         self.catalog = catalog
+        self.configuration_age.record_adopted(catalog.version)
         self.links.record_catalog(catalog)
         for name, workspace in catalog.workspaces.items():
             limit = self.limits.get(name)
@@ -171,6 +174,18 @@
             del self.limits[name]
         return True
 
+    @property
+    def catalog_version(self) -> int:
+        """Return the version of this host's configuration, 0 while it has none."""
+        return self.catalog.version if self.catalog else 0
+
+    def confirm_configuration(self, version: int, as_of_ms: int) -> None:
+        """Record that the store had no newer configuration than a version.
+
+        :param as_of_ms: time of it by this host's clock, or a lower bound.
+        """
+        self.configuration_age.confirm(version, as_of_ms, self.catalog_version)
+
     def newest_named_version(self) -> int:
         """Return the newest version of the configuration in the peers' heartbeats."""
         heartbeats = (peer.heartbeat for peer in self.peers.all())
@@ -324,6 +339,7 @@
             return []
         self._record_spent(peer, peer.heartbeat, old_boot_id)
         self._record_observed(peer, heartbeat)
+        self._record_confirmation(peer, heartbeat)
         return [
             group
             for group, record in heartbeat.primaries.items()
@@ -350,6 +366,14 @@
                 continue
             self.position_history(group).observe(peer.sent_after_ms - age_ms, position)
 
+    def _record_confirmation(self, peer: Peer, heartbeat: Heartbeat) -> None:
+        """Take over what a peer knows of the age of its configuration."""
+        if heartbeat.extension is None or peer.sent_after_ms == NEVER_MS:
+            return
+        age_ms = heartbeat.extension.configuration_age_ms
+        if age_ms != NEVER_MS:
+            self.confirm_configuration(heartbeat.catalog_version, peer.sent_after_ms - age_ms)
+
     def heartbeats(self, now_ms: int) -> list[tuple[Peer, Heartbeat]]:
         """Return every peer with the heartbeat to send to it now."""
         shared = self._shared_fields(now_ms)
@@ -392,7 +416,7 @@
             echo_ms,
             echo_age_ms,
             self.leaving,
-            self.catalog.version if self.catalog else 0,
+            self.catalog_version,
             self.registry.revision,
             _age_ms(self.registry_ms, now_ms),
             self.store_ok,
@@ -412,6 +436,7 @@
             self.server_loads,
             sees_relays=self.ownership.sees_relays(now_ms),
             evacuations_age_ms=_age_ms(self.evacuation.known_as_of_ms, now_ms),
+            configuration_age_ms=_age_ms(self.configuration_age.confirmed_ms, now_ms),
         )
 
     def _observed_positions(self, now_ms: int) -> dict:
--- a/packages/figcrank-coordination/src/figcrank/coordination/peers/_table.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/peers/_table.py
@@ -49,10 +49,12 @@
 
     :param host: this host's name.
     :param address: this host's own heartbeat address, which is never listed as a peer.
+    :param availability_zone: availability zone of this host.
     """
 
-    def __init__(self, host: str, address: tuple[str, int]) -> None:
+    def __init__(self, host: str, address: tuple[str, int], availability_zone: str = "") -> None:
         self._host = host
+        self._zone = availability_zone
         self._address = address
         self._peers: dict[tuple[str, int], Peer] = {}
 
@@ -181,7 +183,10 @@
         needs_eras: bool = False,
         needs_extension: bool = False,
     ) -> list[str]:
-        """Return the names of the hosts that read the store for all others.
+        """Return the names of the hosts that read the store for all others, the first one first.
+
+        They are in different availability zones where possible, so that one event in a zone does
+        not affect both.
 
         :param self_eligible: whether this host reaches the store and is not leaving.
         :param needs_eras: whether to skip hosts that read it as if it had no eras.
@@ -189,7 +194,7 @@
             sent in the extension of heartbeats.
         """
         eligible = [
-            peer.name
+            (peer.name, peer.availability_zone)
             for peer in self.live(now_ms)
             if peer.heartbeat
             and peer.heartbeat.store_ok
@@ -198,5 +203,10 @@
             and not (needs_extension and not peer.reads_extension)
         ]
         if self_eligible:
-            eligible.append(self._host)
-        return sorted(eligible)[:STORE_READER_COUNT]
+            eligible.append((self._host, self._zone))
+        if not eligible:
+            return []
+        (first, zone), *others = sorted(eligible)
+        elsewhere = [name for name, other_zone in others if other_zone != zone]
+        same_zone = [name for name, other_zone in others if other_zone == zone]
+        return [first, *elsewhere, *same_zone][:STORE_READER_COUNT]
--- a/packages/figcrank-coordination/tests/peers/test_peer_table.py
+++ b/packages/figcrank-coordination/tests/peers/test_peer_table.py
@@ -69,6 +69,23 @@
     assert table.store_readers(20, self_eligible=True, needs_eras=True) == ["c", "m"]
 
 
+def test_store_readers_are_in_two_zones_where_possible():
+    """Guards against two readers that one event in a zone affects together."""
+    table = PeerTable("a", OWN, "zone-1")
+    for number, (name, zone) in enumerate((("b", "zone-1"), ("c", "zone-2"), ("d", "zone-3")), 2):
+        table.register(name, address(number), 0, zone)
+        table.receive(heartbeat(name, 1), address(number), 10)
+    assert table.store_readers(20, self_eligible=True) == ["a", "c"]
+    assert table.store_readers(20, self_eligible=False) == ["b", "c"]
+
+
+def test_store_readers_are_in_one_zone_if_no_other_has_hosts():
+    table = PeerTable("a", OWN, "zone-1")
+    table.register("b", address(2), 0, "zone-1")
+    table.receive(heartbeat("b", 1), address(2), 10)
+    assert table.store_readers(20, self_eligible=True) == ["a", "b"]
+
+
 def test_silent_host_counts_until_it_is_removed():
     table = PeerTable("a", OWN)
     table.receive(heartbeat("b", 1, echo_ms=0), address(2), 0)
--- a/packages/figcrank-protocol/src/figcrank/protocol/heartbeats.py
+++ b/packages/figcrank-protocol/src/figcrank/protocol/heartbeats.py
@@ -131,6 +131,8 @@
     :param server_loads: the sender's load on servers that it used recently, by server id.
     :param sees_relays: whether a relay has shown itself to the sender recently.
     :param evacuations_age_ms: time since the store was known to have that list.
+    :param configuration_age_ms: time since the store was known to have nothing newer than the
+        sender's configuration.
     """
 
     evacuations: Evacuations = field(default_factory=Evacuations)
@@ -138,6 +140,7 @@
     server_loads: dict[str, ServerLoad] = field(default_factory=dict)
     sees_relays: bool = False
     evacuations_age_ms: int = NEVER_MS
+    configuration_age_ms: int = NEVER_MS
 
     def to_fields(self) -> dict:
         """Return the extension as an object to encode as JSON, without its empty parts."""
@@ -146,6 +149,8 @@
             fields["evacuations"] = [self.evacuations.revision, sorted(self.evacuations.zones)]
         if self.evacuations_age_ms != NEVER_MS:
             fields["evacuations_age_ms"] = self.evacuations_age_ms
+        if self.configuration_age_ms != NEVER_MS:
+            fields["config_age_ms"] = self.configuration_age_ms
         if self.busy_zones:
             fields["busy_zones"] = list(self.busy_zones)
         if self.sees_relays:
@@ -184,6 +189,7 @@
             loads,
             sees_relays=bool(fields.get("relays")),
             evacuations_age_ms=int(fields.get("evacuations_age_ms", NEVER_MS)),
+            configuration_age_ms=int(fields.get("config_age_ms", NEVER_MS)),
         )
 
 
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
@@ -10,13 +10,14 @@
 import eventlet
 from eventlet.green import socket
 
-from figcrank.coordination.fleet import FleetView
+from figcrank.coordination.fleet import ConfigurationTimings, FleetView
 from figcrank.coordination.owners import HostRole, OwnerDirectory, seats_per_zone
 from figcrank.coordination.regions import RegionMap
 from figcrank.protocol.relays import RelayProtocolError
 from figcrank.protocol.sessions import CallerCodec, ServerCodec
 from figcrank.transport._clock import BootClock
 from figcrank.transport.streams._caller_connection import CallerConnection
+from figcrank.transport.streams._configuration_reader import ConfigurationReader
 from figcrank.transport.streams._connection import TCP_USER_TIMEOUT_MS
 from figcrank.transport.streams._entry_session import EntrySession
 from figcrank.transport.streams._evacuation_reader import EvacuationReader
@@ -129,6 +130,14 @@
         self._store = StoreReader(
             store, self._link, self._view, self._router, self._clock, self._log, self._metrics
         )
+        self._configuration_reader = ConfigurationReader(
+            self._store,
+            self._link,
+            self._view,
+            ConfigurationTimings.from_bound(settings.configuration_bound_ms),
+            self._clock,
+            self._log,
+        )
         self._evacuation_reader = EvacuationReader(
             self._store,
             self._link,
@@ -234,7 +243,8 @@
 
     def _run_store_reads(self) -> None:
         """Run the loops that read the store and keep this host registered."""
-        eventlet.spawn_n(self._store.run_catalog_reads)
+        eventlet.spawn_n(self._configuration_reader.run_watch)
+        eventlet.spawn_n(self._configuration_reader.run_checks)
         eventlet.spawn_n(self._store.run_server_reads)
         if self._view.evacuation.enabled:
             eventlet.spawn_n(self._evacuation_reader.run)
@@ -340,7 +350,8 @@
         view = self._view
         values: dict[str, float] = {
             "sessions": len(self._services.sessions),
-            "configuration_version": view.catalog.version if view.catalog else 0,
+            "configuration_version": view.catalog_version,
+            "configuration_age_ms": now_ms - view.configuration_age.confirmed_ms,
             "registry_age_ms": now_ms - view.registry_ms,
             "lease_age_ms": now_ms - view.lease_renewed_ms(now_ms),
             "hosts": view.host_count(),
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_peer_link.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_peer_link.py
@@ -245,18 +245,20 @@
         # The page does not tell how old the list is.
         self.adopt_evacuations(Evacuations(int(revision), frozenset(zones)), NEVER_MS, "peer")
 
-    def adopt_catalog(self, content: bytes, source: str) -> None:
+    def adopt_catalog(self, content: bytes, source: str) -> int:
         """Adopt a configuration if it is newer.
 
         :param content: the encoded configuration.
         :param source: origin of the configuration, for the log.
+        :returns: its version; 0 if it can't be decoded.
         """
         try:
             catalog = self._store.decode_catalog(content)
         except ValueError as error:
             self._log.event("configuration_unreadable", source=source, reason=str(error))
-            return
+            return 0
         now_ms = self._clock.now_ms()
+        age_ms = self._view.configuration_age.age_ms(now_ms)
         if self._view.adopt_catalog(catalog, now_ms):
             self.catalog_content = content
             self._log.event(
@@ -266,8 +268,10 @@
                 keys=len(catalog.workspace_by_key),
                 source=source,
                 named_before_ms=self._fetcher.named_before_ms(catalog.version, now_ms),
+                previous_age_ms=age_ms,
             )
             eventlet.spawn_n(self.broadcast_heartbeat)
+        return catalog.version
 
     def adopt_registry(self, registry: Registry, as_of_ms: int, source: str) -> None:
         """Adopt a list of servers if it is newer.
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
@@ -172,8 +172,8 @@
     def _describe_catalog(self) -> str:
         """Return the version of this host's configuration and the newest that a peer has named."""
         view = self._services.router.view
-        version = view.catalog.version if view.catalog else 0
-        return f"configuration {version}, newest named by a peer {view.newest_named_version()}"
+        named = view.newest_named_version()
+        return f"configuration {view.catalog_version}, newest named by a peer {named}"
 
     def _access_failure(self, catalog: Catalog | None) -> SessionFailure | None:
         if catalog is None:
@@ -212,9 +212,8 @@
             eventlet.sleep(CATALOG_POLL_MS / 1_000)
         if not self._catalog_is_outdated():
             return True
-        catalog = self._services.router.view.catalog
         reason = (
-            f"this host has configuration {catalog.version if catalog else 0},"
+            f"this host has configuration {self._services.router.view.catalog_version},"
             f" and {self._seen_version} is in use"
         )
         self._refuse(request, reason)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_settings.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_settings.py
@@ -3,6 +3,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from figcrank.coordination.fleet import DEFAULT_BOUND_MS
+
 
 @dataclass(frozen=True, slots=True)
 class SessionHostSettings:
@@ -21,6 +23,8 @@
     :param grace_ms: time from ``SIGTERM`` until the process is killed.
     :param limit_headroom: operations by which a workspace may exceed its limit in any period.
     :param limit_window_ms: period over which a workspace's limit is judged; 0 if it is not stated.
+    :param configuration_bound_ms: time after the acknowledgement of a configuration from which on
+        it has to be in force at every host.
     :param regions: region of each availability zone.
     :param evacuation_ms: time after the acknowledgement of an availability zone's evacuation from
         which on no statement may reach a server there; 0 if zones can't be evacuated.
@@ -42,6 +46,7 @@
     grace_ms: int = 6_000
     limit_headroom: float = 0.0
     limit_window_ms: int = 0
+    configuration_bound_ms: int = DEFAULT_BOUND_MS
     regions: Mapping[str, str] = field(default_factory=dict)
     evacuation_ms: int = 0
     cold_overage: float | None = None
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_store_reader.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_store_reader.py
@@ -20,12 +20,11 @@
 POLL_INTERVAL_MS = 1_000  # servers announce their departure 7 s in advance
 # Soon after a new era, while servers write their entries again.
 NEW_ERA_POLL_INTERVAL_MS = 400
-WATCH_TIMEOUT_MS = 1_500  # bounds how long a watch on a dead connection misses changes
 READER_CHECK_MS = 250  # how often a host checks whether it has to read
 # After 1, 2 and more consecutive failures; failed calls are billed too.
 BACKOFF_MS = (200, 400, 800)
 HEARTBEAT_OVERDUE_MS = 700  # two heartbeats; a store read must reach peers before leases expire
-READER_RETRY_MS = 1_000  # per consecutive failure, until this host is eligible as a reader again
+READER_RETRY_MS = 1_000  # per consecutive failure, until this host calls the store again
 MAX_READER_RETRY_MS = 8_000  # the store rejects a single host this long; others read meanwhile
 CONFIRM_INTERVAL_MS = 400  # three confirmations per lease
 # If this host's server list is older, it no longer receives lists from the store readers.
@@ -66,6 +65,7 @@
         self.reachable_since_ms = NEVER_MS
         self._published_quiesced: dict = {}
         self._failed_ms = NEVER_MS
+        self.newest_revision = 0  # of the store, in the responses so far
         self._era: int | None = None
         self._era_changed_ms = NEVER_MS
 
@@ -99,6 +99,7 @@
             self._notice_era()
             raise
         self._metrics.count("store_calls", call=name, result="ok")
+        self.newest_revision = max(self.newest_revision, getattr(result, "revision", 0))
         self._record_success()
         if self._era is None:
             self._era = self._known_era()
@@ -152,15 +153,14 @@
         """
         return self._era_changed_ms == NEVER_MS or now_ms - self._era_changed_ms > after_ms
 
-    def restore_eligibility(self, now_ms: int) -> None:
-        """Assume that the store is reachable again after a delay that grows with the failures.
+    def must_probe(self, now_ms: int) -> bool:
+        """Return whether to call a store that did not answer, after a delay that grows.
 
-        This makes the host eligible as a store reader. A host that never reads would not detect
-        that the store is reachable again.
+        This host is a store reader again once a call succeeds. Until then others that reach the
+        store must not stop reading on its behalf.
         """
         retry_ms = min(MAX_READER_RETRY_MS, READER_RETRY_MS * self._failures)
-        if not self._view.store_ok and now_ms - self._failed_ms > retry_ms:
-            self._view.store_ok = True
+        return not self._view.store_ok and now_ms - self._failed_ms > retry_ms
 
     def backoff_ms(self) -> int:
         """Return the delay before the next call, given the consecutive failures."""
@@ -181,6 +181,10 @@
         """Return whether this host is the first of those that read for all."""
         return self._readers(now_ms)[:1] == [self._view.host]
 
+    def is_reader(self, now_ms: int) -> bool:
+        """Return whether this host is one of those that read for all."""
+        return self._view.host in self._readers(now_ms, needs_eras=bool(self.era))
+
     def must_list(self, now_ms: int) -> bool:
         """Return whether this host lists for all what earlier releases don't list."""
         eligible = self._view.store_ok and not self._view.leaving
@@ -245,33 +249,6 @@
         settled = self.era_is_settled(started_ms)
         return POLL_INTERVAL_MS if settled else NEW_ERA_POLL_INTERVAL_MS
 
-    def run_catalog_reads(self) -> None:
-        """Read the configuration once, then watch it while this host has to read it."""
-        revision = 0
-        was_reader = False
-        while True:
-            is_reader = self._must_read(self._clock.now_ms())
-            if is_reader != was_reader:
-                self._log.event("store_reader", reads=is_reader, store_ok=self._view.store_ok)
-            was_reader = is_reader
-            if revision and not is_reader:
-                eventlet.sleep(READER_CHECK_MS / 1_000)
-                continue
-            try:
-                if revision:
-                    document = self.call("await_catalog", revision, WATCH_TIMEOUT_MS)
-                else:
-                    document = self.call("read_catalog")
-            except StoreError as error:
-                if error.kind is StoreErrorKind.HISTORY_GONE:
-                    revision = 0
-                    continue
-                eventlet.sleep(self.backoff_ms() / 1_000)
-                continue
-            revision = document.revision
-            if document.content:
-                self._link.adopt_catalog(document.content, "store")
-
     def run_confirmations(self) -> None:
         """Confirm the primaries from the store while heartbeats can't confirm them.
 
@@ -282,8 +259,7 @@
         while True:
             eventlet.sleep(CONFIRM_INTERVAL_MS / 1_000)
             now_ms = self._clock.now_ms()
-            self.restore_eligibility(now_ms)
-            if self.must_confirm(now_ms):
+            if self.must_confirm(now_ms) or self.must_probe(now_ms):
                 self.confirm_primaries()
                 self._publish_quiesced()
 
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_view_fetcher.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_view_fetcher.py
@@ -58,7 +58,7 @@
         """
         now_ms = self._clock.now_ms()
         version = heartbeat.catalog_version
-        if version > max(self._own_version(), self._named[0]):
+        if version > max(self._view.catalog_version, self._named[0]):
             self._named = version, now_ms
         self._fetches.record_offer(address, version, heartbeat.registry_revision, now_ms)
         if is_new:
@@ -73,16 +73,13 @@
     def start_fetch(self) -> None:
         """Start a fetch if one is due."""
         revision = self._view.registry.revision
-        address = self._fetches.choose(self._own_version(), revision, self._clock.now_ms())
+        address = self._fetches.choose(self._view.catalog_version, revision, self._clock.now_ms())
         if address is not None:
             self._fetches.record_start(address, self._clock.now_ms())
             eventlet.spawn_n(self._fetch, address)
 
-    def _own_version(self) -> int:
-        return self._view.catalog.version if self._view.catalog else 0
-
     def _fetch(self, address: Address) -> None:
-        version = self._own_version()
+        version = self._view.catalog_version
         started_ms = self._clock.now_ms()
         succeeded = False
         try:
--- a/packages/figcrank-transport/tests/test_store_reader.py
+++ b/packages/figcrank-transport/tests/test_store_reader.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from figcrank.coordination.fleet import FleetView
+from figcrank.coordination.fleet import ConfigurationTimings, FleetView
 from figcrank.protocol.heartbeats import (
     NEVER_MS,
     Heartbeat,
@@ -11,6 +11,7 @@
 )
 from figcrank.state import ManualClock, revision_of
 from figcrank.state._catalog import Catalog, Registry, ServerEntry
+from figcrank.transport.streams._configuration_reader import ConfigurationReader
 from figcrank.transport.streams._interfaces import CatalogDocument, StoreError, StoreErrorKind
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._metrics import Metrics
@@ -49,7 +50,7 @@
             continue
 
 
-def test_delay_until_a_rejected_host_is_eligible_grows_with_failures():
+def test_delay_until_a_rejected_host_calls_again_grows_with_failures():
     """Guards against a rejected host becoming first store reader again every second.
 
     Seen in incident inc-034f: the replacement of an unreachable primary waited for that host.
@@ -57,10 +58,21 @@
     reader, view, clock, _ = make_reader()
     fail(reader, 4)
     assert not view.store_ok
-    reader.restore_eligibility(clock.now_ms() + 3_900)
+    assert not reader.must_probe(clock.now_ms() + 3_900)
+    assert reader.must_probe(clock.now_ms() + 4_100)
     assert not view.store_ok
-    reader.restore_eligibility(clock.now_ms() + 4_100)
-    assert view.store_ok
+
+
+def test_host_that_the_store_has_rejected_is_no_reader_until_it_is_answered():
+    """Guards against a host that others wait for although the store does not answer it."""
+    reader, view, clock, store = make_reader()
+    fail(reader, 1)
+    clock.advance_to(clock.now_ms() + 60_000)
+    assert not reader.is_reader(clock.now_ms())
+    store.refuses = False
+    reader.call("list_servers")
+    assert reader.is_reader(clock.now_ms())
+    assert not reader.must_probe(clock.now_ms() + 60_000)
 
 
 def test_successful_call_restores_eligibility_and_resets_the_backoff():
@@ -418,11 +430,20 @@
     def adopt_catalog(content, _source):
         scenario.view.adopt_catalog(store.decode_catalog(content), 0)
         versions.append(scenario.view.catalog.version)
+        return int(content)
 
     scenario.reader._store = store
     scenario.reader._link.adopt_catalog = adopt_catalog
+    reader = ConfigurationReader(
+        scenario.reader,
+        scenario.reader._link,
+        scenario.view,
+        ConfigurationTimings.from_bound(3_000),
+        scenario.clock,
+        scenario.log,
+    )
     with pytest.raises(EndOfReadsError):
-        scenario.reader.run_catalog_reads()
+        reader.run_watch()
     assert versions == [7, 9, 9, 9, 9, 12]
     assert store.calls == [
         "read",
