Count the versions in owners' status answers as seen by a relay

Cause: the relay tells an owner the newest version that it has seen in use, but learnt it only from replies to its sessions; a relay without sessions at an up-to-date owner knew none. The answers to its queries, every 1.5 s, carry the version too and were not used.

--- a/packages/figcrank-transport/src/figcrank/transport/streams/_owner_tracker.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_owner_tracker.py
@@ -195,6 +195,7 @@
     def _receive(self, status: OwnerStatus, ip: str) -> None:
         now_ms = self._clock.now_ms()
         self._heard_ms = now_ms
+        self.record_version(status.catalog_version)
         is_owner = any(owner.address[0] == ip for owner in status.owners)
         if is_owner or not self._directory.owners():  # a relay's list may be outdated
             self._directory.update(status.owners)
