Refuse unknown keys and databases only by a confirmed configuration

Cause: a refusal rested on whatever configuration the host had, of any age.

Now it rests on one that was confirmed within 0.9 of the bound. Else the session waits up to 800 ms while the host reads the store, and answers BUSY with the time to come back if that brings no answer; at once if the store is known not to answer. Callers with a known key do not wait.

--- a/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
@@ -130,11 +130,12 @@
         self._store = StoreReader(
             store, self._link, self._view, self._router, self._clock, self._log, self._metrics
         )
+        timings = ConfigurationTimings.from_bound(settings.configuration_bound_ms)
         self._configuration_reader = ConfigurationReader(
             self._store,
             self._link,
             self._view,
-            ConfigurationTimings.from_bound(settings.configuration_bound_ms),
+            timings,
             self._clock,
             self._log,
         )
@@ -180,7 +181,13 @@
         )
         runner = StatementRunner(self._router, self._clock, self._metrics, self._log)
         self._services = SessionServices(
-            caller_codec, self._router, runner, self._clock, self._log, self._metrics
+            caller_codec,
+            self._router,
+            runner,
+            self._clock,
+            self._log,
+            self._metrics,
+            refusal_age_ms=timings.refusal_age_ms,
         )
         self._queue_page = QueuePage(self._router, self._services.refusals, self._clock)
         self._relay_services = RelayServices(
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
@@ -17,7 +17,7 @@
     TransactionState,
     Verb,
 )
-from figcrank.state._catalog import Catalog, DatabaseRoute
+from figcrank.state._catalog import DatabaseRoute
 from figcrank.state._clock import Clock
 from figcrank.state._positions import Position
 from figcrank.transport.streams._caller_connection import (
@@ -36,6 +36,9 @@
 CATALOG_POLL_MS = 20
 # A newer configuration reaches every owner within a few round trips, unless the owner is cut off.
 NEWER_CATALOG_WAIT_MS = 300
+# A host that reads the store itself has done so by then, also if its idle connections have died.
+CONFIRMATION_WAIT_MS = 800
+CONFIRMATION_RETRY_MS = 1_000  # the host calls the store again sooner
 MAX_SESSION_ITEMS = 64  # of variables and, separately, of prepared statements
 LOCAL_VERBS = (Verb.SET, Verb.PREPARE, Verb.DEALLOCATE)
 
@@ -51,6 +54,8 @@
     :param log: event log.
     :param metrics: metrics registry.
     :param sessions: the open sessions.
+    :param refusal_age_ms: largest age of the configuration at which an unknown key or database is
+        refused for good; ``None`` if any age will do.
     :param refusals: counts refusals by reason.
     """
 
@@ -61,6 +66,7 @@
     log: EventLog
     metrics: Metrics
     sessions: set[CallerConnection] = field(default_factory=set)
+    refusal_age_ms: int | None = None
     refusals: RefusalRecorder = field(init=False)
 
     def __post_init__(self) -> None:
@@ -139,10 +145,11 @@
     def _accept_session_start(self, session_start: SessionStart) -> bool:
         self._database = session_start.database
         self._key = session_start.key
-        failure = self._access_failure(self._await_catalog())
+        self._await_catalog()
+        failure = self._confirmed_access_failure()
         if failure is not None:
             self._record_refusal("", failure, f"during the handshake, {self._describe_catalog()}")
-            self._send(self._codec.rejection(failure, session_start.database))
+            self._send(self._codec.rejection(failure, self._access_detail(failure)))
             return False
         if self._is_sent_away():
             return False
@@ -157,12 +164,10 @@
         """Return why this host may not run the session, ``None`` if it may."""
         return None
 
-    def _await_catalog(self) -> Catalog | None:
-        view = self._services.router.view
+    def _await_catalog(self) -> None:
         deadline_ms = self._services.clock.now_ms() + CATALOG_WAIT_MS
         while self._catalog_is_outdated() and self._services.clock.now_ms() < deadline_ms:
             eventlet.sleep(CATALOG_POLL_MS / 1_000)
-        return None if self._catalog_is_outdated() else view.catalog
 
     def _catalog_is_outdated(self) -> bool:
         """Return whether this host's configuration is missing or older than the relay has seen."""
@@ -170,13 +175,50 @@
         return catalog is None or catalog.version < self._seen_version
 
     def _describe_catalog(self) -> str:
-        """Return the version of this host's configuration and the newest that a peer has named."""
+        """Return the version and age of this host's configuration, and the newest version named."""
         view = self._services.router.view
+        age_ms = view.configuration_age.age_ms(self._services.clock.now_ms())
         named = view.newest_named_version()
-        return f"configuration {view.catalog_version}, newest named by a peer {named}"
+        return (
+            f"configuration {view.catalog_version}, confirmed {age_ms} ms ago,"
+            f" newest named by a peer {named}"
+        )
+
+    def _confirmed_access_failure(self) -> SessionFailure | None:
+        """Return why the caller has no access, ``None`` if it has.
 
-    def _access_failure(self, catalog: Catalog | None) -> SessionFailure | None:
-        if catalog is None:
+        A configuration that may lack recent changes does not show that a key or database is
+        unknown. This host is reading the store then; the caller is told to come back if it does
+        not get an answer.
+        """
+        failure = self._access_failure()
+        if failure is None or failure is SessionFailure.BUSY:
+            return failure
+        deadline_ms = self._services.clock.now_ms() + CONFIRMATION_WAIT_MS
+        view = self._services.router.view
+        while self._is_unconfirmed():
+            if not view.store_ok or self._services.clock.now_ms() >= deadline_ms:
+                return SessionFailure.BUSY
+            eventlet.sleep(CATALOG_POLL_MS / 1_000)
+            if self._access_failure() is None:
+                return None
+        return self._access_failure()
+
+    def _access_detail(self, failure: SessionFailure) -> str:
+        """Return what the caller is told of its missing access."""
+        if failure is not SessionFailure.BUSY:
+            return self._database
+        return f"the configuration is not confirmed; retry after {CONFIRMATION_RETRY_MS} ms"
+
+    def _is_unconfirmed(self) -> bool:
+        limit_ms = self._services.refusal_age_ms
+        age = self._services.router.view.configuration_age
+        return limit_ms is not None and age.is_older_than(limit_ms, self._services.clock.now_ms())
+
+    def _access_failure(self) -> SessionFailure | None:
+        """Return why the caller has no access by this host's configuration."""
+        catalog = self._services.router.view.catalog
+        if self._catalog_is_outdated():
             return SessionFailure.BUSY
         route = catalog.routes.get(self._database)
         if route is None:
@@ -270,12 +312,12 @@
 
         Each of these is one operation of the workspace's rate limit.
         """
-        catalog = self._services.router.view.catalog
-        failure = self._access_failure(catalog)
+        failure = self._confirmed_access_failure()
         if failure is not None:
             self._record_refusal(request.request_id, failure, self._describe_catalog())
-            self._reply_failure(failure, self._database)
+            self._reply_failure(failure, self._access_detail(failure))
             return
+        catalog = self._services.router.view.catalog
         route = catalog.routes[self._database]
         workspace = catalog.workspace_by_key.get(self._key, "")
         if not self._admit(request, route, workspace):
--- a/packages/figcrank-transport/tests/test_owner_session.py
+++ b/packages/figcrank-transport/tests/test_owner_session.py
@@ -138,6 +138,53 @@
     scenario.session.wait()
 
 
+def refuse_only_if_confirmed(scenario, confirmed_ago_ms):
+    scenario.services.refusal_age_ms = 2_700
+    scenario.view.confirm_configuration(4, scenario.clock.now_ms() - confirmed_ago_ms)
+
+
+def test_unknown_database_is_refused_by_a_confirmed_configuration(scenario):
+    refuse_only_if_confirmed(scenario, confirmed_ago_ms=100)
+    assert scenario.start(seen=4, database="added").body == b"UNKNOWN_DATABASE"
+
+
+def test_unknown_database_is_not_refused_by_a_configuration_that_may_be_old(scenario):
+    """Guards against the refusal of a database that was added while this host was paused."""
+    refuse_only_if_confirmed(scenario, confirmed_ago_ms=4_000)
+    reply = eventlet.spawn(scenario.start, 4, None, "added")
+    eventlet.sleep(0.1)
+    added = Catalog(5, {"db": ROUTE, "added": ROUTE}, {}, {"key": "w"}, {}, 3_000)
+    scenario.view.adopt_catalog(added, scenario.clock.now_ms())
+    assert not reply.wait().ended
+
+
+def test_unknown_database_is_refused_once_the_configuration_is_confirmed(scenario):
+    refuse_only_if_confirmed(scenario, confirmed_ago_ms=4_000)
+    reply = eventlet.spawn(scenario.start, 4, None, "added")
+    eventlet.sleep(0.1)
+    scenario.view.confirm_configuration(4, scenario.clock.now_ms())
+    assert reply.wait().body == b"UNKNOWN_DATABASE"
+
+
+def test_caller_is_told_to_come_back_if_the_configuration_is_not_confirmed(scenario, monkeypatch):
+    monkeypatch.setattr(_session, "CONFIRMATION_WAIT_MS", 40)
+    refuse_only_if_confirmed(scenario, confirmed_ago_ms=4_000)
+    assert scenario.start(seen=4, database="added").body == b"BUSY"
+
+
+def test_caller_is_told_to_come_back_at_once_if_the_store_does_not_answer(scenario, monkeypatch):
+    monkeypatch.setattr(_session, "CONFIRMATION_WAIT_MS", 60_000)
+    refuse_only_if_confirmed(scenario, confirmed_ago_ms=4_000)
+    scenario.view.store_ok = False
+    assert scenario.start(seen=4, database="added").body == b"BUSY"
+
+
+def test_session_whose_key_is_known_does_not_wait_for_a_confirmation(scenario, monkeypatch):
+    monkeypatch.setattr(_session, "CONFIRMATION_WAIT_MS", 60_000)
+    refuse_only_if_confirmed(scenario, confirmed_ago_ms=4_000)
+    assert not scenario.start(seen=4).ended
+
+
 def test_reply_reports_the_configuration_version_and_the_route_timeout(scenario):
     reply = scenario.start(seen=4)
     assert (reply.catalog_version, reply.timeout_ms, reply.ended) == (4, 700, False)
