Take back connections whose replies never come

Cause: a read that gave up at its deadline, or that another attempt had answered, left the other attempt's connection to the handler of its reply. A server that acknowledges the statement and never answers ends neither the statement nor the connection, so the connection stayed in use, and with it the owner's only slot at that server.

Change: what an operation takes is kept in one table (UseTable), with its kind and the time after which it is taken back; the pool closes what is overdue at each tick, logs use_overdue and counts it. Replies that have arrived but are not read yet are delivered, also when late. Transactions extend the use with each statement and each pause.

Ruled out: the server, which answers new connections; the allotment, which was 1 and free by every other count.

--- a/packages/figcrank-coordination/src/figcrank/coordination/placement/__init__.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/placement/__init__.py
@@ -28,3 +28,5 @@
 from figcrank.coordination.placement._ranking import rank as rank
 from figcrank.coordination.placement._shared_latency import SharedLatency as SharedLatency
 from figcrank.coordination.placement._shared_latency import remaining_share as remaining_share
+from figcrank.coordination.placement._uses import Use as Use
+from figcrank.coordination.placement._uses import UseTable as UseTable
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_caller_connection.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_caller_connection.py
@@ -16,6 +16,7 @@
 
 RECEIVE_BYTES = 16_384
 SESSION_START_TIMEOUT_MS = 10_000  # closes connections that never send a handshake
+SEND_TIMEOUT_MS = 10_000  # closes connections that take no byte of a reply for this long
 
 
 class CallerConnection(ABC):
@@ -147,7 +148,7 @@
         return self._pending_messages.pop(0)
 
     def _send(self, data: bytes) -> None:
-        self._sock.settimeout(None)
+        self._sock.settimeout(SEND_TIMEOUT_MS / 1_000)
         self._sock.sendall(data)
         if self._traffic is not None:
             self._traffic.sent(len(data))
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_connection.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_connection.py
@@ -158,6 +158,13 @@
         except OSError:
             return True
 
+    def has_unread(self) -> bool:
+        """Return whether the receive loop has not read yet what the server has sent."""
+        try:
+            return bool(self._sock.fd.recv(1, std_socket.MSG_PEEK | std_socket.MSG_DONTWAIT))
+        except OSError:
+            return False  # nothing received, or closed
+
     def send(self, data: bytes, reply_handler: ReplyHandler) -> None:
         """Send a message and register the handler of its reply.
 
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
@@ -377,6 +377,7 @@
                 label = f'{{server="{pool.entry.server_id}",priority="{priority}"}}'
                 values[f"admission_waiting{label}"] = waiting
             values[f"server_limit{server}"] = pool.limit
+            values[f"server_oldest_statement_ms{server}"] = pool.oldest_outstanding_ms(now_ms)
             values[f"server_latency_ms{server}"] = pool.health.latency_ms
         values.update(self._router.loads.gauges(self._router.pools()))
         values.update(self._router.cold.gauges())
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_pool.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_pool.py
@@ -9,6 +9,7 @@
     LoadMeter,
     ServerHealth,
     SlotAllotment,
+    UseTable,
 )
 from figcrank.coordination.sessions import RefusalReason
 from figcrank.protocol.sessions import (
@@ -73,11 +74,10 @@
         self._metrics = metrics
         self._traffic = traffic or uncounted()
         self._idle: list[ServerConnection] = []
-        self._busy: set[ServerConnection] = set()
         self._opening: dict[str, int] = {}
+        self._log = log
         self._gate = AdmissionGate(clock, metrics, log)
-        self._kinds: dict[ServerConnection, str] = {}  # of what the connections in use run
-        self._service_ms: dict[ServerConnection, int] = {}  # by connections in use
+        self._uses: UseTable[ServerConnection] = UseTable()
         self._concurrency = ConcurrencyLimit()
         self.meter = LoadMeter(clock.now_ms())
         self.allotment: SlotAllotment | None = None  # in fleets with relays
@@ -95,7 +95,7 @@
     @property
     def busy(self) -> int:
         """Return the number of connections in use or being opened."""
-        return len(self._busy) + sum(self._opening.values())
+        return len(self._uses) + sum(self._opening.values())
 
     @property
     def in_flight(self) -> int:
@@ -105,7 +105,7 @@
         but no slot of the server.
         """
         idle_state = TransactionState.IDLE
-        working = sum(1 for c in self._busy if c.outstanding or c.state is idle_state)
+        working = sum(1 for c in self._uses if c.outstanding or c.state is idle_state)
         return working + sum(self._opening.values())
 
     @property
@@ -163,7 +163,7 @@
     @property
     def is_unused(self) -> bool:
         """Return whether no connection is in use or being opened."""
-        return not self._busy and not any(self._opening.values())
+        return not self._uses and not any(self._opening.values())
 
     @property
     def connection_count(self) -> int:
@@ -190,11 +190,11 @@
             while self.busy >= self.limit:  # the limit fell after the statement was admitted
                 self._gate.wait_again(ticket, self.entry)
         connection = self._take_idle(workspace, variables)
-        if connection is None:
-            self._make_room()
-            connection = self._open(workspace)
-        self._kinds[connection] = demand.kind
-        return connection
+        if connection is not None:
+            self._begin_use(connection, demand)
+            return connection
+        self._make_room()
+        return self._open(demand)
 
     def _take_idle(self, workspace: str, variables: dict[str, str]) -> ServerConnection | None:
         best = None
@@ -207,16 +207,23 @@
             best = best or connection
         if best is not None:
             self._idle.remove(best)
-            self._busy.add(best)
         return best
 
+    def _begin_use(self, connection: ServerConnection, demand: Demand) -> None:
+        self._uses.begin(connection, demand.kind, self._clock.now_ms(), demand.deadline_ms)
+
+    def extend_use(self, connection: ServerConnection, ends_ms: int) -> None:
+        """Set the time until which an operation may keep a connection that it has acquired."""
+        self._uses.extend(connection, ends_ms)
+
     def _make_room(self) -> None:
         """Close the least recently used idle connection if the limit is reached."""
         if self._idle and len(self._idle) + self.busy >= self.limit:
             self._idle.pop(0).close()
 
-    def _open(self, workspace: str) -> ServerConnection:
+    def _open(self, demand: Demand) -> ServerConnection:
         self._require_open_zone()
+        workspace = demand.workspace
         self._opening[workspace] = self._opening.get(workspace, 0) + 1
         start_message = self._codec.start(self.entry.group, workspace, self.entry.server_id)
         started_ms = self._clock.now_ms()
@@ -232,6 +239,7 @@
                 self._traffic.channel(MessageKind.STATEMENT, self.entry.availability_zone),
             )
             self._add_opened(connection, reply)
+            self._begin_use(connection, demand)
             return connection
         except OpenError as error:
             self._metrics.count("server_connections", result=error.failure.name.lower())
@@ -266,7 +274,6 @@
 
     def _add_opened(self, connection: ServerConnection, reply: StatementReply) -> None:
         connection.on_idle_close = self._remove_idle
-        self._busy.add(connection)
         self._metrics.count("server_connections", result="opened")
         self.health.record_answer(self._clock.now_ms())
         if reply.position is not None:
@@ -278,15 +285,13 @@
 
     def record_service(self, connection: ServerConnection, took_ms: int) -> None:
         """Add the time of a statement that ran to the service time of its operation."""
-        self._service_ms[connection] = self._service_ms.get(connection, 0) + took_ms
+        self._uses.record_service(connection, took_ms)
         self._gate.service_use.record(connection.workspace, took_ms, self._clock.now_ms())
 
     def _end_use(self, connection: ServerConnection) -> None:
-        self._busy.discard(connection)
-        kind = self._kinds.pop(connection, None)
-        service_ms = self._service_ms.pop(connection, None)
-        if kind is not None and service_ms is not None:
-            self._gate.service_times.record(kind, service_ms)
+        use = self._uses.end(connection)
+        if use is not None and use.service_ms is not None:
+            self._gate.service_times.record(use.kind, use.service_ms)
 
     def release(self, connection: ServerConnection) -> None:
         """Return a connection that has no open statement or transaction to the pool."""
@@ -313,9 +318,30 @@
 
     def tick(self) -> None:
         """Admit what has capacity, and reject what waits and can't end in time any more."""
+        self._take_back_overdue()
         self.admit_waiters()
         self._gate.tick(self.entry)
 
+    def _take_back_overdue(self) -> None:
+        """Close the connections whose operations should have ended, whatever the server does."""
+        now_ms = self._clock.now_ms()
+        for connection, use in self._uses.overdue(now_ms):
+            if connection.has_unread():
+                continue  # a reply that is delivered next; this host was suspended or busy
+            self._metrics.count("uses_overdue", server=self.entry.server_id)
+            if self._log is not None:
+                self._log.event(
+                    "use_overdue",
+                    server=self.entry.server_id,
+                    group=self.entry.group,
+                    workspace=connection.workspace,
+                    kind=use.kind,
+                    used_ms=now_ms - use.began_ms,
+                    overdue_ms=now_ms - use.ends_ms,
+                    unanswered_ms=now_ms - connection.sent_ms if connection.outstanding else None,
+                )
+            self.discard(connection)
+
     def send_waiters_elsewhere(self, detail: str) -> None:
         """Make all waiting statements look for a server anew.
 
@@ -326,9 +352,7 @@
     def close_all(self) -> None:
         """Close every connection because the server is gone or must receive no more statements."""
         self.send_waiters_elsewhere("the server is not in use any more")
-        busy, self._busy = self._busy, set()
-        self._kinds.clear()
-        self._service_ms.clear()
+        busy, self._uses = list(self._uses), UseTable()
         for connection in [*self._idle, *busy]:
             connection.close()
         self._idle.clear()
@@ -340,7 +364,7 @@
 
     def reset_all(self) -> None:
         """Reset every connection, so that nothing that is not delivered yet reaches the server."""
-        for connection in [*self._idle, *self._busy]:
+        for connection in [*self._idle, *self._uses]:
             connection.reset()
         self.close_all()
 
@@ -352,5 +376,5 @@
 
     def oldest_outstanding_ms(self, now_ms: int) -> int:
         """Return the age of the oldest unanswered statement, 0 if there is none."""
-        ages = (now_ms - c.sent_ms for c in self._busy if c.outstanding)
+        ages = (now_ms - c.sent_ms for c in self._uses if c.outstanding)
         return max(ages, default=0)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_router.py
@@ -93,6 +93,11 @@
         catalog = self.view.catalog
         return catalog.workspace_priorities.get(workspace, 0) if catalog else 0
 
+    @property
+    def transaction_idle_ms(self) -> int:
+        """Return the idle time after which a transaction is ended."""
+        return self.view.catalog.transaction_idle_ms
+
     def pool(self, server_id: str) -> ServerPool | None:
         """Return the pool of a server, ``None`` if it is not registered."""
         pool = self._pools.get(server_id)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_runner.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_runner.py
@@ -26,6 +26,8 @@
 # Told to a transaction that was open when the configuration changed.
 REGION_LEFT = "the server is in a region that is no longer allowed"
 ROLLBACK_TIMEOUT_MS = 300  # ten times a usual statement; the connection is closed after it
+# Beyond the idle time of a transaction, which its session enforces as long as it reads its caller.
+IDLE_MARGIN_MS = 1_000
 
 
 class StatementRunner:
@@ -196,6 +198,7 @@
             transaction.wrote = transaction.wrote or statement.is_write
             self._router.await_evacuations()
             self._router.record_at_cold(pool)
+            pool.extend_use(connection, deadline_ms)
             reply = self._send_in_transaction(session, pool, connection, statement, deadline_ms)
             server_id = pool.entry.server_id
             if reply is None:
@@ -208,7 +211,10 @@
                 detail = self._lost_detail(pool)
                 return Answer(b"", SessionFailure.ABORTED, detail, tries, server_id)
             self._observer.observe(pool, connection, reply)
-            if reply.state is not TransactionState.OPEN:
+            if reply.state is TransactionState.OPEN:
+                idle_ms = self._router.transaction_idle_ms + IDLE_MARGIN_MS
+                pool.extend_use(connection, self._clock.now_ms() + idle_ms)
+            else:
                 transaction.failed = True
                 self.abort(transaction)
             return Answer(reply.payload, reply.failure, reply.detail, tries, server_id)
@@ -306,6 +312,7 @@
         pool, connection = transaction.pool, transaction.connection
         server_id = pool.entry.server_id
         transaction.connection = None
+        pool.extend_use(connection, deadline_ms)
         self._router.await_evacuations()
         if not self._router.may_run(pool, route, transaction.workspace):
             pool.discard(connection)  # the commit was not sent; the server rolls back
--- a/packages/figcrank-transport/tests/test_acquirer.py
+++ b/packages/figcrank-transport/tests/test_acquirer.py
@@ -57,6 +57,9 @@
         self.replies = list(replies)
         self.retry_after_ms = retry_after_ms
 
+    def extend_use(self, _connection, _ends_ms):
+        pass
+
     def acquire(self, _demand, _variables):
         if not self.replies:
             raise AdmissionError(Rejection(RejectionReason.DEADLINE, self.retry_after_ms))
--- a/packages/figcrank-transport/tests/test_evacuation_guard.py
+++ b/packages/figcrank-transport/tests/test_evacuation_guard.py
@@ -109,7 +109,7 @@
 
     def hold_connection(self, server_id):
         connection = Connection()
-        self.router.pool(server_id)._busy.add(connection)
+        self.router.pool(server_id)._begin_use(connection, DEMAND)
         return connection
 
     def events(self, name):
--- a/packages/figcrank-transport/tests/test_server_pool.py
+++ b/packages/figcrank-transport/tests/test_server_pool.py
@@ -38,8 +38,13 @@
         self.variables = {}
         self.state = TransactionState.IDLE
         self.outstanding = True
+        self.sent_ms = 0
+        self.has_reply = False
         self.closed = False
 
+    def has_unread(self):
+        return self.has_reply
+
     def close(self):
         self.closed = True
 
@@ -358,3 +363,41 @@
     used_ms, waiting_ms = 6 * SERVICE_MS, SERVICE_MS + CONNECT_MS
     assert event["busiest_workspace"] == "greedy"
     assert event["busiest_share"] == round(used_ms / (used_ms + waiting_ms), 2)
+
+
+def test_connection_whose_reply_never_comes_is_taken_back(scenario):
+    """Guards against a server that acknowledges statements and never answers: its slots stay taken.
+
+    At an owner with one statement in flight, no statement of the group began any more.
+    """
+    scenario.pool.limit = 1
+    scenario.fill()
+    scenario.send("next", timeout_ms=5_000)
+    assert scenario.begun == []
+    scenario.clock.advance_to(1_001)
+    scenario.pool.tick()
+    scenario.settle()
+    assert scenario.begun == ["next"]
+    assert scenario.connections["running-0"].closed
+    (event,) = scenario.events("use_overdue")
+    assert (event["kind"], event["overdue_ms"], event["unanswered_ms"]) == ("kind", 1, 1_001)
+    assert 'figcrank_uses_overdue_total{server="s1"} 1' in scenario.metrics.render()
+
+
+def test_connection_whose_reply_has_arrived_is_not_taken_back(scenario):
+    """Guards against the loss of replies that wait to be read when a suspended host resumes."""
+    scenario.fill()
+    for connection in scenario.connections.values():
+        connection.has_reply = True
+    scenario.clock.advance_to(3_600_000)
+    scenario.pool.tick()
+    assert not any(connection.closed for connection in scenario.connections.values())
+
+
+def test_transaction_keeps_its_connection_while_its_use_is_extended(scenario):
+    scenario.fill()
+    scenario.pool.extend_use(scenario.connections["running-0"], 4_000)
+    scenario.clock.advance_to(2_000)
+    scenario.pool.tick()
+    assert not scenario.connections["running-0"].closed
+    assert scenario.connections["running-1"].closed
--- a/packages/figcrank-transport/tests/test_statement_runner.py
+++ b/packages/figcrank-transport/tests/test_statement_runner.py
@@ -86,6 +86,9 @@
     def record_service(self, _connection, _took_ms):
         pass
 
+    def extend_use(self, _connection, _ends_ms):
+        pass
+
     def release(self, _connection):
         pass
 
@@ -98,6 +101,7 @@
 
     def __init__(self, pool, clock):
         self.codec = PlainCodec()
+        self.transaction_idle_ms = 3_000
         self.lease = True
         self.lease_returns_ms = None
         self.replaced = False
--- a/packages/figcrank-transport/tests/test_traffic.py
+++ b/packages/figcrank-transport/tests/test_traffic.py
@@ -3,6 +3,7 @@
 import eventlet
 import pytest
 
+from figcrank.coordination.admission import Demand
 from figcrank.coordination.fleet import FleetView
 from figcrank.coordination.owners import HostRole, OwnerDirectory
 from figcrank.coordination.regions import RegionMap
@@ -174,7 +175,7 @@
     entry = ServerEntry("s1", "g", f"127.0.0.1:{server[1]}", "south-1", 4, False, False)
     view.adopt_registry(Registry(1, {"s1": entry}), 0, 0, from_peer=False)
     if use == "pool":
-        router.pool("s1")._open("w").close()
+        router.pool("s1").acquire(Demand("w", "read", (0, 0), 0, 100, 1_000), {}).close()
     elif use == "probe":
         router.probe_server(router.pool("s1"))
     else:
