Log where the time of answered requests goes

The line of an answered request had its total and the number of tries only, so a queue, a connection that is opened, a wait for a position or a primary and a slow server looked alike.

--- a/packages/figcrank-cli/src/figcrank/cli/_ctl_logs.py
+++ b/packages/figcrank-cli/src/figcrank/cli/_ctl_logs.py
@@ -13,6 +13,7 @@
 
 from figcrank.cli._ctl_errors import FileError, UsageError
 from figcrank.cli._ctl_output import Output
+from figcrank.cli._ctl_stages import show_stages
 
 STANDARD_INPUT = "-"
 CONTEXT_MS = 5_000  # covers a whole failover, the longest cause of a failed request
@@ -79,7 +80,7 @@
 
 
 def show_logs(options: argparse.Namespace, output: Output) -> None:
-    """Show the history of a request, state changes, or rejected requests by reason.
+    """Show the history of a request, state changes, stages, or rejected requests by reason.
 
     :raises UsageError: if there are no log lines, or none of the request.
     :raises FileError: if a file cannot be read or the plot cannot be written.
@@ -89,6 +90,8 @@
         raise UsageError("No figcrank log lines found in the given files.")
     if options.request:
         _show_request(events, options.request, output)
+    elif options.stages:
+        show_stages(events, options.span_s, output)
     elif options.beliefs:
         chosen = [event for event in events if event.event in STATE_EVENTS]
         _show_events(chosen, output)
--- a/packages/figcrank-cli/src/figcrank/cli/_ctl_parser.py
+++ b/packages/figcrank-cli/src/figcrank/cli/_ctl_parser.py
@@ -388,6 +388,18 @@
         action="store_true",
         help="show state changes observed by each host, such as changes of the primary",
     )
+    choice.add_argument(
+        "--stages",
+        action="store_true",
+        help="show where the time of answered requests went, by moment, mode, form and outcome",
+    )
+    parser.add_argument(
+        "--span-s",
+        type=int,
+        default=0,
+        metavar="SECONDS",
+        help="length of a row's span with --stages (default 0: one span over all)",
+    )
     choice.add_argument(
         "--plot", metavar="PICTURE", help="write a plot of rejections per second to an image file"
     )
--- a/packages/figcrank-cli/tests/test_figcrankctl_logs.py
+++ b/packages/figcrank-cli/tests/test_figcrankctl_logs.py
@@ -69,3 +69,21 @@
     assert main(["logs", *logs, "--request", "nobody"]) == 2
     assert "nobody" in capsys.readouterr().err
     assert main(["logs", "/does/not/exist"]) == 2
+
+
+def test_stages_tell_where_the_time_of_requests_went(tmp_path, capsys):
+    """Guards against answers of which only the total is known: a queue looks like a slow server."""
+    path = tmp_path / "host.log"
+    fields = {"host": "h", "event": "served", "mode": "primary", "form": "read"}
+    lines = [
+        {**fields, "at_ms": 1_000, "took_ms": 30, "slot_ms": 20, "server_ms": 5},
+        {**fields, "at_ms": 1_100, "took_ms": 50, "connect_ms": 15, "server_ms": 7},
+        {**fields, "at_ms": 4_000, "event": "refused", "failure": "busy", "took_ms": 700},
+    ]
+    path.write_text("".join(json.dumps(line) + "\n" for line in lines))
+    assert main(["--json", "logs", str(path), "--stages", "--span-s", "2"]) == 0
+    served, refused = json.loads(capsys.readouterr().out)
+    assert (served["from_s"], served["requests"], served["outcome"]) == (0, 2, "served")
+    assert served["mean_ms"]["slot"] == 10.0
+    assert served["mean_ms"]["other"] == 40.0 - 10.0 - 7.5 - 6.0
+    assert (refused["from_s"], refused["outcome"]) == (2, "busy")
--- a/packages/figcrank-coordination/src/figcrank/coordination/admission/__init__.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/admission/__init__.py
@@ -13,3 +13,5 @@
 from figcrank.coordination.admission._service_times import CONNECT_MS as CONNECT_MS
 from figcrank.coordination.admission._service_times import ServiceTimes as ServiceTimes
 from figcrank.coordination.admission._service_use import ServiceUse as ServiceUse
+from figcrank.coordination.admission._stages import Stage as Stage
+from figcrank.coordination.admission._stages import StageTimes as StageTimes
--- a/packages/figcrank-coordination/src/figcrank/coordination/admission/_demand.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/admission/_demand.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from figcrank.coordination.admission._stages import StageTimes
+
 
 def _always_connected() -> bool:
     return True
@@ -21,6 +23,7 @@
     :param connected: tells whether the caller is still connected.
     :param is_hedge: whether another server is already running the statement. Its rejection is not
         reported to the caller.
+    :param stages: collects where the time of the operation goes.
     """
 
     workspace: str
@@ -31,3 +34,4 @@
     deadline_ms: int
     connected: Callable[[], bool] = field(default=_always_connected, compare=False)
     is_hedge: bool = False
+    stages: StageTimes = field(default_factory=StageTimes, compare=False, repr=False)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_acquirer.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_acquirer.py
@@ -5,7 +5,7 @@
 
 import eventlet
 
-from figcrank.coordination.admission import Demand
+from figcrank.coordination.admission import Demand, Stage
 from figcrank.coordination.sessions import RetryAction, after_failed_connect
 from figcrank.state._catalog import DatabaseRoute, ReadMode
 from figcrank.state._clock import Clock
@@ -88,7 +88,7 @@
         while True:
             self._router.await_evacuations()
             self._router.require_allowed_primary(route, demand.workspace)
-            pool = self._router.await_primary(route.group, deadline_ms, demand.arrived_ms)
+            pool = self._await_primary(route.group, demand)
             # Another server may have become the primary meanwhile.
             self._router.require_allowed_primary(route, demand.workspace)
             try:
@@ -108,10 +108,25 @@
             if not self._router.admit_to_cold(pool):
                 pool.release(connection)
                 continue
-            if self._preparer.apply_variables(session, connection):
+            if self._apply_variables(session, connection, demand):
                 return pool, connection
             self._router.discard_failed_connection(pool, connection)
 
+    def _await_primary(self, group: str, demand: Demand) -> ServerPool:
+        started_ms = self._clock.now_ms()
+        try:
+            return self._router.await_primary(group, demand.deadline_ms, demand.arrived_ms)
+        finally:
+            demand.stages.add(Stage.PRIMARY, self._clock.now_ms() - started_ms)
+
+    def _apply_variables(
+        self, session: "CallerSession", connection: ServerConnection, demand: Demand
+    ) -> bool:
+        started_ms = self._clock.now_ms()
+        applied = self._preparer.apply_variables(session, connection)
+        demand.stages.add(Stage.PREPARE, self._clock.now_ms() - started_ms)
+        return applied
+
     def is_usable_primary(self, pool: ServerPool, group: str) -> bool:
         """Return whether statements may be sent to a server as the primary of its group."""
         if not self._router.may_send_to(pool.entry):
@@ -149,6 +164,7 @@
                 in_time = self._clock.now_ms() < position_due_ms
                 if in_time and self._router.awaits_position(route, demand.workspace):
                     eventlet.sleep(RETRY_PAUSE_MS / 1_000)
+                    demand.stages.add(Stage.POSITION, RETRY_PAUSE_MS)
                     continue
                 force_primary = True
                 continue
@@ -175,6 +191,6 @@
             if not self._router.admit_to_cold(pool):
                 pool.release(connection)
                 continue
-            if self._preparer.apply_variables(session, connection):
+            if self._apply_variables(session, connection, demand):
                 return Attempt(pool, connection, min_position)
             self._router.discard_failed_connection(pool, connection)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_pool.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_pool.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from figcrank.coordination.admission import Demand, ServiceUse, Ticket
+from figcrank.coordination.admission import Demand, ServiceUse, Stage, Ticket
 from figcrank.coordination.placement import (
     ConcurrencyLimit,
     ConnectionBackoff,
@@ -185,10 +185,7 @@
         if self.waiting:
             self.admit_waiters()  # leaves no room if statements still wait
         if self._room() <= 0:
-            connects = not self.has_idle(workspace)
-            ticket = self._gate.wait(demand, self.entry, self._slots(), connects)
-            while self.busy >= self.limit:  # the limit fell after the statement was admitted
-                self._gate.wait_again(ticket, self.entry)
+            self._await_slot(demand)
         connection = self._take_idle(workspace, variables)
         if connection is not None:
             self._begin_use(connection, demand)
@@ -196,6 +193,16 @@
         self._make_room()
         return self._open(demand)
 
+    def _await_slot(self, demand: Demand) -> None:
+        started_ms = self._clock.now_ms()
+        connects = not self.has_idle(demand.workspace)
+        try:
+            ticket = self._gate.wait(demand, self.entry, self._slots(), connects)
+            while self.busy >= self.limit:  # the limit fell after the statement was admitted
+                self._gate.wait_again(ticket, self.entry)
+        finally:
+            demand.stages.add(Stage.SLOT, self._clock.now_ms() - started_ms)
+
     def _take_idle(self, workspace: str, variables: dict[str, str]) -> ServerConnection | None:
         best = None
         for connection in self._idle:
@@ -254,12 +261,12 @@
             raise
         finally:
             self._opening[workspace] -= 1
+            took_ms = self._clock.now_ms() - started_ms
+            demand.stages.add(Stage.CONNECT, took_ms)
             if connection is None:
                 self.admit_waiters()
             else:
-                self._metrics.observe_latency(
-                    "server_connect", "all", self._clock.now_ms() - started_ms
-                )
+                self._metrics.observe_latency("server_connect", "all", took_ms)
 
     def _require_open_zone(self) -> None:
         """Reject the caller, and then the next waiter, if nothing may be sent to the server.
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_read_runner.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_read_runner.py
@@ -4,7 +4,7 @@
 
 from eventlet.queue import Empty, LightQueue
 
-from figcrank.coordination.admission import Demand
+from figcrank.coordination.admission import Demand, Stage
 from figcrank.coordination.sessions import RefusalReason, RetryAction, after_read
 from figcrank.protocol.sessions import SessionFailure, StatementReply
 from figcrank.state._catalog import DatabaseRoute
@@ -116,6 +116,8 @@
                 tried.add(attempt.pool.entry.server_id)
                 continue
             running -= 1
+            sent_ms = finished_attempt.connection.sent_ms
+            demand.stages.add(Stage.SERVER, self._clock.now_ms() - sent_ms)
             server_id = finished_attempt.pool.entry.server_id
             if reply is None:
                 unanswered = True
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_runner.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_runner.py
@@ -3,7 +3,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from figcrank.coordination.admission import Demand
+from figcrank.coordination.admission import Demand, Stage
 from figcrank.coordination.sessions import RefusalReason, RetryAction, after_write
 from figcrank.protocol.sessions import SessionFailure, StatementReply, TransactionState
 from figcrank.state._catalog import DatabaseRoute
@@ -25,6 +25,9 @@
 
 # Told to a transaction that was open when the configuration changed.
 REGION_LEFT = "the server is in a region that is no longer allowed"
+# Forms of operations, as in the log.
+TRANSACTION = "transaction"
+COMMIT = "commit"
 ROLLBACK_TIMEOUT_MS = 300  # ten times a usual statement; the connection is closed after it
 # Beyond the idle time of a transaction, which its session enforces as long as it reads its caller.
 IDLE_MARGIN_MS = 1_000
@@ -59,11 +62,18 @@
             answer = self._run_write(session, statement, route, demand)
         else:
             answer = self._reads.run(session, statement, route, demand)
-        return self._with_duration(answer, demand.arrived_ms)
+        return self._with_times(answer, demand, form)
 
-    def _with_duration(self, answer: Answer, started_ms: int) -> Answer:
-        took_ms = self._clock.now_ms() - started_ms
-        return replace(answer, took_ms=took_ms)
+    def _with_times(self, answer: Answer, demand: Demand, form: str) -> Answer:
+        took_ms = self._clock.now_ms() - demand.arrived_ms
+        return replace(answer, took_ms=took_ms, form=form, stages=demand.stages)
+
+    def _send_and_wait(
+        self, connection: ServerConnection, data: bytes, demand: Demand
+    ) -> StatementReply | None:
+        reply = connection.send_and_wait(data, demand.deadline_ms - self._clock.now_ms())
+        demand.stages.add(Stage.SERVER, self._clock.now_ms() - connection.sent_ms)
+        return reply
 
     def _run_write(
         self,
@@ -94,7 +104,7 @@
                 pool.release(connection)
                 continue
             tries += 1
-            reply = connection.send_and_wait(data, deadline_ms - self._clock.now_ms())
+            reply = self._send_and_wait(connection, data, demand)
             if reply is None:
                 self._router.discard_failed_connection(pool, connection)
                 detail = "the primary did not answer"
@@ -138,7 +148,7 @@
         pool: ServerPool,
         connection: ServerConnection,
         statement: Statement,
-        deadline_ms: int,
+        demand: Demand,
     ) -> StatementReply | None:
         """Send a statement and return the reply, ``None`` if there was none.
 
@@ -149,7 +159,7 @@
         if not self._router.may_send_to(pool.entry):
             detail = "nothing may be sent to the server now"
             raise OpenError(SessionFailure.BUSY, detail, reason=RefusalReason.EVACUATED)
-        return connection.send_and_wait(data, deadline_ms - self._clock.now_ms())
+        return self._send_and_wait(connection, data, demand)
 
     def _record_commit_position(
         self, session: "CallerSession", route: DatabaseRoute, reply: StatementReply
@@ -163,12 +173,10 @@
         """Run a statement in a transaction; the first one also begins it on a server."""
         demand = self._transaction_demand(session, transaction)
         answer = self._try_in_transaction(session, statement, transaction, demand)
-        return self._with_duration(answer, demand.arrived_ms)
+        return self._with_times(answer, demand, TRANSACTION)
 
     def _transaction_demand(self, session: "CallerSession", transaction: "Transaction") -> Demand:
-        return self._acquirer.demand(
-            session, transaction.route, transaction.workspace, "transaction"
-        )
+        return self._acquirer.demand(session, transaction.route, transaction.workspace, TRANSACTION)
 
     def _try_in_transaction(
         self,
@@ -199,7 +207,7 @@
             self._router.await_evacuations()
             self._router.record_at_cold(pool)
             pool.extend_use(connection, deadline_ms)
-            reply = self._send_in_transaction(session, pool, connection, statement, deadline_ms)
+            reply = self._send_in_transaction(session, pool, connection, statement, demand)
             server_id = pool.entry.server_id
             if reply is None:
                 self._router.discard_failed_connection(pool, connection)
@@ -230,12 +238,12 @@
         pool: ServerPool,
         connection: ServerConnection,
         statement: Statement,
-        deadline_ms: int,
+        demand: Demand,
     ) -> StatementReply | None:
         if not self._preparer.apply_variables(session, connection):
             return None
         try:
-            return self._send(pool, connection, statement, deadline_ms)
+            return self._send(pool, connection, statement, demand)
         except OpenError as error:
             self._log_unsent(statement, pool, error)
             return None  # aborts the transaction, as a lost connection does
@@ -272,7 +280,7 @@
                 attempt.pool.discard(attempt.connection)
                 continue
             transaction.sent = True
-            reply = attempt.connection.send_and_wait(data, deadline_ms - self._clock.now_ms())
+            reply = self._send_and_wait(attempt.connection, data, demand)
             if reply is None:
                 self._router.discard_failed_connection(attempt.pool, attempt.connection)
                 tried.add(attempt.pool.entry.server_id)
@@ -304,7 +312,7 @@
         """
         route = transaction.route
         demand = self._transaction_demand(session, transaction)
-        started_ms, deadline_ms = demand.arrived_ms, demand.deadline_ms
+        deadline_ms = demand.deadline_ms
         if transaction.connection is None:
             refused = self._open_transaction(session, transaction, demand)
             if refused is not None:
@@ -330,18 +338,18 @@
             detail = "the connection to the server was lost before the commit was sent"
             return Answer(b"", SessionFailure.ABORTED, detail, 0, server_id)
         self._router.record_at_cold(pool)
-        reply = self._send(pool, connection, statement, deadline_ms)
+        reply = self._send(pool, connection, statement, demand)
         if reply is None:
             self._router.discard_failed_connection(pool, connection)
-            return self._with_duration(
-                Answer(b"", SessionFailure.UNREACHABLE, "", 1, server_id), started_ms
+            return self._with_times(
+                Answer(b"", SessionFailure.UNREACHABLE, "", 1, server_id), demand, COMMIT
             )
         self._observer.observe(pool, connection, reply)
         if reply.failure is None and transaction.wrote:
             self._record_commit_position(session, route, reply)
         release_or_discard(pool, connection)
-        return self._with_duration(
-            Answer(reply.payload, reply.failure, reply.detail, 1, server_id), started_ms
+        return self._with_times(
+            Answer(reply.payload, reply.failure, reply.detail, 1, server_id), demand, COMMIT
         )
 
     def roll_back(self, request_id: str, transaction: "Transaction") -> None:
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
@@ -422,6 +422,9 @@
             outcome=answer.failure.name.lower() if answer.failure else "ok",
         )
         services.metrics.observe_latency("request", route.mode.value, answer.took_ms)
+        stages = {f"{stage.value}_ms": took_ms for stage, took_ms in answer.stages.items()}
+        for stage, took_ms in answer.stages.items():
+            services.metrics.observe_latency(f"stage_{stage.value}", route.mode.value, took_ms)
         if answer.failure is SessionFailure.BUSY:
             reason = answer.refusal or RefusalReason.SERVER_BUSY
             services.refusals.record(route.group, workspace, reason)
@@ -434,9 +437,12 @@
             server=answer.server_id,
             tries=answer.tries,
             took_ms=answer.took_ms,
+            mode=route.mode.value,
+            form=answer.form,
             failure=answer.failure.name.lower() if answer.failure else None,
             reason=answer.detail or None,
             required=answer.required,
+            **stages,
         )
         if answer.payload:
             self._reply(answer.payload)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_statements.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_statements.py
@@ -1,7 +1,8 @@
 """A statement to run on a backend server, and the answer to it."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from figcrank.coordination.admission import StageTimes
 from figcrank.coordination.sessions import RefusalReason
 from figcrank.protocol.sessions import Request, SessionFailure
 from figcrank.state._positions import Position
@@ -33,6 +34,8 @@
     :param took_ms: time since the request was received.
     :param required: minimum position required of a replica.
     :param refusal: why nothing has run if this host refuses the statement itself.
+    :param form: form of the operation: ``read``, ``write`` or ``transaction``.
+    :param stages: where the time went.
     """
 
     payload: bytes
@@ -43,3 +46,5 @@
     took_ms: int = 0
     required: Position | None = None
     refusal: RefusalReason | None = None
+    form: str = ""
+    stages: StageTimes = field(default_factory=StageTimes)
