--- a/packages/figcrank-coordination/src/figcrank/coordination/primaries/__init__.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/primaries/__init__.py
@@ -4,6 +4,8 @@
 from figcrank.coordination.primaries._claim import first_version as first_version
 from figcrank.coordination.primaries._claim import is_settled as is_settled
 from figcrank.coordination.primaries._claim import moving_record as moving_record
+from figcrank.coordination.primaries._forecast import ReplacementForecast as ReplacementForecast
+from figcrank.coordination.primaries._forecast import ReplacementView as ReplacementView
 from figcrank.coordination.primaries._holder import (
     PROMOTION_CALL_TIMEOUT_MS as PROMOTION_CALL_TIMEOUT_MS,
 )
