--- a/packages/figcrank-coordination/src/figcrank/coordination/admission/_stages.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/admission/_stages.py
@@ -35,10 +35,6 @@
         if took_ms > 0:
             self._times_ms[stage] = self._times_ms.get(stage, 0) + took_ms
 
-    def get(self, stage: Stage) -> int:
-        """Return the time spent in a stage, in milliseconds."""
-        return self._times_ms.get(stage, 0)
-
     def items(self) -> list[tuple[Stage, int]]:
         """Return the stages with a time above 0, in the order in which they were reached."""
         return list(self._times_ms.items())
--- a/packages/figcrank-coordination/src/figcrank/coordination/placement/_uses.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/placement/_uses.py
@@ -1,9 +1,9 @@
-"""What operations have taken for their time, and when it is taken back at the latest.
+"""What operations use, and the time after which it is taken back.
 
 Load pattern: one in five replies of a primary never comes, at an owner that may have one statement
-in flight there. What only a reply gives back is then lost for good: the owner serves none of the
-group's writes, while no server is down. Each use therefore ends by itself, whatever the far end
-does.
+in flight there. If only a reply gives back what a statement uses, the first lost one takes it for
+good: the owner serves nothing of the group that needs the primary, while no server is down. Each
+use therefore has an end, whatever the server does.
 """
 
 from collections.abc import Hashable, Iterator
@@ -48,10 +48,6 @@
     def __contains__(self, resource: Resource) -> bool:
         return resource in self._uses
 
-    def get(self, resource: Resource) -> Use | None:
-        """Return the use of a resource, ``None`` if it is free."""
-        return self._uses.get(resource)
-
     def begin(self, resource: Resource, kind: str, now_ms: int, ends_ms: int) -> None:
         """Take a resource for an operation."""
         self._uses[resource] = Use(kind, now_ms, ends_ms)
--- a/packages/figcrank-coordination/tests/placement/test_uses.py
+++ b/packages/figcrank-coordination/tests/placement/test_uses.py
@@ -40,8 +40,8 @@
 
 
 def test_service_time_adds_up_over_the_statements_of_an_operation():
+    assert table().end("a").service_ms is None
     uses = table()
-    assert uses.get("a").service_ms is None
     uses.record_service("a", 5)
     uses.record_service("a", 7)
     assert uses.end("a").service_ms == 12
