Log requests that were read and get no answer

Nothing in the log told which way out of a session had been taken: a session that ended with a request in progress wrote no line, OSErrors of any origin were counted as disconnections, and `stopped` had sessions but not requests.

A connection now keeps the message that it has read and not answered yet. What ends the session logs it as request_unanswered with its id, age, transaction, whether the caller was still connected, and the reason. No behaviour changes.

--- a/packages/figcrank-transport/src/figcrank/transport/streams/_caller_connection.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_caller_connection.py
@@ -8,9 +8,13 @@
     CallerCodec,
     CallerMessage,
     MalformedMessage,
+    Request,
     SessionFailure,
+    SessionStart,
     TransactionState,
 )
+from figcrank.state._clock import Clock
+from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._metrics import Metrics
 from figcrank.transport.streams._traffic import TrafficChannel
 
@@ -25,6 +29,8 @@
     :param sock: connected socket.
     :param codec: wire format of the connection.
     :param sessions: live collection of the open sessions, to which this one belongs while it runs.
+    :param clock: this host's clock.
+    :param log: event log.
     :param metrics: metrics registry.
     """
 
@@ -33,12 +39,18 @@
         sock: socket.socket,
         codec: CallerCodec,
         sessions: "set[CallerConnection]",
+        clock: Clock,
+        log: EventLog,
         metrics: Metrics,
     ) -> None:
         self._sock = sock
         self._codec = codec
         self._sessions = sessions
+        self._clock = clock
+        self._log = log
         self._metrics = metrics
+        self._outstanding: SessionStart | Request | MalformedMessage | None = None
+        self._outstanding_since_ms = 0
         self._decoder = codec.decoder()
         self._pending_messages: list[CallerMessage] = []
         self._receiving = False
@@ -75,16 +87,49 @@
     def run(self) -> None:
         """Serve the connection until it ends."""
         self._sessions.add(self)
+        reason = "the session ended"
         try:
             self._serve()
-        except (OSError, EOFError):
+        except (OSError, EOFError) as error:
             # The caller disconnected; its open transaction is rolled back below.
             self._metrics.count("sessions_broken")
+            reason = repr(error)
+        except BaseException as error:
+            reason = repr(error)
+            raise
         finally:
             self._sessions.discard(self)
+            self.report_unanswered(reason)
             self._release()
             self._sock.close()
 
+    @property
+    def is_answering(self) -> bool:
+        """Return whether a request was read that has not been answered yet."""
+        return self._outstanding is not None
+
+    def report_unanswered(self, reason: str) -> None:
+        """Log the request that was read and gets no answer, if there is one.
+
+        :param reason: what ends the session.
+        """
+        message = self._outstanding
+        if message is None:
+            return
+        is_start = isinstance(message, SessionStart)
+        connected = self.is_connected()
+        self._metrics.count("requests_unanswered", connected=str(connected).lower())
+        self._log.event(
+            "request_unanswered",
+            id="" if is_start else message.request_id,
+            verb=message.verb.name.lower() if isinstance(message, Request) else None,
+            waited_ms=self._clock.now_ms() - self._outstanding_since_ms,
+            transaction=self.transaction_state.name.lower(),
+            connected=connected,
+            closing=self._closing,
+            reason=reason,
+        )
+
     def is_connected(self) -> bool:
         """Return whether the caller has not closed the connection.
 
@@ -105,6 +150,8 @@
 
         :param read: messages that the other session has read, to be handled by this one.
         """
+        self._outstanding, other._outstanding = other._outstanding, None
+        self._outstanding_since_ms = other._outstanding_since_ms
         self._decoder = other._decoder
         self._pending_messages = [*read, *other._pending_messages]
         self._closing = other._closing
@@ -145,11 +192,17 @@
             else:
                 self._traffic.received(len(data))
             self._pending_messages = self._decoder.feed(data)
-        return self._pending_messages.pop(0)
+        message = self._pending_messages.pop(0)
+        if isinstance(message, SessionStart | Request | MalformedMessage):
+            self._outstanding = message
+            self._outstanding_since_ms = self._clock.now_ms()
+        return message
 
     def _send(self, data: bytes) -> None:
+        """Send the whole answer to the outstanding request."""
         self._sock.settimeout(SEND_TIMEOUT_MS / 1_000)
         self._sock.sendall(data)
+        self._outstanding = None
         if self._traffic is not None:
             self._traffic.sent(len(data))
 
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_entry_session.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_entry_session.py
@@ -24,7 +24,14 @@
     def __init__(
         self, sock: socket.socket, services: SessionServices, relay_services: RelayServices
     ) -> None:
-        super().__init__(sock, services.codec, services.sessions, services.metrics)
+        super().__init__(
+            sock,
+            services.codec,
+            services.sessions,
+            services.clock,
+            services.log,
+            services.metrics,
+        )
         self._services = services
         self._relay_services = relay_services
 
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
@@ -435,7 +435,10 @@
                 if session.in_transaction and self._clock.now_ms() >= transactions_end_ms:
                     session.abort_transaction()
             eventlet.sleep(TICK_INTERVAL_MS / 1_000)
-        self._log.event("stopped", sessions=len(self._services.sessions))
+        for session in self._services.sessions:
+            session.report_unanswered("the host exits")
+        unanswered = sum(session.is_answering for session in self._services.sessions)
+        self._log.event("stopped", sessions=len(self._services.sessions), unanswered=unanswered)
         self._log.flush()
         os._exit(0)
 
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_relayed_session.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_relayed_session.py
@@ -68,7 +68,14 @@
     def __init__(
         self, sock: socket.socket, services: RelayServices, opened: OpenedSession | None = None
     ) -> None:
-        super().__init__(sock, services.codec, services.sessions, services.metrics)
+        super().__init__(
+            sock,
+            services.codec,
+            services.sessions,
+            services.clock,
+            services.log,
+            services.metrics,
+        )
         self._services = services
         self._opened = opened
         self._owner: Owner | None = None
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
@@ -84,7 +84,14 @@
     def __init__(
         self, sock: socket.socket, services: SessionServices, codec: CallerCodec | None = None
     ) -> None:
-        super().__init__(sock, codec or services.codec, services.sessions, services.metrics)
+        super().__init__(
+            sock,
+            codec or services.codec,
+            services.sessions,
+            services.clock,
+            services.log,
+            services.metrics,
+        )
         self._services = services
         self._database = ""
         self._key = ""
--- a/packages/figcrank-transport/tests/test_caller_connection.py
+++ b/packages/figcrank-transport/tests/test_caller_connection.py
@@ -1,20 +1,31 @@
-"""Connections of callers that stop reading."""
+"""Connections of callers that stop reading, and requests that get no answer."""
+
+import json
 
 import eventlet
 import pytest
 from eventlet.green import socket
 
-from figcrank.protocol.sessions import TransactionState
+from figcrank.protocol.sessions import Decoder, Request, TransactionState, Verb
+from figcrank.transport import MonotonicClock
 from figcrank.transport.streams import _caller_connection
 from figcrank.transport.streams._caller_connection import CallerConnection
+from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._metrics import Metrics
 
 LARGE_REPLY = b"x" * 20_000_000  # more than the sockets buffer
 
 
+class FakeDecoder(Decoder):
+    """Each line is the id of a read."""
+
+    def feed(self, data):
+        return [Request(line, Verb.READ, "READ item") for line in data.decode().split()]
+
+
 class FakeCodec:
     def decoder(self):
-        return None
+        return FakeDecoder()
 
 
 class SendingConnection(CallerConnection):
@@ -36,17 +47,60 @@
         pass
 
 
+class FailingConnection(SendingConnection):
+    """Answers the first request and raises an error while the second one is in progress."""
+
+    def _serve(self):
+        self._next_message(None)
+        self._send(b"answer\n")
+        self._next_message(None)
+        raise ValueError("unexpected")
+
+
 @pytest.fixture
-def connection(monkeypatch):
-    """Return a connection whose caller reads nothing."""
-    monkeypatch.setattr(_caller_connection, "SEND_TIMEOUT_MS", 50)
+def sockets():
+    """Return a host's socket and that of its caller."""
     here, caller = socket.socketpair()
-    yield SendingConnection(here, FakeCodec(), set(), Metrics())
+    yield here, caller
     caller.close()
 
 
+@pytest.fixture
+def log():
+    """Return an event log and the lines that are written to it."""
+    lines = []
+    return EventLog("host", MonotonicClock(), lambda data: lines.append(data) or len(data)), lines
+
+
+def serve(connection_class, sock, log):
+    clock = MonotonicClock()
+    return connection_class(sock, FakeCodec(), set(), clock, log[0], Metrics())
+
+
+@pytest.fixture
+def connection(monkeypatch, sockets, log):
+    """Return a connection whose caller reads nothing."""
+    monkeypatch.setattr(_caller_connection, "SEND_TIMEOUT_MS", 50)
+    return serve(SendingConnection, sockets[0], log)
+
+
 def test_session_of_a_caller_that_reads_nothing_gives_back_what_it_holds(connection):
     """Guards against a transaction that keeps its connection until its caller reads again."""
     with eventlet.Timeout(10):
         connection.run()
     assert connection.released
+
+
+def test_request_that_gets_no_answer_is_logged_with_what_ended_its_session(sockets, log):
+    here, caller = sockets
+    connection = serve(FailingConnection, here, log)
+    caller.sendall(b"first second\n")
+    with eventlet.Timeout(10), pytest.raises(ValueError):
+        connection.run()
+    log[0].flush()
+    events = [json.loads(line) for data in log[1] for line in data.splitlines()]
+    assert [(e["event"], e["id"], e["verb"]) for e in events] == [
+        ("request_unanswered", "second", "read")
+    ]
+    assert "unexpected" in events[0]["reason"]
+    assert events[0]["connected"]
