Add failing tests of requests that a stopping host leaves unanswered

What callers saw: a request that had been sent whole ended with its connection.

- close_when_idle() raises for a session whose caller has reset the connection.
Nothing catches it in the stop of the host.

--- a/packages/figcrank-transport/tests/test_caller_connection.py
+++ b/packages/figcrank-transport/tests/test_caller_connection.py
@@ -1,6 +1,8 @@
 """Connections of callers that stop reading, and requests that get no answer."""
 
 import json
+import socket as std_socket
+import struct
 
 import eventlet
 import pytest
@@ -57,6 +59,15 @@
         raise ValueError("unexpected")
 
 
+class WaitingConnection(SendingConnection):
+    """Waits for a request and answers nothing."""
+
+    transaction_state = TransactionState.IDLE
+
+    def _serve(self):
+        self._next_message(None)
+
+
 @pytest.fixture
 def sockets():
     """Return a host's socket and that of its caller."""
@@ -104,3 +115,18 @@
     ]
     assert "unexpected" in events[0]["reason"]
     assert events[0]["connected"]
+
+
+def test_idle_session_whose_caller_has_reset_the_connection_can_be_closed(log):
+    """Guards against a stop that ends at the first session whose socket has failed."""
+    listener = eventlet.listen(("127.0.0.1", 0))
+    caller = std_socket.create_connection(listener.getsockname())
+    here, _ = listener.accept()
+    connection = serve(WaitingConnection, here, log)
+    running = eventlet.spawn(connection.run)
+    eventlet.sleep(0)  # the session waits for a request
+    caller.setsockopt(std_socket.SOL_SOCKET, std_socket.SO_LINGER, struct.pack("ii", 1, 0))
+    caller.close()
+    connection.close_when_idle()
+    with eventlet.Timeout(10):
+        running.wait()
