Answer requests whose server connection can't be opened or used

What callers saw: a connection that ends without an answer to a request. Cause: ServerConnection.open() created its socket outside its error handling, so that a host without a free file descriptor raised an OSError through the session, which took it for the caller's disconnection and closed without a log line. StatementRunner.commit() let an OpenError through when nothing might be sent to the server any more; the session ended with internal_error. Both are outcomes now: the server is not available, and the commit was not sent, so that it is ABORTED.

--- a/packages/figcrank-transport/src/figcrank/transport/streams/_connection.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_connection.py
@@ -114,7 +114,10 @@
         :param traffic: counts the bytes sent and received.
         :raises OpenError: if connecting or the handshake fails.
         """
-        sock = socket.socket(std_socket.AF_INET, std_socket.SOCK_STREAM)
+        try:
+            sock = socket.socket(std_socket.AF_INET, std_socket.SOCK_STREAM)
+        except OSError as error:  # no file descriptor is free
+            raise OpenError(SessionFailure.UNREACHABLE, str(error)) from error
         sock.setsockopt(std_socket.IPPROTO_TCP, std_socket.TCP_NODELAY, 1)
         sock.setsockopt(std_socket.IPPROTO_TCP, std_socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
         sock.settimeout(CONNECT_TIMEOUT_MS / 1_000)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_runner.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_runner.py
@@ -338,7 +338,11 @@
             detail = "the connection to the server was lost before the commit was sent"
             return Answer(b"", SessionFailure.ABORTED, detail, 0, server_id)
         self._router.record_at_cold(pool)
-        reply = self._send(pool, connection, statement, demand)
+        try:
+            reply = self._send(pool, connection, statement, demand)
+        except OpenError as error:
+            pool.discard(connection)  # the commit was not sent; the server rolls back
+            return Answer(b"", SessionFailure.ABORTED, str(error), 0, server_id)
         if reply is None:
             self._router.discard_failed_connection(pool, connection)
             return self._with_times(
--- a/packages/figcrank-transport/tests/test_server_connection.py
+++ b/packages/figcrank-transport/tests/test_server_connection.py
@@ -1,3 +1,5 @@
+import errno
+
 import eventlet
 import pytest
 from eventlet.green import socket
@@ -5,6 +7,7 @@
 from figcrank.coordination.sessions import RefusalReason
 from figcrank.protocol.sessions import Decoder, SessionFailure, StatementReply, TransactionState
 from figcrank.transport import MonotonicClock
+from figcrank.transport.streams import _connection
 from figcrank.transport.streams._connection import OpenError, ServerConnection
 
 
@@ -83,3 +86,14 @@
         ServerConnection.open(listener.getsockname(), decoder, b"hi", "w", MonotonicClock())
     assert refused.value.reason is reason
     listener.close()
+
+
+def test_connection_that_gets_no_file_descriptor_is_not_available(monkeypatch):
+    """Guards against an error of the system that is taken for the caller's disconnection."""
+
+    def fail(*_args):
+        raise OSError(errno.EMFILE, "too many open files")
+
+    monkeypatch.setattr(_connection.socket, "socket", fail)
+    with pytest.raises(OpenError, match="too many open files"):
+        ServerConnection.open(("127.0.0.1", 1), None, b"", "", MonotonicClock())
--- a/packages/figcrank-transport/tests/test_statement_runner.py
+++ b/packages/figcrank-transport/tests/test_statement_runner.py
@@ -260,6 +260,15 @@
     assert scenario.connection.sent == []
 
 
+def test_commit_whose_server_may_get_nothing_any_more_is_aborted(scenario, monkeypatch):
+    """Guards against an error that ends the session without an answer to the commit."""
+    allowed = iter([True, False])
+    monkeypatch.setattr(scenario.router, "may_send_to", lambda _entry: next(allowed))
+    assert scenario.commit().failure is SessionFailure.ABORTED
+    assert scenario.connection.sent == []
+    assert scenario.connection.closed
+
+
 def test_commit_of_a_transaction_that_wrote_nothing_needs_no_lease(scenario):
     scenario.end_lease()
     assert scenario.commit(wrote=False).failure is None
