Answer every request that was read when a host stops or a session fails

What callers saw: a request that was sent whole, and a connection that ended without an answer, when the host that they had reached was stopped (LOST).

Cause: a session could be left in many ways with a request in progress, and none of them answered it. The stop exited whatever the sessions did; no deadline took account of it; with a grace time below 4.1 s it took longer than the grace time, so that the process was killed; an OSError of one session's socket ended the stop itself, so that everything else was killed; an exception in a session closed it. The class: what has been read is owed an answer, by every way out of a session.

Now CallerConnection.run() is the one place where sessions end. It has the outstanding request in hand and answers it with what is known: not sent, so BUSY or ABORTED; a write or a commit that was sent, so in doubt; anything else ABORTED. A session that the host ends gets an exception thrown into it, instead of a shutdown of its socket, which failed on a reset connection and left a gap in which a BEGIN was answered and then cut. StopPlan holds the times of a stop; statements end by it, so that queues refuse at once what can't end in time. Connections are closed once the caller has closed or after 500 ms, since closing one with unread input drops what has not been delivered.

--- a/packages/figcrank-coordination/src/figcrank/coordination/sessions/__init__.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/sessions/__init__.py
@@ -12,3 +12,5 @@
 from figcrank.coordination.sessions._retries import after_lost_commit as after_lost_commit
 from figcrank.coordination.sessions._retries import after_read as after_read
 from figcrank.coordination.sessions._retries import after_write as after_write
+from figcrank.coordination.sessions._stop_plan import HostLifetime as HostLifetime
+from figcrank.coordination.sessions._stop_plan import StopPlan as StopPlan
--- a/packages/figcrank-coordination/src/figcrank/coordination/sessions/_refusal_reason.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/sessions/_refusal_reason.py
@@ -28,6 +28,7 @@
     SERVER_BUSY = "server_busy"  # a server rejected the statement or the connection for it
     NO_SERVER = "no_server"  # no server could be reached or was suitable in time
     NO_OWNER = "no_owner"  # this relay found no owner for the session, or lost it
+    STOPPING = "stopping"  # this host is being stopped
     CONFIGURATION = "configuration"  # this host has no configuration, or an outdated one
 
 
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_acquirer.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_acquirer.py
@@ -6,7 +6,7 @@
 import eventlet
 
 from figcrank.coordination.admission import Demand, Stage
-from figcrank.coordination.sessions import RetryAction, after_failed_connect
+from figcrank.coordination.sessions import HostLifetime, RetryAction, after_failed_connect
 from figcrank.state._catalog import DatabaseRoute, ReadMode
 from figcrank.state._clock import Clock
 from figcrank.state._positions import Position
@@ -46,9 +46,17 @@
     :param router: server pools.
     :param clock: this host's clock.
     :param preparer: sets the variables.
+    :param lifetime: how long this host runs.
     """
 
-    def __init__(self, router: Router, clock: Clock, preparer: ConnectionPreparer) -> None:
+    def __init__(
+        self,
+        router: Router,
+        clock: Clock,
+        preparer: ConnectionPreparer,
+        lifetime: HostLifetime,
+    ) -> None:
+        self._lifetime = lifetime
         self._router = router
         self._clock = clock
         self._preparer = preparer
@@ -67,7 +75,7 @@
             (route.priority, self._router.workspace_priority(workspace)),
             now_ms,
             now_ms + route.target_latency_ms,
-            now_ms + route.timeout_ms - ANSWER_MARGIN_MS,
+            self._lifetime.limit_ms(now_ms + route.timeout_ms - ANSWER_MARGIN_MS),
             session.is_connected,
         )
 
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_caller_connection.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_caller_connection.py
@@ -1,14 +1,18 @@
 """A caller's connection: reads messages, writes replies and closes between two operations."""
 
+import contextlib
 from abc import ABC, abstractmethod
 
+import eventlet
 from eventlet.green import socket
 
+from figcrank.coordination.sessions import HostLifetime, RefusalReason
 from figcrank.protocol.sessions import (
     CallerCodec,
     CallerMessage,
     MalformedMessage,
     Request,
+    SessionClose,
     SessionFailure,
     SessionStart,
     TransactionState,
@@ -21,6 +25,13 @@
 RECEIVE_BYTES = 16_384
 SESSION_START_TIMEOUT_MS = 10_000  # closes connections that never send a handshake
 SEND_TIMEOUT_MS = 10_000  # closes connections that take no byte of a reply for this long
+FIRST_REQUEST_MS = 300  # callers send the first request of a session at once
+CLOSE_TIMEOUT_MS = 500  # for callers to close after the last message of a session
+STOPPING_DETAIL = "this host is being stopped; connect again to reach another one"
+
+
+class SessionInterrupted(BaseException):
+    """Raised inside a session that the host ends; not an error that a session could handle."""
 
 
 class CallerConnection(ABC):
@@ -32,6 +43,7 @@
     :param clock: this host's clock.
     :param log: event log.
     :param metrics: metrics registry.
+    :param lifetime: how long the host runs.
     """
 
     def __init__(
@@ -42,6 +54,7 @@
         clock: Clock,
         log: EventLog,
         metrics: Metrics,
+        lifetime: HostLifetime,
     ) -> None:
         self._sock = sock
         self._codec = codec
@@ -49,11 +62,15 @@
         self._clock = clock
         self._log = log
         self._metrics = metrics
+        self._lifetime = lifetime
+        self._greenlet: eventlet.greenlet.greenlet | None = None  # while it may be interrupted
+        self._replying = False
         self._outstanding: SessionStart | Request | MalformedMessage | None = None
         self._outstanding_since_ms = 0
         self._decoder = codec.decoder()
         self._pending_messages: list[CallerMessage] = []
         self._receiving = False
+        self._opened_ms = clock.now_ms()
         self._closing = False
         self._caller_closed = False
         self._traffic: TrafficChannel | None = None  # of a relay's connection, once it is known
@@ -87,21 +104,81 @@
     def run(self) -> None:
         """Serve the connection until it ends."""
         self._sessions.add(self)
+        self._greenlet = eventlet.getcurrent()
         reason = "the session ended"
         try:
             self._serve()
+        except SessionInterrupted as error:
+            reason = str(error)
         except (OSError, EOFError) as error:
-            # The caller disconnected; its open transaction is rolled back below.
             self._metrics.count("sessions_broken")
             reason = repr(error)
-        except BaseException as error:
+        except Exception as error:
             reason = repr(error)
             raise
         finally:
-            self._sessions.discard(self)
+            self._greenlet = None
+            try:
+                self._end(reason)
+            finally:
+                self._sessions.discard(self)
+                self._sock.close()
+
+    def _end(self, reason: str) -> None:
+        """Answer the request in progress, and free what the session holds on other hosts."""
+        failure = self._unanswered_failure()
+        self._release()
+        connected = not self._caller_closed and self.is_connected()
+        if self._outstanding is not None:
+            self._answer_outstanding(failure, reason, connected)
+        if connected:
+            self._await_close()
+
+    def _answer_outstanding(self, failure: SessionFailure, reason: str, connected: bool) -> None:
+        """Answer the request in progress with a failure; log it if that is not possible."""
+        if not connected or self._replying:
             self.report_unanswered(reason)
-            self._release()
-            self._sock.close()
+            return
+        message = self._outstanding
+        is_start = isinstance(message, SessionStart)
+        request_id = "" if is_start else message.request_id
+        self._record_refusal(request_id, failure, reason, RefusalReason.STOPPING)
+        try:
+            if is_start:
+                self._reject_start(failure, reason)
+            else:
+                body = self._codec.failure(failure, reason)
+                self._send(self._codec.reply(body, TransactionState.IDLE))
+        except OSError as error:
+            self.report_unanswered(f"{reason}; the answer was not sent: {error!r}")
+
+    def _reject_start(self, failure: SessionFailure, reason: str) -> None:
+        """Reject the start of a session."""
+        self._send(self._codec.rejection(failure, reason))
+
+    def _await_close(self) -> None:
+        """Wait until the caller closes the connection.
+
+        Closing it with unread input would reset it and drop what the caller has not received yet.
+        """
+        with contextlib.suppress(OSError), eventlet.Timeout(CLOSE_TIMEOUT_MS / 1_000, False):
+            self._sock.shutdown(socket.SHUT_WR)
+            self._sock.settimeout(None)
+            while self._sock.recv(RECEIVE_BYTES):
+                pass
+
+    @abstractmethod
+    def _unanswered_failure(self) -> SessionFailure:
+        """Return the failure of the request in progress if nothing more is done for it.
+
+        Without one, it is that of a request which is not read any more.
+        """
+
+    def interrupt(self, reason: str) -> None:
+        """End the session now; a request in progress is answered with what is known of it."""
+        if self._greenlet is not None:
+            self._closing = True
+            eventlet.kill(self._greenlet, SessionInterrupted(reason))
 
     @property
     def is_answering(self) -> bool:
@@ -133,11 +210,8 @@
     def is_connected(self) -> bool:
         """Return whether the caller has not closed the connection.
 
-        Input that the caller has sent in advance is not read, and is no sign of a close. While
-        this host is closing the session, its own shutdown would look like that of the caller.
+        Input that the caller has sent in advance is not read, and is no sign of a close.
         """
-        if self._closing:
-            return True
         try:
             return bool(self._sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
         except BlockingIOError:
@@ -156,11 +230,17 @@
         self._pending_messages = [*read, *other._pending_messages]
         self._closing = other._closing
 
-    def close_when_idle(self) -> None:
-        """Close the session once no operation or transaction is in progress."""
+    def close_when_idle(self, spare_new: bool = False) -> None:
+        """Close the session once no operation or transaction is in progress.
+
+        :param spare_new: leave a session that has just been opened the time to send its first
+            request.
+        """
         self._closing = True
+        if spare_new and self._clock.now_ms() < self._opened_ms + FIRST_REQUEST_MS:
+            return
         if self._receiving and not self.in_transaction and not self._has_unread():
-            self._sock.shutdown(socket.SHUT_RD)
+            self.interrupt("the session is idle")
 
     @property
     def _may_close(self) -> bool:
@@ -193,6 +273,7 @@
                 self._traffic.received(len(data))
             self._pending_messages = self._decoder.feed(data)
         message = self._pending_messages.pop(0)
+        self._caller_closed = isinstance(message, SessionClose)
         if isinstance(message, SessionStart | Request | MalformedMessage):
             self._outstanding = message
             self._outstanding_since_ms = self._clock.now_ms()
@@ -201,7 +282,9 @@
     def _send(self, data: bytes) -> None:
         """Send the whole answer to the outstanding request."""
         self._sock.settimeout(SEND_TIMEOUT_MS / 1_000)
+        self._replying = True
         self._sock.sendall(data)
+        self._replying = False
         self._outstanding = None
         if self._traffic is not None:
             self._traffic.sent(len(data))
@@ -227,5 +310,14 @@
         return not message.too_large
 
     @abstractmethod
-    def _record_refusal(self, request_id: str, failure: SessionFailure, reason: str) -> None:
-        """Count and log a refused request."""
+    def _record_refusal(
+        self,
+        request_id: str,
+        failure: SessionFailure,
+        reason: str,
+        refusal: RefusalReason = RefusalReason.CONFIGURATION,
+    ) -> None:
+        """Count and log a refused request.
+
+        :param refusal: why the host refuses it, for refusals that say that nothing has run.
+        """
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_entry_session.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_entry_session.py
@@ -3,6 +3,7 @@
 from eventlet.green import socket
 
 from figcrank.coordination.regions import allowed_regions
+from figcrank.coordination.sessions import RefusalReason
 from figcrank.protocol.sessions import SessionFailure, SessionStart, TransactionState
 from figcrank.transport.streams._caller_connection import (
     SESSION_START_TIMEOUT_MS,
@@ -31,6 +32,7 @@
             services.clock,
             services.log,
             services.metrics,
+            services.lifetime,
         )
         self._services = services
         self._relay_services = relay_services
@@ -39,7 +41,8 @@
         start = self._next_message(SESSION_START_TIMEOUT_MS)
         if not isinstance(start, SessionStart):
             return
-        opened = self._forward(start)
+        rejects = self._lifetime.rejects_sessions(self._clock.now_ms())
+        opened = None if rejects else self._forward(start)
         if opened is not None:
             session: CallerConnection = RelayedSession(self._sock, self._relay_services, opened)
             session.take_over(self)
@@ -80,5 +83,16 @@
     def _release(self) -> None:
         pass
 
-    def _record_refusal(self, request_id: str, failure: SessionFailure, reason: str) -> None:
-        pass
+    def _unanswered_failure(self) -> SessionFailure:
+        return SessionFailure.BUSY
+
+    def _record_refusal(
+        self,
+        request_id: str,
+        failure: SessionFailure,
+        reason: str,
+        refusal: RefusalReason = RefusalReason.NO_OWNER,
+    ) -> None:
+        self._metrics.count("refused", failure=failure.name.lower())
+        self._metrics.count("callers_refused", reason=refusal.value)
+        self._log.event("refused", id=request_id, failure=failure.name.lower(), reason=reason)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
@@ -13,6 +13,7 @@
 from figcrank.coordination.fleet import ConfigurationTimings, FleetView
 from figcrank.coordination.owners import HostRole, OwnerDirectory, seats_per_zone
 from figcrank.coordination.regions import RegionMap
+from figcrank.coordination.sessions import HostLifetime
 from figcrank.protocol.relays import RelayProtocolError
 from figcrank.protocol.sessions import CallerCodec, ServerCodec
 from figcrank.transport._clock import BootClock
@@ -24,7 +25,7 @@
 from figcrank.transport.streams._group_owner_monitor import GroupOwnerMonitor
 from figcrank.transport.streams._http import serve_http
 from figcrank.transport.streams._interfaces import FailoverService, Store
-from figcrank.transport.streams._isolation import BALANCER_REMOVAL_MS, IsolationMonitor
+from figcrank.transport.streams._isolation import IsolationMonitor
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._membership import Membership
 from figcrank.transport.streams._metrics import Metrics
@@ -42,15 +43,13 @@
 from figcrank.transport.streams._session import CATALOG_WAIT_MS, CallerSession, SessionServices
 from figcrank.transport.streams._settings import SessionHostSettings
 from figcrank.transport.streams._status_responder import StatusResponder
+from figcrank.transport.streams._stopper import HostStopper
 from figcrank.transport.streams._store_reader import StoreReader
 from figcrank.transport.streams._traffic import MessageKind, TrafficMeter
 from figcrank.transport.streams._view_fetcher import VIEW_PATH
 
 BACKLOG = 512  # callers reconnect at the same time after a restart
 TICK_INTERVAL_MS = 100
-SESSION_CLOSE_SPREAD_MS = 1_200  # idle sessions are closed over this time, to spread reconnects
-EXIT_MARGIN_MS = 700  # exit this long before the process would be killed
-TRANSACTION_GRACE_FRACTION = 0.5  # of the grace time, for open transactions
 SETTINGS_POLL_INTERVAL_MS = 5_000  # settings change a few times a year; the file has 1 kB
 READINESS_PATH = "/readiness"
 METRICS_PATH = "/metrics"
@@ -179,7 +178,8 @@
             self._log,
             self._metrics,
         )
-        runner = StatementRunner(self._router, self._clock, self._metrics, self._log)
+        lifetime = HostLifetime()
+        runner = StatementRunner(self._router, self._clock, self._metrics, self._log, lifetime)
         self._services = SessionServices(
             caller_codec,
             self._router,
@@ -188,6 +188,7 @@
             self._log,
             self._metrics,
             refusal_age_ms=timings.refusal_age_ms,
+            lifetime=lifetime,
         )
         self._queue_page = QueuePage(self._router, self._services.refusals, self._clock)
         self._relay_services = RelayServices(
@@ -200,6 +201,10 @@
             OwnerOpener(
                 settings.availability_zone, self._tracker, self._clock, self._metrics, traffic
             ),
+            lifetime,
+        )
+        self._stopper = HostStopper(
+            self._services.sessions, lifetime, self._clock, self._log, self._metrics
         )
         self._group_owner_monitor = GroupOwnerMonitor(
             self._view, self._tracker, self._clock, self._log, self._metrics
@@ -417,30 +422,11 @@
 
     def _stop(self) -> None:
         """Close sessions gracefully within the grace time, then exit."""
-        settings = self._settings
-        started_ms = self._clock.now_ms()
         self._view.leaving = True
-        self._log.event("stopping", sessions=len(self._services.sessions))
+        self._stopper.begin(self._settings.grace_ms)
         eventlet.spawn_n(self._link.broadcast_heartbeat)
-        transactions_end_ms = started_ms + int(settings.grace_ms * TRANSACTION_GRACE_FRACTION)
-        end_ms = started_ms + settings.grace_ms - EXIT_MARGIN_MS
-        eventlet.sleep(BALANCER_REMOVAL_MS / 1_000)
-        sessions = list(self._services.sessions)
-        for session in sessions:
-            session.close_when_idle()
-            eventlet.sleep(SESSION_CLOSE_SPREAD_MS / 1_000 / max(1, len(sessions)))
-        while self._services.sessions and self._clock.now_ms() < end_ms:
-            for session in list(self._services.sessions):
-                session.close_when_idle()
-                if session.in_transaction and self._clock.now_ms() >= transactions_end_ms:
-                    session.abort_transaction()
-            eventlet.sleep(TICK_INTERVAL_MS / 1_000)
-        for session in self._services.sessions:
-            session.report_unanswered("the host exits")
-        unanswered = sum(session.is_answering for session in self._services.sessions)
-        self._log.event("stopped", sessions=len(self._services.sessions), unanswered=unanswered)
-        self._log.flush()
-        os._exit(0)
+        self._stopper.run()
+        self._stopper.exit()
 
 
 def _open_listener(address: tuple[str, int]) -> socket.socket:
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_owner_session.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_owner_session.py
@@ -89,6 +89,10 @@
         )
         return True
 
+    def _reject_start(self, failure: SessionFailure, reason: str) -> None:
+        """Send nothing: the relay tries another owner once the connection is closed."""
+        self._outstanding = None
+
     def _reply_facts(self) -> tuple[int, int]:
         """Return the configuration version and the route's statement timeout, for each reply."""
         catalog = self._services.router.view.catalog
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_read_runner.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_read_runner.py
@@ -104,6 +104,7 @@
                     continue
                 running += 1
                 attempt.pool.extend_use(attempt.connection, deadline_ms)
+                session.statement_sent = True
                 attempt.connection.send(data, self._reply_handler(results, attempt))
             wait_ms = deadline_ms - self._clock.now_ms()
             if attempt is not None and running == 1:
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_relayed_session.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_relayed_session.py
@@ -1,11 +1,11 @@
 """Caller sessions that an owner runs on behalf of this host."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from eventlet.green import socket
 
 from figcrank.coordination.owners import after_lost_owner
-from figcrank.coordination.sessions import RefusalReason
+from figcrank.coordination.sessions import HostLifetime, RefusalReason
 from figcrank.protocol.owners import Owner
 from figcrank.protocol.relays import RelayReply, encode_request
 from figcrank.protocol.sessions import (
@@ -20,6 +20,7 @@
 from figcrank.state._clock import Clock
 from figcrank.transport.streams._caller_connection import (
     SESSION_START_TIMEOUT_MS,
+    STOPPING_DETAIL,
     CallerConnection,
 )
 from figcrank.transport.streams._connection import ServerConnection
@@ -44,6 +45,7 @@
     :param metrics: metrics registry.
     :param sessions: the open sessions of the host.
     :param opener: opens sessions at owners.
+    :param lifetime: how long this host runs.
     """
 
     codec: CallerCodec
@@ -53,6 +55,7 @@
     metrics: Metrics
     sessions: set[CallerConnection]
     opener: OwnerOpener
+    lifetime: HostLifetime = field(default_factory=HostLifetime)
 
 
 class RelayedSession(CallerConnection):
@@ -75,6 +78,7 @@
             services.clock,
             services.log,
             services.metrics,
+            services.lifetime,
         )
         self._services = services
         self._opened = opened
@@ -82,6 +86,8 @@
         self._connection: ServerConnection | None = None
         self._state = TransactionState.IDLE
         self._wrote = False
+        self._sent = False  # whether the request in progress was sent to the owner
+        self._may_change = False  # whether it may change data
         self._prepared_writes: dict[str, bool] = {}
         self._timeout_ms = 0
 
@@ -120,8 +126,19 @@
             if self._may_close:
                 return
 
+    def _unanswered_failure(self) -> SessionFailure:
+        if not isinstance(self._outstanding, Request):
+            return SessionFailure.ABORTED if self.in_transaction else SessionFailure.BUSY
+        return after_lost_owner(
+            self._outstanding, self._state, self._may_change, self._wrote, self._sent
+        )
+
     def _open(self, start: SessionStart) -> bool:
         """Open the session at an owner; return whether it was accepted."""
+        if self._lifetime.rejects_sessions(self._clock.now_ms()):
+            self._record_refusal("", SessionFailure.BUSY, STOPPING_DETAIL, RefusalReason.STOPPING)
+            self._send(self._codec.rejection(SessionFailure.BUSY, STOPPING_DETAIL))
+            return False
         opened = self._services.opener.open(start)
         if opened is not None:
             return self._accept(opened)
@@ -154,26 +171,27 @@
     def _forward(self, request: Request) -> bool:
         """Forward a request and its reply; return whether the session can continue."""
         connection = self._connection
-        may_write = self._may_write(request)
-        sent = not connection.is_lost()
+        self._may_change = self._may_write(request)
+        self._sent = not connection.is_lost()
         reply = None
-        if sent:
+        if self._sent:
             message = encode_request(request, self._services.owners.seen_version)
-            timeout_ms = self._timeout_ms or DEFAULT_REPLY_TIMEOUT_MS
-            reply = connection.send_and_wait(
-                message, timeout_ms + REPLY_MARGIN_MS, self.is_connected
-            )
+            reply = connection.send_and_wait(message, self._reply_timeout_ms(), self.is_connected)
         if reply is None and not self.is_connected():
             raise EOFError  # ends the session; its statement leaves the owner's queue
         if reply is None:
-            failure = after_lost_owner(request, self._state, may_write, self._wrote, sent)
-            self._report_lost_owner(request, failure)
+            self._report_lost_owner(request, self._unanswered_failure())
             return False
-        self._wrote = self._wrote or may_write
+        self._wrote = self._wrote or self._may_change
         self._observe(reply)
         self._reply(reply.body)
         return True
 
+    def _reply_timeout_ms(self) -> int:
+        now_ms = self._clock.now_ms()
+        timeout_ms = (self._timeout_ms or DEFAULT_REPLY_TIMEOUT_MS) + REPLY_MARGIN_MS
+        return self._lifetime.limit_ms(now_ms + timeout_ms) - now_ms
+
     def _may_write(self, request: Request) -> bool:
         if request.verb is Verb.PREPARE:
             # An earlier statement of this name stays prepared if the owner rejects this one.
@@ -190,11 +208,16 @@
         self._record_refusal(request.request_id, failure, reason)
         self._reply_failure(failure, reason)
 
-    def _record_refusal(self, request_id: str, failure: SessionFailure, reason: str) -> None:
+    def _record_refusal(
+        self,
+        request_id: str,
+        failure: SessionFailure,
+        reason: str,
+        refusal: RefusalReason = RefusalReason.NO_OWNER,
+    ) -> None:
         self._services.metrics.count("refused", failure=failure.name.lower())
         if failure is SessionFailure.BUSY:
-            reason = RefusalReason.NO_OWNER.value
-            self._services.metrics.count("callers_refused", reason=reason)
+            self._services.metrics.count("callers_refused", reason=refusal.value)
         self._services.log.event(
             "refused",
             id=request_id,
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_runner.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_runner.py
@@ -4,7 +4,12 @@
 from typing import TYPE_CHECKING
 
 from figcrank.coordination.admission import Demand, Stage
-from figcrank.coordination.sessions import RefusalReason, RetryAction, after_write
+from figcrank.coordination.sessions import (
+    HostLifetime,
+    RefusalReason,
+    RetryAction,
+    after_write,
+)
 from figcrank.protocol.sessions import SessionFailure, StatementReply, TransactionState
 from figcrank.state._catalog import DatabaseRoute
 from figcrank.state._clock import Clock
@@ -40,15 +45,25 @@
     :param clock: this host's clock.
     :param metrics: counts the proxy's own statements.
     :param log: log of failed attempts.
+    :param lifetime: how long this host runs.
     """
 
-    def __init__(self, router: Router, clock: Clock, metrics: Metrics, log: EventLog) -> None:
+    def __init__(
+        self,
+        router: Router,
+        clock: Clock,
+        metrics: Metrics,
+        log: EventLog,
+        lifetime: HostLifetime | None = None,
+    ) -> None:
         self._log = log
         self._router = router
         self._codec = router.codec
         self._clock = clock
         self._preparer = ConnectionPreparer(router.codec, metrics)
-        self._acquirer = ConnectionAcquirer(router, clock, self._preparer)
+        self._acquirer = ConnectionAcquirer(
+            router, clock, self._preparer, lifetime or HostLifetime()
+        )
         self._observer = ReplyObserver(router, clock)
         self._reads = ReadRunner(router, clock, self._preparer, self._acquirer, self._observer, log)
 
@@ -104,6 +119,7 @@
                 pool.release(connection)
                 continue
             tries += 1
+            session.statement_sent = True
             reply = self._send_and_wait(connection, data, demand)
             if reply is None:
                 self._router.discard_failed_connection(pool, connection)
@@ -119,6 +135,7 @@
                 return Answer(
                     reply.payload, reply.failure, reply.detail, tries, pool.entry.server_id
                 )
+            session.statement_sent = False  # each failure that is retried says that it has not run
             if reply.failure is SessionFailure.UNKNOWN_STATEMENT:
                 connection.prepared.clear()
 
@@ -145,6 +162,7 @@
 
     def _send(
         self,
+        session: "CallerSession",
         pool: ServerPool,
         connection: ServerConnection,
         statement: Statement,
@@ -159,6 +177,7 @@
         if not self._router.may_send_to(pool.entry):
             detail = "nothing may be sent to the server now"
             raise OpenError(SessionFailure.BUSY, detail, reason=RefusalReason.EVACUATED)
+        session.statement_sent = True
         return self._send_and_wait(connection, data, demand)
 
     def _record_commit_position(
@@ -243,7 +262,7 @@
         if not self._preparer.apply_variables(session, connection):
             return None
         try:
-            return self._send(pool, connection, statement, demand)
+            return self._send(session, pool, connection, statement, demand)
         except OpenError as error:
             self._log_unsent(statement, pool, error)
             return None  # aborts the transaction, as a lost connection does
@@ -339,7 +358,7 @@
             return Answer(b"", SessionFailure.ABORTED, detail, 0, server_id)
         self._router.record_at_cold(pool)
         try:
-            reply = self._send(pool, connection, statement, demand)
+            reply = self._send(session, pool, connection, statement, demand)
         except OpenError as error:
             pool.discard(connection)  # the commit was not sent; the server rolls back
             return Answer(b"", SessionFailure.ABORTED, str(error), 0, server_id)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
@@ -5,7 +5,8 @@
 import eventlet
 from eventlet.green import socket
 
-from figcrank.coordination.sessions import RefusalReason, after_lost_commit
+from figcrank.coordination.owners import after_lost_owner
+from figcrank.coordination.sessions import HostLifetime, RefusalReason, after_lost_commit
 from figcrank.protocol.sessions import (
     CallerCodec,
     CallerMessage,
@@ -22,6 +23,7 @@
 from figcrank.state._positions import Position
 from figcrank.transport.streams._caller_connection import (
     SESSION_START_TIMEOUT_MS,
+    STOPPING_DETAIL,
     CallerConnection,
 )
 from figcrank.transport.streams._log import EventLog
@@ -56,6 +58,7 @@
     :param sessions: the open sessions.
     :param refusal_age_ms: largest age of the configuration at which an unknown key or database is
         refused for good; ``None`` if any age will do.
+    :param lifetime: how long this host runs.
     :param refusals: counts refusals by reason.
     """
 
@@ -67,6 +70,7 @@
     metrics: Metrics
     sessions: set[CallerConnection] = field(default_factory=set)
     refusal_age_ms: int | None = None
+    lifetime: HostLifetime = field(default_factory=HostLifetime)
     refusals: RefusalRecorder = field(init=False)
 
     def __post_init__(self) -> None:
@@ -91,6 +95,7 @@
             services.clock,
             services.log,
             services.metrics,
+            services.lifetime,
         )
         self._services = services
         self._database = ""
@@ -99,6 +104,7 @@
         self.variables: dict[str, str] = {}
         self.prepared: dict[str, PreparedStatement] = {}
         self._transaction: Transaction | None = None
+        self.statement_sent = False  # whether the request in progress may have run at a server
         self.last_commit: dict[str, Position] = {}  # by group
 
     def require_version(self, version: int) -> None:
@@ -152,6 +158,10 @@
     def _accept_session_start(self, session_start: SessionStart) -> bool:
         self._database = session_start.database
         self._key = session_start.key
+        if self._lifetime.rejects_sessions(self._clock.now_ms()):
+            self._record_refusal("", SessionFailure.BUSY, STOPPING_DETAIL, RefusalReason.STOPPING)
+            self._reject_start(SessionFailure.BUSY, STOPPING_DETAIL)
+            return False
         self._await_catalog()
         failure = self._confirmed_access_failure()
         if failure is not None:
@@ -234,7 +244,21 @@
             return SessionFailure.UNAUTHENTICATED
         return None
 
+    def _unanswered_failure(self) -> SessionFailure:
+        request, transaction = self._outstanding, self._transaction
+        if not isinstance(request, Request):
+            return SessionFailure.ABORTED if self.in_transaction else SessionFailure.BUSY
+        may_write = request.verb is Verb.WRITE
+        if request.verb is Verb.EXECUTE:
+            prepared = self.prepared.get(request.name)
+            may_write = prepared is None or prepared.is_write
+        wrote = transaction is not None and transaction.wrote
+        return after_lost_owner(
+            request, self.transaction_state, may_write, wrote, self.statement_sent
+        )
+
     def _handle(self, request: Request) -> None:
+        self.statement_sent = False
         transaction = self._transaction
         if self._catalog_is_outdated() and not self._await_newer_catalog(request):
             return
