Refuse a request that crosses the close of its session

What callers saw: a request that was sent on an idle session just before its host closed it, and a connection that was reset without an answer; nothing told whether it had run.

Cause: nothing on the wire tells a caller that its request was not read before the close. Now the host sends a failure before it closes: BUSY, or ABORTED within a transaction. It answers a request that is on its way, which is not run; a caller that has sent nothing closes its session, as for any message that it did not ask for. An owner does the same to its relays, which read it as the refusal of what they had sent, no longer as a request in doubt.

--- a/packages/figcrank-protocol/src/figcrank/protocol/sessions.py
+++ b/packages/figcrank-protocol/src/figcrank/protocol/sessions.py
@@ -191,6 +191,13 @@
     def rejection(self, failure: SessionFailure, detail: str) -> bytes:
         """Return the reply to a handshake that is rejected; the connection is closed after it."""
 
+    def closing_notice(self, failure: SessionFailure, detail: str) -> bytes:
+        """Return the message that is sent before a session is closed between two operations.
+
+        It refuses a request that the caller has sent meanwhile.
+        """
+        return self.rejection(failure, detail)
+
     @abstractmethod
     def completion(self) -> bytes:
         """Return the body for a request that was handled without a backend server."""
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_caller_connection.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_caller_connection.py
@@ -27,6 +27,7 @@
 SEND_TIMEOUT_MS = 10_000  # closes connections that take no byte of a reply for this long
 FIRST_REQUEST_MS = 300  # callers send the first request of a session at once
 CLOSE_TIMEOUT_MS = 500  # for callers to close after the last message of a session
+CLOSING_DETAIL = "the host is closing the session"
 STOPPING_DETAIL = "this host is being stopped; connect again to reach another one"
 
 
@@ -131,6 +132,9 @@
         connected = not self._caller_closed and self.is_connected()
         if self._outstanding is not None:
             self._answer_outstanding(failure, reason, connected)
+        elif self._closing and connected:
+            with contextlib.suppress(OSError):  # the caller has disconnected
+                self._send(self._codec.closing_notice(failure, CLOSING_DETAIL))
         if connected:
             self._await_close()
 
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_relayed_session.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_relayed_session.py
@@ -179,7 +179,9 @@
             reply = connection.send_and_wait(message, self._reply_timeout_ms(), self.is_connected)
         if reply is None and not self.is_connected():
             raise EOFError  # ends the session; its statement leaves the owner's queue
-        if reply is None:
+        if reply is not None and reply.ended:
+            self._sent = False  # the owner had closed the session before it read the request
+        if reply is None or reply.ended:
             self._report_lost_owner(request, self._unanswered_failure())
             return False
         self._wrote = self._wrote or self._may_change
--- a/packages/figcrank-transport/tests/test_caller_connection.py
+++ b/packages/figcrank-transport/tests/test_caller_connection.py
@@ -38,6 +38,9 @@
     def reply(self, body, state):
         return body + f" {state.name}\n".encode()
 
+    def closing_notice(self, failure, detail):
+        return failure.name.encode() + b"\n"
+
 
 class SendingConnection(CallerConnection):
     """Sends one large reply while it holds something."""
@@ -141,6 +144,21 @@
     assert "unexpected" in event["reason"]
 
 
+def test_request_that_crosses_the_close_of_its_session_is_refused(sockets, log):
+    """Guards against an idle session that is closed while a request is on its way."""
+    here, caller = sockets
+    connection = serve(WaitingConnection, here, log)
+    running = eventlet.spawn(connection.run)
+    eventlet.sleep(0)  # the session waits for a request
+    connection.close_when_idle()
+    caller.sendall(b"crossing\n")
+    assert caller.recv(200) == b"ABORTED\n"
+    assert caller.recv(200) == b""
+    caller.close()
+    with eventlet.Timeout(10):
+        running.wait()
+
+
 def test_new_session_is_left_the_time_to_send_its_first_request(sockets, log):
     here, caller = sockets
     connection = serve(WaitingConnection, here, log)
