Close the sessions of a stopping host by time, not one a round of its loop

What callers saw: requests cut at the end of the grace time of the host that they had reached.

Cause: the stop slept between any two sessions that it closed and looked at the time only after the last one.

The share of the sessions that are to be closed follows from the time that has passed, and sessions are interrupted by the event loop, all that are due in one round.

--- a/packages/figcrank-coordination/src/figcrank/coordination/sessions/_stop_plan.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/sessions/_stop_plan.py
@@ -53,6 +53,12 @@
             exit_ms,
         )
 
+    def closing_share(self, now_ms: int) -> float:
+        """Return the share of the sessions that are to be closed by now, from 0 to 1."""
+        if now_ms >= self.closing_ms + self.close_spread_ms:
+            return 1.0
+        return max(0.0, (now_ms - self.closing_ms) / self.close_spread_ms)
+
 
 class HostLifetime:
     """Tells the sessions of a host how long it runs."""
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_caller_connection.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_caller_connection.py
@@ -4,6 +4,7 @@
 from abc import ABC, abstractmethod
 
 import eventlet
+from eventlet import hubs
 from eventlet.green import socket
 
 from figcrank.coordination.sessions import HostLifetime, RefusalReason
@@ -179,11 +180,22 @@
         """
 
     def interrupt(self, reason: str) -> None:
-        """End the session now; a request in progress is answered with what is known of it."""
+        """End the session; a request in progress is answered with what is known of it.
+
+        It ends with the next round of the event loop, so that a host with many sessions does not
+        need a round for each.
+        """
+        self._closing = True
+        hubs.get_hub().schedule_call_global(0, self._throw, reason)
+
+    def _throw(self, reason: str) -> None:
         if self._greenlet is not None:
-            self._closing = True
             eventlet.kill(self._greenlet, SessionInterrupted(reason))
 
+    def _throw_if_idle(self) -> None:
+        if self._receiving and not self.in_transaction and not self._has_unread():
+            self._throw("the session is idle")
+
     @property
     def is_answering(self) -> bool:
         """Return whether a request was read that has not been answered yet."""
@@ -243,8 +255,7 @@
         self._closing = True
         if spare_new and self._clock.now_ms() < self._opened_ms + FIRST_REQUEST_MS:
             return
-        if self._receiving and not self.in_transaction and not self._has_unread():
-            self.interrupt("the session is idle")
+        hubs.get_hub().schedule_call_global(0, self._throw_if_idle)
 
     @property
     def _may_close(self) -> bool:
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_stopper.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_stopper.py
@@ -1,5 +1,6 @@
 """Stops a host: closes idle sessions, ends transactions, answers what is left, and then exits."""
 
+import math
 import os
 import traceback
 
@@ -13,6 +14,7 @@
 from figcrank.transport.streams._metrics import Metrics
 
 CHECK_INTERVAL_MS = 100
+SPREAD_INTERVAL_MS = 20
 
 
 class HostStopper:
@@ -73,9 +75,15 @@
         """Close sessions and roll back idle transactions until all have ended or time is up."""
         self._sleep_until(plan.closing_ms)
         sessions = list(self._sessions)
-        for session in sessions:
-            session.close_when_idle(spare_new=True)
-            eventlet.sleep(plan.close_spread_ms / 1_000 / len(sessions))
+        closed, share = 0, 0.0
+        while share < 1.0:
+            # The loop of a busy host may need longer than planned for each of many sessions.
+            share = plan.closing_share(self._clock.now_ms())
+            due = math.ceil(share * len(sessions))
+            for session in sessions[closed:due]:
+                session.close_when_idle(spare_new=True)
+            closed = due
+            eventlet.sleep(SPREAD_INTERVAL_MS / 1_000)
         while self._sessions and self._clock.now_ms() < plan.answers_end_ms:
             for session in list(self._sessions):
                 session.close_when_idle(spare_new=True)
--- a/packages/figcrank-transport/tests/test_caller_connection.py
+++ b/packages/figcrank-transport/tests/test_caller_connection.py
@@ -151,6 +151,7 @@
     running = eventlet.spawn(connection.run)
     eventlet.sleep(0)  # the session waits for a request
     connection.close_when_idle()
+    eventlet.sleep(0)  # the session ends
     caller.sendall(b"crossing\n")
     assert caller.recv(200) == b"ABORTED\n"
     assert caller.recv(200) == b""
