Complete a reply that is being sent when its session is interrupted

What callers saw: a reply that ends in the middle, and then the end of the connection, if they were still reading it 1 s before the end of the grace time. Cause: interrupt() threw its exception into a session that was inside sendall(). Such a request can be answered with nothing else; it was logged as unanswered although the rest of the reply was at hand and the process ran for another 300 ms. Evidence: test_reply_that_is_being_sent_is_not_cut_by_the_end_of_its_session failed before (a reply of 20 MB over a pair of sockets ended early). Now an interrupted session completes its reply and ends right after it.

--- a/packages/figcrank-transport/src/figcrank/transport/streams/_caller_connection.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_caller_connection.py
@@ -67,6 +67,7 @@
         self._lifetime = lifetime
         self._greenlet: eventlet.greenlet.greenlet | None = None  # while it may be interrupted
         self._replying = False
+        self._ends_after_reply: str | None = None  # why, if it was interrupted in a reply
         self._outstanding: SessionStart | Request | MalformedMessage | None = None
         self._outstanding_since_ms = 0
         self._decoder = codec.decoder()
@@ -183,13 +184,17 @@
         """End the session; a request in progress is answered with what is known of it.
 
         It ends with the next round of the event loop, so that a host with many sessions does not
-        need a round for each.
+        need a round for each. A reply that is being sent is completed first.
         """
         self._closing = True
         hubs.get_hub().schedule_call_global(0, self._throw, reason)
 
     def _throw(self, reason: str) -> None:
-        if self._greenlet is not None:
+        if self._greenlet is None:
+            return
+        if self._replying:
+            self._ends_after_reply = reason
+        else:
             eventlet.kill(self._greenlet, SessionInterrupted(reason))
 
     def _throw_if_idle(self) -> None:
@@ -303,6 +308,8 @@
         self._outstanding = None
         if self._traffic is not None:
             self._traffic.sent(len(data))
+        if self._ends_after_reply is not None and self._greenlet is not None:
+            raise SessionInterrupted(self._ends_after_reply)
 
     def _count_bytes(self, traffic: TrafficChannel) -> None:
         """Count the bytes of this connection, including those received already."""
--- a/packages/figcrank-transport/tests/test_caller_connection.py
+++ b/packages/figcrank-transport/tests/test_caller_connection.py
@@ -160,6 +160,23 @@
         running.wait()
 
 
+def test_reply_that_is_being_sent_is_not_cut_by_the_end_of_its_session(sockets, log):
+    """Guards against a stop that cuts a large reply for a caller that is still reading it."""
+    here, caller = sockets
+    connection = serve(SendingConnection, here, log)
+    running = eventlet.spawn(connection.run)
+    eventlet.sleep(0)  # the sockets' buffers are full
+    connection.interrupt("the host stops")
+    received = 0
+    with eventlet.Timeout(10):
+        while received < len(LARGE_REPLY):
+            data = caller.recv(1_000_000)
+            assert data, f"the reply ended after {received} bytes"
+            received += len(data)
+        caller.close()
+        running.wait()
+
+
 def test_new_session_is_left_the_time_to_send_its_first_request(sockets, log):
     here, caller = sockets
     connection = serve(WaitingConnection, here, log)
