Report a commit in doubt if its answer fails after it has run

What a caller could see: ABORTED, a promise that nothing is kept, for a transaction that had been committed. Cause: _commit() forgets the transaction before it answers, and _unanswered_failure() took a commit without a transaction for one that had written nothing. Evidence: test_commit_that_ran_is_in_doubt_if_its_answer_fails got ABORTED before. 27 tests of the file pass with the change. A commit that was sent and whose transaction has ended may have written, so it is in doubt.

--- a/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
@@ -252,7 +252,8 @@
         if request.verb is Verb.EXECUTE:
             prepared = self.prepared.get(request.name)
             may_write = prepared is None or prepared.is_write
-        wrote = transaction is not None and transaction.wrote
+        # A commit that was sent has ended its transaction; it may have written.
+        wrote = transaction is None or transaction.wrote
         return after_lost_owner(
             request, self.transaction_state, may_write, wrote, self.statement_sent
         )
--- a/packages/figcrank-transport/tests/test_owner_session.py
+++ b/packages/figcrank-transport/tests/test_owner_session.py
@@ -69,6 +69,10 @@
     def run_single(self, _session, _statement, _route, _workspace):
         return self.answer
 
+    def commit(self, session, _statement, transaction):
+        transaction.wrote = session.statement_sent = True
+        return self.answer
+
     def abort(self, transaction):
         pass
 
@@ -310,3 +314,20 @@
     scenario.start(seen=4)
     scenario.run(Verb.SET, seen=5)
     assert 'callers_refused_total{reason="configuration"} 1' in scenario.metrics.render()
+
+
+def test_commit_that_ran_is_in_doubt_if_its_answer_fails(scenario, monkeypatch):
+    """Guards against a promise that nothing is kept, for a transaction that was committed."""
+
+    def fail(*_args):
+        raise ValueError("unexpected")
+
+    scenario.runner.answer = Answer(b"committed", took_ms=1)
+    scenario.start(seen=4)
+    assert scenario.run(Verb.BEGIN, seen=4) == (b"done", TransactionState.OPEN)
+    monkeypatch.setattr(scenario.metrics, "observe_latency", fail)
+    assert scenario.run(Verb.COMMIT, seen=4)[0] == b"IN_DOUBT"
+    scenario.sock.close()
+    with pytest.raises(ValueError, match="unexpected"):
+        scenario.session.wait()
+    scenario.session = eventlet.spawn(int)  # for the fixture, which waits for it
