Don't run writes and commits of callers that have gone

Cause: a host that was suspended reads, when it wakes, the requests that have come meanwhile, with the close of callers that gave up behind them. Only statements that wait in a server's queue, and replies that relays wait for, were given up when the caller had closed; a write that found a free connection was sent without a look at the caller. The caller, having given up, had written newer values through another host; the late write overwrote them. The write was in doubt, so no promise was broken, but nobody waited for it. The same held for a write or commit that was read before the suspension and whose deadline passed during it: nothing asked for the deadline right before sending.

Change: right before a write or a commit is sent, to a server or from a relay to an owner, the caller must be connected and its time not over. An owner sees the close of a relay's caller as the close of the relay's connection. As while a statement waits, a caller that closes only its sending direction counts as gone; it is still answered.

Not changed: a host can't know how long a request lay in its socket. While the caller is connected it still waits, so that a late write overwrites nothing of its session. A close that doesn't reach the host (a cut link) leaves the write in doubt, as before.

--- a/packages/figcrank-coordination/src/figcrank/coordination/sessions/_refusal_reason.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/sessions/_refusal_reason.py
@@ -17,7 +17,7 @@
     OVER_LIMIT = "over_limit"  # the workspace's rate limit demands it
     DEADLINE = "deadline"  # it could not end before its deadline in a server's queue
     QUEUE_FULL = "queue_full"  # too many statements wait for the server
-    DISCONNECTED = "disconnected"  # the caller closed its connection while the statement waited
+    DISCONNECTED = "disconnected"  # the caller closed its connection before the statement ran
     PRIMARY_MOVING = "primary_moving"  # the primary is being replaced
     PRIMARY_UNKNOWN = "primary_unknown"  # the group has no primary record
     PRIMARY_FAILED = "primary_failed"  # the primary does not answer
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_relayed_session.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_relayed_session.py
@@ -172,6 +172,13 @@
         """Forward a request and its reply; return whether the session can continue."""
         connection = self._connection
         self._may_change = self._may_write(request)
+        self._sent = False
+        if self._takes_effect(request) and not self.is_connected():
+            # It may have lain unread while this host was suspended.
+            self._end_with_failure(
+                request, "the caller has disconnected", RefusalReason.DISCONNECTED
+            )
+            return False
         self._sent = not connection.is_lost()
         reply = None
         if self._sent:
@@ -182,7 +189,8 @@
         if reply is not None and reply.ended:
             self._sent = False  # the owner had closed the session before it read the request
         if reply is None or reply.ended:
-            self._report_lost_owner(request, self._unanswered_failure())
+            reason = f"the connection to owner {self._owner.name} was lost"
+            self._end_with_failure(request, reason, RefusalReason.NO_OWNER)
             return False
         self._wrote = self._wrote or self._may_change
         self._observe(reply)
@@ -203,11 +211,16 @@
             return self._prepared_writes.get(request.name, True)
         return request.verb is Verb.WRITE
 
-    def _report_lost_owner(self, request: Request, failure: SessionFailure) -> None:
-        """Report the failure; the session ends after it, since its state is lost."""
+    def _takes_effect(self, request: Request) -> bool:
+        """Return whether a request changes data for good, rather than within a transaction."""
+        is_single = self._state is TransactionState.IDLE
+        return request.verb is Verb.COMMIT or (is_single and self._may_change)
+
+    def _end_with_failure(self, request: Request, reason: str, refusal: RefusalReason) -> None:
+        """Report the failure of a request; the session ends after it, since its state is lost."""
+        failure = self._unanswered_failure()
         self._state = TransactionState.IDLE
-        reason = f"the connection to owner {self._owner.name} was lost"
-        self._record_refusal(request.request_id, failure, reason)
+        self._record_refusal(request.request_id, failure, reason, refusal)
         self._reply_failure(failure, reason)
 
     def _record_refusal(
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_runner.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_runner.py
@@ -90,6 +90,20 @@
         demand.stages.add(Stage.SERVER, self._clock.now_ms() - connection.sent_ms)
         return reply
 
+    def _withdrawal(self, demand: Demand) -> OpenError | None:
+        """Return why a statement that would take effect is no longer sent, ``None`` to send it.
+
+        Its caller may have given up while this host was suspended, with the request unread or
+        waiting, and may have written something newer since.
+        """
+        if not demand.connected():
+            detail, reason = "the caller has disconnected", RefusalReason.DISCONNECTED
+        elif self._clock.now_ms() >= demand.deadline_ms:
+            detail, reason = "its time was over before it was sent", RefusalReason.DEADLINE
+        else:
+            return None
+        return OpenError(SessionFailure.BUSY, detail, reason=reason)
+
     def _run_write(
         self,
         session: "CallerSession",
@@ -118,6 +132,11 @@
             if not self._acquirer.is_usable_primary(pool, route.group):
                 pool.release(connection)
                 continue
+            withdrawal = self._withdrawal(demand)
+            if withdrawal is not None:
+                pool.release(connection)
+                failure, detail = withdrawal.failure, str(withdrawal)
+                return Answer(b"", failure, detail, tries, refusal=withdrawal.reason)
             tries += 1
             session.statement_sent = True
             reply = self._send_and_wait(connection, data, demand)
@@ -358,6 +377,9 @@
             return Answer(b"", SessionFailure.ABORTED, detail, 0, server_id)
         self._router.record_at_cold(pool)
         try:
+            withdrawal = self._withdrawal(demand)
+            if withdrawal is not None:
+                raise withdrawal
             reply = self._send(session, pool, connection, statement, demand)
         except OpenError as error:
             pool.discard(connection)  # the commit was not sent; the server rolls back
--- a/packages/figcrank-transport/tests/test_relayed_session.py
+++ b/packages/figcrank-transport/tests/test_relayed_session.py
@@ -247,6 +247,29 @@
         assert not owner.socks[0].recv(200)  # the relay closed its connection
 
 
+@pytest.mark.parametrize(
+    ("before", "last", "failure", "verbs"),
+    [
+        ((), "WRITE", SessionFailure.BUSY, []),
+        (("BEGIN", "WRITE"), "COMMIT", SessionFailure.ABORTED, [Verb.BEGIN, Verb.WRITE]),
+    ],
+)
+def test_request_whose_caller_has_gone_is_not_forwarded_if_it_takes_effect(
+    relay, before, last, failure, verbs
+):
+    """Guards against a write that lay unread while its relay was suspended."""
+    caller = relay.call()
+    caller.recv(200)
+    if before:
+        ask(caller, *before)
+    caller.sendall(last.encode() + b"\n")
+    caller.shutdown(socket.SHUT_WR)  # before the relay reads the request
+    assert caller.recv(200).decode().split() == [failure.name, "IDLE"]
+    assert caller.recv(200) == b""
+    requests = [m for m in relay.serving().received if isinstance(m, Request)]
+    assert [request.verb for request in requests] == verbs
+
+
 def test_input_sent_in_advance_is_no_disconnect(relay, monkeypatch):
     """Guards against a session that ends because its caller sends requests without waiting."""
     monkeypatch.setattr(_connection, "CALLER_CHECK_MS", 1)
--- a/packages/figcrank-transport/tests/test_statement_runner.py
+++ b/packages/figcrank-transport/tests/test_statement_runner.py
@@ -181,13 +181,14 @@
 class Session:
     """Session with one variable."""
 
-    def __init__(self):
+    def __init__(self, connected=True):
         self.variables = {"v": "1"}
         self.last_commit = {}
         self.prepared = {}
+        self.connected = connected
 
     def is_connected(self):
-        return True
+        return self.connected
 
 
 class Scenario:
@@ -206,13 +207,17 @@
     def end_lease(self):
         self.router.lease = False
 
-    def write(self):
-        return self.runner.run_single(Session(), WRITE, ROUTE, "w")
+    def write(self, connected=True):
+        return self.runner.run_single(Session(connected), WRITE, ROUTE, "w")
 
-    def commit(self, wrote=True):
+    def commit(self, wrote=True, connected=True):
         transaction = Transaction(WRITE.request, False, ROUTE, "w", self.pool, self.connection)
         transaction.wrote = wrote
-        return self.runner.commit(Session(), COMMIT, transaction)
+        return self.runner.commit(Session(connected), COMMIT, transaction)
+
+    def suspend(self):
+        """Let as much time pass as the caller gives a statement."""
+        self.clock.advance_to(self.clock.now_ms() + ROUTE.timeout_ms)
 
 
 @pytest.fixture
@@ -233,6 +238,39 @@
     assert scenario.connection.sent == ["SET v 1"]
 
 
+def test_write_whose_caller_has_gone_is_not_sent(scenario):
+    """Guards against a write that lay unread while its host was suspended and overwrites newer."""
+    answer = scenario.write(connected=False)
+    assert (answer.failure, answer.tries) == (SessionFailure.BUSY, 0)
+    assert answer.refusal is RefusalReason.DISCONNECTED
+    assert "WRITE 1 x" not in scenario.connection.sent
+    assert not scenario.connection.closed
+
+
+def test_write_whose_time_is_over_is_not_sent(scenario):
+    """Guards against a host that was suspended while it prepared the connection for a write."""
+    scenario.connection.on_set = scenario.suspend
+    answer = scenario.write()
+    assert (answer.failure, answer.tries) == (SessionFailure.BUSY, 0)
+    assert answer.refusal is RefusalReason.DEADLINE
+    assert scenario.connection.sent == ["SET v 1"]
+
+
+def test_commit_whose_caller_has_gone_is_not_sent(scenario):
+    answer = scenario.commit(connected=False)
+    assert answer.failure is SessionFailure.ABORTED
+    assert scenario.connection.sent == []
+    assert scenario.connection.closed
+
+
+def test_commit_whose_time_is_over_is_not_sent(scenario, monkeypatch):
+    """Guards against a host that was suspended while the commit waited for its evacuations."""
+    monkeypatch.setattr(scenario.router, "await_evacuations", scenario.suspend)
+    assert scenario.commit().failure is SessionFailure.ABORTED
+    assert scenario.connection.sent == []
+    assert scenario.connection.closed
+
+
 def test_commit_is_sent_under_a_lease(scenario):
     assert scenario.commit().failure is None
     assert scenario.connection.sent == ["COMMIT"]
