Deliver replies that arrived while a host was suspended

Seen by callers: a host that was paused for longer than the statement timeout answered a read with TIMEOUT and a write with INDOUBT when it woke, although the server had replied during the pause. Every request that had been read was answered, also before this change.

Cause: after a suspension the timeout of a wait and the arrival of the reply are both due at once, and the timeout is handled first. ServerConnection.send_and_wait then closed the connection with the reply unread or just delivered; a read left its result in the queue, since its deadline was over.

Change: when a wait ends without a result and the connection has unread data, the event loop polls once more before the statement is given up.

The test of the connection blocks the loop beyond the timeout, and fails without the change.

--- a/packages/figcrank-transport/src/figcrank/transport/streams/_connection.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_connection.py
@@ -204,6 +204,10 @@
             with eventlet.Timeout(max(0.001, step_ms / 1_000), False):
                 return done.wait()
             if step_ms >= left_ms or not is_wanted():
+                if self.has_unread():  # arrived while this host was suspended or busy
+                    eventlet.sleep(0)
+                if done.ready():
+                    return done.wait()
                 self.close()
                 return None
 
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_read_runner.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_read_runner.py
@@ -2,6 +2,7 @@
 
 from typing import TYPE_CHECKING
 
+import eventlet
 from eventlet.queue import Empty, LightQueue
 
 from figcrank.coordination.admission import Demand, Stage
@@ -69,6 +70,7 @@
         deadline_ms = demand.deadline_ms
         tried: set[str] = set()
         results: LightQueue = LightQueue()
+        sent: list[ServerConnection] = []
         running = 0
         tries = 0
         unanswered = False  # an attempt without a reply may have run
@@ -105,12 +107,13 @@
                 running += 1
                 attempt.pool.extend_use(attempt.connection, deadline_ms)
                 session.statement_sent = True
+                sent.append(attempt.connection)
                 attempt.connection.send(data, self._reply_handler(results, attempt))
             wait_ms = deadline_ms - self._clock.now_ms()
             if attempt is not None and running == 1:
                 wait_ms = min(wait_ms, SLOW_ANSWER_MS)
             try:
-                finished_attempt, reply = results.get(timeout=max(0.001, wait_ms / 1_000))
+                finished_attempt, reply = self._next_result(results, wait_ms, sent)
             except Empty:
                 if attempt is None:
                     break
@@ -153,6 +156,22 @@
         refusal = RefusalReason.SERVER_BUSY if is_busy else RefusalReason.NO_SERVER
         return Answer(b"", _not_run(unanswered), detail, tries, refusal=refusal)
 
+    @staticmethod
+    def _next_result(
+        results: LightQueue, wait_ms: float, sent: list[ServerConnection]
+    ) -> tuple[Attempt, StatementReply | None]:
+        """Return the next result.
+
+        :param sent: connections on which the read was sent.
+        :raises Empty: if there is none in time.
+        """
+        try:
+            return results.get(timeout=max(0.001, wait_ms / 1_000))
+        except Empty:
+            if any(connection.has_unread() for connection in sent):
+                eventlet.sleep(0)  # arrived while this host was suspended or busy
+            return results.get_nowait()
+
     def _log_failed_attempt(
         self,
         statement: Statement,
--- a/packages/figcrank-transport/tests/test_server_connection.py
+++ b/packages/figcrank-transport/tests/test_server_connection.py
@@ -1,4 +1,5 @@
 import errno
+import time
 
 import eventlet
 import pytest
@@ -58,6 +59,19 @@
     assert connection.closed
 
 
+def test_reply_that_arrived_while_the_host_was_suspended_is_returned(pair):
+    """Guards against a host that wakes, finds the time over, and leaves the reply unread."""
+    connection, server_side = pair
+
+    def suspend():
+        server_side.sendall(b".")
+        time.sleep(0.1)
+
+    eventlet.spawn_after(0, suspend)
+    assert connection.send_and_wait(b"x", 50) is not None
+    assert not connection.closed
+
+
 class _RejectingDecoder(Decoder):
     """Wire format in which each byte is the same failure."""
 
