Tell the first request after a rollback that its transaction is aborted

What callers saw: a transaction that was open when a host stopped, or idle for longer than allowed, and MALFORMED "the transaction failed; roll it back" for their next statement. MALFORMED does not tell that nothing is kept, so a caller can't repeat the operation.

Cause: a transaction that is rolled back between two requests had the same state as one whose caller has been told of its failure. Now it keeps the reason until then: the first request is answered ABORTED with it, in state E; later ones get MALFORMED until the transaction is ended. COMMIT and ROLLBACK are answered as before.

The other ways in which a transaction fails were checked by reading, and tell the caller: a refusal and a withdrawn key answer the request with ABORTED, the runner answers each statement that ends a transaction, a server connection that is lost between two requests makes the next statement or COMMIT ABORTED, and a relay answers ABORTED when its owner is gone.

--- a/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
@@ -144,7 +144,7 @@
         message = self._next_message(idle_ms)
         if message is None and transaction is not None and idle_ms and not self._caller_closed:
             self._services.log.event("transaction_idle", database=self._database, idle_ms=idle_ms)
-            self._abort_open_transaction()
+            self._abort_between_requests(f"it had no request for {idle_ms} ms")
             return self._next_message(None)
         return message
 
@@ -268,7 +268,7 @@
             self._refuse(request, refusal, RefusalReason.REGION)
             return
         if transaction is not None and transaction.failed:
-            self._handle_in_failed_transaction(request)
+            self._handle_in_failed_transaction(request, transaction)
         elif request.verb in LOCAL_VERBS:
             self._handle_local(request)
         elif transaction is not None:
@@ -301,12 +301,14 @@
         """Refuse a request that this host may not handle, and abort an open transaction."""
         failure = SessionFailure.ABORTED if self.in_transaction else SessionFailure.BUSY
         self._abort_open_transaction()
+        if self._transaction is not None:
+            self._transaction.untold_failure = ""
         if request.verb in (Verb.COMMIT, Verb.ROLLBACK):
             self._transaction = None
         self._record_refusal(request.request_id, failure, reason, refusal)
         self._reply_failure(failure, reason)
 
-    def _handle_in_failed_transaction(self, request: Request) -> None:
+    def _handle_in_failed_transaction(self, request: Request, transaction: Transaction) -> None:
         if request.verb is Verb.ROLLBACK:
             self._transaction = None
             self._reply(self._codec.completion())
@@ -315,6 +317,11 @@
             self._reply_failure(
                 SessionFailure.ABORTED, "the transaction failed earlier and was rolled back"
             )
+        elif transaction.untold_failure:
+            reason = f"the transaction was rolled back: {transaction.untold_failure}"
+            transaction.untold_failure = ""
+            self._record_refusal(request.request_id, SessionFailure.ABORTED, reason)
+            self._reply_failure(SessionFailure.ABORTED, reason)
         else:
             self._reply_failure(SessionFailure.MALFORMED, "the transaction failed; roll it back")
 
@@ -505,13 +512,20 @@
         transaction.failed = True
         self._services.runner.abort(transaction)
 
+    def _abort_between_requests(self, reason: str) -> None:
+        """Roll back the open transaction; the next request is answered with the failure."""
+        transaction = self._transaction
+        if transaction is not None and not transaction.failed:
+            transaction.untold_failure = reason
+            self._abort_open_transaction()
+
     def abort_transaction(self) -> None:
         """Roll back the open transaction if no request is in progress.
 
         The caller receives the failure with its next request.
         """
         if self._receiving:
-            self._abort_open_transaction()
+            self._abort_between_requests(STOPPING_DETAIL)
 
     def _release(self) -> None:
         if self._transaction is not None:
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_session_state.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_session_state.py
@@ -32,6 +32,8 @@
     :param connection: connection to that server.
     :param wrote: whether a statement that changes data was sent.
     :param failed: whether it can only be rolled back.
+    :param untold_failure: why the host has rolled it back between two requests; empty once the
+        caller was told, and if it failed with a request.
     :param sent: whether any part of it was sent to a server.
     """
 
@@ -43,4 +45,5 @@
     connection: ServerConnection | None = None
     wrote: bool = False
     failed: bool = False
+    untold_failure: str = ""
     sent: bool = False
--- a/packages/figcrank-transport/tests/test_owner_session.py
+++ b/packages/figcrank-transport/tests/test_owner_session.py
@@ -222,6 +222,60 @@
     assert scenario.run(Verb.COMMIT, seen=5) == (b"ABORTED", TransactionState.IDLE)
 
 
+def session_of(scenario):
+    (session,) = scenario.services.sessions
+    return session
+
+
+def roll_back_as_a_stopping_host_does(scenario):
+    eventlet.sleep(0)  # the session waits for a request
+    session_of(scenario).abort_transaction()
+
+
+def roll_back_after_idle_time(scenario):
+    with eventlet.Timeout(10):
+        while session_of(scenario).transaction_state is TransactionState.OPEN:
+            eventlet.sleep(0.001)
+
+
+@pytest.fixture(params=[roll_back_as_a_stopping_host_does, roll_back_after_idle_time])
+def rolled_back(request, scenario):
+    """Return an owner that has rolled back a transaction between two requests."""
+    idle_ms = 20 if request.param is roll_back_after_idle_time else 60_000
+    scenario.view.adopt_catalog(Catalog(5, {"db": ROUTE}, {}, {"key": "w"}, {}, idle_ms), 0)
+    scenario.start(seen=5)
+    assert scenario.run(Verb.BEGIN, seen=5) == (b"done", TransactionState.OPEN)
+    request.param(scenario)
+    return scenario
+
+
+FIRST_REQUESTS = [Verb.READ, Verb.WRITE, Verb.EXECUTE, Verb.SET, Verb.PREPARE, Verb.BEGIN]
+
+
+@pytest.mark.parametrize("verb", FIRST_REQUESTS)
+def test_first_request_after_a_rollback_is_told_that_nothing_is_kept(rolled_back, verb):
+    """Guards against callers that give up, since MALFORMED does not tell that nothing is kept."""
+    assert rolled_back.run(verb, seen=5) == (b"ABORTED", TransactionState.FAILED)
+    assert rolled_back.run(verb, seen=5) == (b"MALFORMED", TransactionState.FAILED)
+    assert rolled_back.run(Verb.ROLLBACK, seen=5) == (b"done", TransactionState.IDLE)
+    rolled_back.log.flush()
+    refused = [e for e in rolled_back.lines if e["event"] == "refused"]
+    assert [e["failure"] for e in refused] == ["aborted"]
+
+
+@pytest.mark.parametrize(("verb", "body"), [(Verb.COMMIT, b"ABORTED"), (Verb.ROLLBACK, b"done")])
+def test_end_of_a_transaction_that_was_rolled_back_is_answered_at_once(rolled_back, verb, body):
+    assert rolled_back.run(verb, seen=5) == (body, TransactionState.IDLE)
+    assert rolled_back.run(Verb.SET, seen=5) == (b"done", TransactionState.IDLE)
+
+
+def test_refusal_tells_of_a_rollback_too(rolled_back):
+    """Guards against a caller that is told of the same failure twice."""
+    assert rolled_back.run(Verb.READ, seen=6) == (b"ABORTED", TransactionState.FAILED)
+    rolled_back.view.adopt_catalog(catalog(6), 0)
+    assert rolled_back.run(Verb.READ, seen=6) == (b"MALFORMED", TransactionState.FAILED)
+
+
 RELAY = StartOptions("zone-a")
 
 
