Let a session without state go on at another owner when its own closes

What callers saw: "ERROR BUSY the connection to owner H was lost" for a request that had met the close of its session at an owner that was being stopped, and the end of idle sessions with their owner.

Cause: a relay ended a session with its owner, whatever the session held there, though it knows for certain that a request was not read: the owner's closing notice answers it, or the connection was lost before anything was sent.

Now the relay opens such a session again with the same start message, by the same ways (redirects, the newest configuration seen), within the time of the request, and sends the request there. HeldState decides: only a session outside a transaction which has set no value, prepared nothing and run nothing that may write; and never a request that the owner may have read, so that no write runs twice. An idle session of this kind stays open when its owner closes. A relay that is being stopped moves no session, nor does an owner that has forwarded the session of its own caller. A connection counts as lost from the owner's notice on, as a request could otherwise be sent before the end of the input arrives.

--- a/packages/figcrank-coordination/src/figcrank/coordination/owners/__init__.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/owners/__init__.py
@@ -9,6 +9,7 @@
 from figcrank.coordination.owners._group_owners import assign_groups as assign_groups
 from figcrank.coordination.owners._group_owners import serving_zone as serving_zone
 from figcrank.coordination.owners._group_owners import zone_distance as zone_distance
+from figcrank.coordination.owners._held_state import HeldState as HeldState
 from figcrank.coordination.owners._memory import OwnerMemory as OwnerMemory
 from figcrank.coordination.owners._seats import HostRole as HostRole
 from figcrank.coordination.owners._seats import Seat as Seat
--- a/packages/figcrank-coordination/src/figcrank/coordination/sessions/_stop_plan.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/sessions/_stop_plan.py
@@ -60,6 +60,11 @@
     def __init__(self) -> None:
         self.plan: StopPlan | None = None
 
+    @property
+    def is_stopping(self) -> bool:
+        """Return whether the host was told to stop."""
+        return self.plan is not None
+
     def rejects_sessions(self, now_ms: int) -> bool:
         """Return whether the host ends too soon to begin another session."""
         return self.plan is not None and now_ms >= self.plan.rejecting_ms
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_connection.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_connection.py
@@ -229,6 +229,7 @@
         self._deliver(None)
 
     def _receive(self) -> None:
+        ended = False
         while not self.closed:
             try:
                 data = self._sock.recv(RECEIVE_BYTES)
@@ -242,7 +243,10 @@
                 break
             for reply in replies:
                 self.state = reply.state
+                ended = isinstance(reply, RelayReply) and reply.ended and not self.outstanding
                 self._deliver(reply)
+            if ended:  # nothing may be sent any more, also before the end of the input arrives
+                break
         was_idle = not self.closed and not self.outstanding
         self.close()
         if was_idle and self.on_idle_close:
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_owner_opener.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_owner_opener.py
@@ -55,9 +55,13 @@
         self._metrics = metrics
         self._traffic = traffic or uncounted()
 
-    def open(self, start: SessionStart) -> OpenedSession | None:
-        """Open a session as a relay; return ``None`` if no owner answers in time."""
-        deadline_ms = self._clock.now_ms() + START_TIMEOUT_MS
+    def open(self, start: SessionStart, deadline_ms: int | None = None) -> OpenedSession | None:
+        """Open a session as a relay; return ``None`` if no owner answers in time.
+
+        :param deadline_ms: time until which the caller waits, if it is not waiting for the start.
+        """
+        start_deadline_ms = self._clock.now_ms() + START_TIMEOUT_MS
+        deadline_ms = min(deadline_ms or start_deadline_ms, start_deadline_ms)
         tried: set[tuple[str, int]] = set()
         remembered = self._owners.memory.get(start.database)
         next_owners = [remembered] if remembered and self._is_open(remembered, tried) else []
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_relayed_session.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_relayed_session.py
@@ -4,7 +4,7 @@
 
 from eventlet.green import socket
 
-from figcrank.coordination.owners import after_lost_owner
+from figcrank.coordination.owners import HeldState, after_lost_owner
 from figcrank.coordination.sessions import HostLifetime, RefusalReason
 from figcrank.protocol.owners import Owner
 from figcrank.protocol.relays import RelayReply, encode_request
@@ -61,11 +61,12 @@
 class RelayedSession(CallerConnection):
     """Forwards a caller's session to an owner.
 
-    The session ends with its owner: the caller reconnects, and another owner is chosen.
+    If the owner closes the session or is lost, the session goes on at another owner once there is a
+    request. A session that holds anything at its owner ends with it instead: the caller reconnects.
 
     :param sock: connected socket of the caller.
     :param services: services shared by all relayed sessions.
-    :param opened: the session, if it was opened at an owner already.
+    :param opened: the session, if it was opened at an owner already; it ends with that owner.
     """
 
     def __init__(
@@ -82,6 +83,8 @@
         )
         self._services = services
         self._opened = opened
+        self._start: SessionStart | None = None
+        self._held = HeldState()
         self._owner: Owner | None = None
         self._connection: ServerConnection | None = None
         self._state = TransactionState.IDLE
@@ -103,8 +106,11 @@
 
     def _release(self) -> None:
         if self._connection is not None:
-            self._services.owners.detach(self._owner, self._connection)
-            self._connection.close()
+            self._leave_owner()
+
+    def _leave_owner(self) -> None:
+        self._services.owners.detach(self._owner, self._connection)
+        self._connection.close()
 
     def _serve(self) -> None:
         if self._opened is not None:
@@ -123,6 +129,7 @@
                     return
             elif not self._reject_malformed(message):
                 return
+            self._close_if_lost()
             if self._may_close:
                 return
 
@@ -139,6 +146,7 @@
             self._record_refusal("", SessionFailure.BUSY, STOPPING_DETAIL, RefusalReason.STOPPING)
             self._send(self._codec.rejection(SessionFailure.BUSY, STOPPING_DETAIL))
             return False
+        self._start = start
         opened = self._services.opener.open(start)
         if opened is not None:
             return self._accept(opened)
@@ -148,18 +156,33 @@
 
     def _accept(self, opened: OpenedSession) -> bool:
         reply = opened.reply
-        self._owner, self._connection = opened.owner, opened.connection
-        opened.connection.on_idle_close = self._handle_owner_close
-        self._services.owners.attach(opened.owner, opened.connection)
-        self._observe(reply)
+        self._join_owner(opened)
         if reply.ended:
             self._send(reply.body)
             return False
         self._reply(reply.body)
         return True
 
-    def _handle_owner_close(self, _connection: ServerConnection) -> None:
-        self.close_when_idle()
+    def _join_owner(self, opened: OpenedSession) -> None:
+        self._owner, self._connection = opened.owner, opened.connection
+        opened.connection.on_idle_close = self._handle_owner_close
+        self._services.owners.attach(opened.owner, opened.connection)
+        self._observe(opened.reply)
+
+    def _handle_owner_close(self, connection: ServerConnection) -> None:
+        if connection is self._connection and not self.is_answering:
+            self._close_if_lost()
+
+    def _close_if_lost(self) -> None:
+        """Close the session if it has lost its owner and can't go on at another one."""
+        if self._connection.closed and not self._may_move():
+            self.close_when_idle()
+
+    def _may_move(self) -> bool:
+        """Return whether the session may go on at another owner."""
+        if self._start is None or self._lifetime.is_stopping:
+            return False
+        return self._held.may_move(self._state, self._sent)
 
     def _observe(self, reply: RelayReply) -> None:
         self._state = reply.state
@@ -170,29 +193,51 @@
 
     def _forward(self, request: Request) -> bool:
         """Forward a request and its reply; return whether the session can continue."""
-        connection = self._connection
         self._may_change = self._may_write(request)
-        self._sent = not connection.is_lost()
-        reply = None
-        if self._sent:
-            message = encode_request(request, self._services.owners.seen_version)
-            reply = connection.send_and_wait(message, self._reply_timeout_ms(), self.is_connected)
-        if reply is None and not self.is_connected():
-            raise EOFError  # ends the session; its statement leaves the owner's queue
-        if reply is not None and reply.ended:
-            self._sent = False  # the owner had closed the session before it read the request
-        if reply is None or reply.ended:
-            self._report_lost_owner(request, self._unanswered_failure())
-            return False
+        deadline_ms = self._reply_deadline_ms()
+        while (reply := self._ask_owner(request, deadline_ms)) is None:
+            if not self.is_connected():
+                raise EOFError  # ends the session; its statement leaves the owner's queue
+            opened = self._open_elsewhere(deadline_ms) if self._may_move() else None
+            if opened is None:
+                self._report_lost_owner(request, self._unanswered_failure())
+                return False
+            if opened.reply.ended:  # the caller has lost its access, for example
+                self._reply(opened.reply.body)
+                return False
+        self._sent = False
         self._wrote = self._wrote or self._may_change
+        self._held.record(request, self._may_change)
         self._observe(reply)
         self._reply(reply.body)
         return True
 
-    def _reply_timeout_ms(self) -> int:
-        now_ms = self._clock.now_ms()
+    def _ask_owner(self, request: Request, deadline_ms: int) -> RelayReply | None:
+        """Return the owner's reply to a request, ``None`` if the session there has ended."""
+        timeout_ms = deadline_ms - self._clock.now_ms()
+        self._sent = timeout_ms > 0 and not self._connection.is_lost()
+        if not self._sent:
+            return None
+        message = encode_request(request, self._services.owners.seen_version)
+        reply = self._connection.send_and_wait(message, timeout_ms, self.is_connected)
+        if reply is not None and reply.ended:
+            self._sent = False  # the owner had closed the session before it read the request
+            return None
+        return reply
+
+    def _open_elsewhere(self, deadline_ms: int) -> OpenedSession | None:
+        """Open the session at another owner; return ``None`` if none answers in time."""
+        self._leave_owner()
+        opened = self._services.opener.open(self._start, deadline_ms)
+        if opened is not None:
+            self._log.event("session_moved", owner=opened.owner.name, left=self._owner.name)
+            self._metrics.count("sessions_moved", owner=opened.owner.name)
+            self._join_owner(opened)
+        return opened
+
+    def _reply_deadline_ms(self) -> int:
         timeout_ms = (self._timeout_ms or DEFAULT_REPLY_TIMEOUT_MS) + REPLY_MARGIN_MS
-        return self._lifetime.limit_ms(now_ms + timeout_ms) - now_ms
+        return self._lifetime.limit_ms(self._clock.now_ms() + timeout_ms)
 
     def _may_write(self, request: Request) -> bool:
         if request.verb is Verb.PREPARE:
--- a/packages/figcrank-transport/tests/test_relayed_session.py
+++ b/packages/figcrank-transport/tests/test_relayed_session.py
@@ -7,6 +7,7 @@
 from eventlet.green import socket
 
 from figcrank.coordination.owners import OwnerDirectory
+from figcrank.coordination.sessions import StopPlan
 from figcrank.protocol.owners import Owner, OwnerStatus
 from figcrank.protocol.relays import RelayCallerCodec
 from figcrank.protocol.sessions import (
@@ -21,10 +22,10 @@
     Verb,
 )
 from figcrank.transport import MonotonicClock
-from figcrank.transport.streams import _connection
+from figcrank.transport.streams import _connection, _relayed_session
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._metrics import Metrics
-from figcrank.transport.streams._owner_opener import MAX_HOPS, OwnerOpener
+from figcrank.transport.streams._owner_opener import MAX_HOPS, START_TIMEOUT_MS, OwnerOpener
 from figcrank.transport.streams._owner_tracker import SILENT_OWNER_MS, SLOW_REPLY_MS, OwnerTracker
 from figcrank.transport.streams._relayed_session import RelayedSession, RelayServices
 
@@ -80,6 +81,7 @@
         self.version = 5
         self.silent = False
         self.redirect = ()  # answer to each start that is not final
+        self.rejects = False  # each start, for good
         self.socks = []
         self.state = IDLE
         self._greenlets = [eventlet.spawn(self._accept)]
@@ -103,11 +105,30 @@
                     if not (isinstance(options, StartOptions) and options.final):
                         sock.sendall(codec.redirect(self.redirect))
                         continue
+                if isinstance(message, SessionStart) and self.rejects:
+                    sock.sendall(codec.rejection(SessionFailure.UNAUTHENTICATED, ""))
+                    continue
                 verb = getattr(message, "verb", None)
                 if verb in (Verb.BEGIN, Verb.COMMIT):
                     self.state = OPEN if verb is Verb.BEGIN else IDLE
                 sock.sendall(codec.reply(b"ok", self.state))
 
+    def requests(self):
+        """Return the verbs of the requests received."""
+        return [message.verb for message in self.received if isinstance(message, Request)]
+
+    def stop_reading(self):
+        """Read nothing more, and accept no session."""
+        for greenlet in self._greenlets:
+            greenlet.kill()
+        self.listener.close()
+
+    def send_notice(self):
+        """Tell each relay that its session is closed, as a stopping owner does."""
+        codec = RelayCallerCodec(WordCodec(), lambda: (self.version, 60_000))
+        for sock in self.socks:
+            sock.sendall(codec.closing_notice(SessionFailure.BUSY, "closing"))
+
     def lose(self):
         for greenlet in self._greenlets:
             greenlet.kill()
@@ -290,13 +311,151 @@
     assert caller.recv(200) == b""
 
 
-def test_idle_session_is_closed_with_its_owner(relay):
+HELD_STATE = ["SET:x", "PREPARE:r1", "PREPARE:w1", "WRITE", "EXECUTE:x"]
+
+
+def close_with_notice(owner):
+    owner.stop_reading()
+    owner.send_notice()
+
+
+def cross(owner, caller, request):
+    """Close the owner's sessions while a request is on its way to it."""
+    owner.stop_reading()
+    caller.sendall(request.encode() + b"\n")
+    eventlet.sleep(0.05)
+    owner.send_notice()
+
+
+@pytest.mark.parametrize("held", HELD_STATE)
+@pytest.mark.parametrize("end", [FakeOwner.lose, close_with_notice])
+def test_idle_session_is_closed_with_the_owner_that_holds_its_state(relay, held, end):
+    caller = relay.call()
+    caller.recv(200)
+    ask(caller, held)
+    end(relay.serving())
+    assert_closed(caller)
+
+
+@pytest.mark.parametrize("before", [[], ["READ"], ["BEGIN", "READ", "COMMIT"]])
+@pytest.mark.parametrize("end", [FakeOwner.lose, close_with_notice])
+def test_session_without_state_goes_on_at_another_owner(relay, before, end):
+    """Guards against idle sessions whose next request meets the close of their owner."""
+    caller = relay.call()
+    caller.recv(200)
+    if before:
+        ask(caller, *before)
+    owner = relay.serving()
+    end(owner)
+    eventlet.sleep(0.05)
+    assert ask(caller, "WRITE") == ["ok", "IDLE"]
+    (other,) = (o for o in relay.owners if o is not owner)
+    assert SessionStart("db", "key") in other.received
+    assert other.requests() == [Verb.WRITE]
+    other.lose()
+    assert_closed(caller)
+
+
+@pytest.mark.parametrize("verb", [Verb.READ, Verb.WRITE, Verb.SET, Verb.PREPARE, Verb.BEGIN])
+def test_request_that_crosses_the_close_of_its_owner_is_run_at_another_one(relay, verb):
+    """Guards against BUSY for a request that its owner has not read."""
+    caller = relay.call()
+    caller.recv(200)
+    owner = relay.serving()
+    cross(owner, caller, verb.name)
+    assert read_line(caller) == f"ok {'OPEN' if verb is Verb.BEGIN else 'IDLE'}"
+    assert [o.requests() for o in relay.owners if o is not owner] == [[verb]]
+
+
+@pytest.mark.parametrize("held", HELD_STATE)
+def test_request_of_a_session_with_state_that_crosses_the_close_is_refused(relay, held):
+    caller = relay.call()
+    caller.recv(200)
+    ask(caller, held)
+    owner = relay.serving()
+    cross(owner, caller, "READ")
+    assert [read_line(caller), caller.recv(200)] == ["BUSY IDLE", b""]
+    assert [o.requests() for o in relay.owners if o is not owner] == [[]]
+
+
+@pytest.mark.parametrize("verb", [Verb.READ, Verb.WRITE])
+def test_request_that_an_owner_may_have_read_is_sent_to_no_other(relay, verb):
+    """Guards against a write that runs twice."""
+    caller = relay.call()
+    caller.recv(200)
+    owner = relay.serving()
+    owner.silent = True
+    caller.sendall(verb.name.encode() + b"\n")
+    eventlet.sleep(0.05)
+    owner.lose()
+    failure = "IN_DOUBT" if verb is Verb.WRITE else "ABORTED"
+    assert [read_line(caller), caller.recv(200)] == [f"{failure} IDLE", b""]
+    assert [o.requests() for o in relay.owners if o is not owner] == [[]]
+
+
+def test_stopping_relay_opens_no_session_at_another_owner(relay):
     caller = relay.call()
     caller.recv(200)
+    relay.services.lifetime.plan = StopPlan.from_grace(relay.clock.now_ms(), 60_000, 1_000)
+    owner = relay.serving()
+    cross(owner, caller, "READ")
+    assert [read_line(caller), caller.recv(200)] == ["BUSY IDLE", b""]
+    assert [o.received for o in relay.owners if o is not owner] == [[]]
+
+
+def test_idle_session_of_a_stopping_relay_is_closed_with_its_owner(relay):
+    caller = relay.call()
+    caller.recv(200)
+    relay.services.lifetime.plan = StopPlan.from_grace(relay.clock.now_ms(), 60_000, 1_000)
     relay.serving().lose()
     assert_closed(caller)
 
 
+def test_session_that_the_next_owner_rejects_ends_with_the_reason(relay):
+    """Replays a key that was withdrawn while the session was idle."""
+    caller = relay.call()
+    caller.recv(200)
+    owner = relay.serving()
+    (other,) = (o for o in relay.owners if o is not owner)
+    other.rejects = True
+    owner.lose()
+    eventlet.sleep(0.05)
+    assert ask(caller, "READ") == ["UNAUTHENTICATED", "IDLE"]
+    assert caller.recv(200) == b""
+
+
+def test_request_is_refused_if_no_other_owner_opens_its_session(relay):
+    caller = relay.call()
+    caller.recv(200)
+    for owner in relay.owners:
+        owner.lose()
+    eventlet.sleep(0.05)
+    assert ask(caller, "WRITE") == ["BUSY", "IDLE"]
+    assert caller.recv(200) == b""
+
+
+def test_session_that_goes_on_elsewhere_has_no_more_time_than_its_request(relay, monkeypatch):
+    monkeypatch.setattr(_relayed_session, "REPLY_MARGIN_MS", -59_900)  # of 60 s, leaves 100 ms
+    caller = relay.call()
+    caller.recv(200)
+    owner = relay.serving()
+    (other,) = (o for o in relay.owners if o is not owner)
+    owner.lose()
+    other.lose()
+    eventlet.sleep(0.05)
+    opened = []
+    open_at = relay.services.opener.open
+    monkeypatch.setattr(
+        relay.services.opener, "open", lambda *args: opened.append(args) or open_at(*args)
+    )
+    now_ms = relay.clock.now_ms()
+    assert ask(caller, "READ") == ["BUSY", "IDLE"]
+    ((start, deadline_ms),) = opened
+    assert start == SessionStart("db", "key")
+    assert deadline_ms >= now_ms + 100
+    assert deadline_ms < now_ms + START_TIMEOUT_MS
+
+
 def test_session_that_no_owner_accepts_is_counted_as_refused(relay):
     """Guards against refusals by a relay that no counter tells of."""
     for owner in relay.owners:
@@ -376,6 +535,23 @@
     assert sum(len(starts(owner)) for owner in relay.owners[:-1]) <= 1
 
 
+@THREE_OWNERS
+def test_session_that_goes_on_elsewhere_follows_redirects(relay):
+    let_answer(relay)
+    caller = relay.call()
+    caller.recv(200)
+    left = relay.serving()
+    chosen = relay.tracker.choose("key db", {left.owner.address})
+    first = next(o for o in relay.owners if o.owner == chosen)
+    (group_owner,) = (o for o in relay.owners if o not in (left, first))
+    first.redirect = (group_owner.owner,)
+    left.lose()
+    eventlet.sleep(0.05)
+    assert ask(caller, "READ") == ["ok", "IDLE"]
+    assert starts(first) == [StartOptions("zone-a")]
+    assert (first.requests(), group_owner.requests()) == ([], [Verb.READ])
+
+
 @THREE_OWNERS
 @pytest.mark.parametrize("fault", ["dead", "paused"])
 def test_session_is_accepted_elsewhere_if_the_group_owner_is(relay, fault):
--- a/packages/figcrank-transport/tests/test_server_connection.py
+++ b/packages/figcrank-transport/tests/test_server_connection.py
@@ -2,9 +2,11 @@
 
 import eventlet
 import pytest
+from eventlet.event import Event
 from eventlet.green import socket
 
 from figcrank.coordination.sessions import RefusalReason
+from figcrank.protocol.relays import RelayCallerCodec, relay_reply_decoder
 from figcrank.protocol.sessions import Decoder, SessionFailure, StatementReply, TransactionState
 from figcrank.transport import MonotonicClock
 from figcrank.transport.streams import _connection
@@ -18,6 +20,13 @@
         return [StatementReply(b"", (), None, "", TransactionState.IDLE, None) for _ in data]
 
 
+class FailureNames:
+    """Wire format of callers in which a failure is its name."""
+
+    def failure(self, failure, detail):
+        return failure.name.encode()
+
+
 @pytest.fixture
 def pair():
     """Return an open connection and the socket of its server side."""
@@ -97,3 +106,22 @@
     monkeypatch.setattr(_connection.socket, "socket", fail)
     with pytest.raises(OpenError, match="too many open files"):
         ServerConnection.open(("127.0.0.1", 1), None, b"", "", MonotonicClock())
+
+
+def test_connection_is_lost_once_the_owner_has_told_that_it_closes_the_session():
+    """Guards against a request that is sent between the notice and the end of the connection."""
+    codec = RelayCallerCodec(FailureNames(), lambda: (0, 0))
+    listener = eventlet.listen(("127.0.0.1", 0))
+    accepted = eventlet.spawn(listener.accept)
+    start = codec.reply(b"", TransactionState.IDLE)
+    eventlet.spawn(lambda: accepted.wait()[0].sendall(start))
+    connection, _ = ServerConnection.open(
+        listener.getsockname(), relay_reply_decoder(), b"hi", "", MonotonicClock()
+    )
+    closed = Event()
+    connection.on_idle_close = closed.send
+    accepted.wait()[0].sendall(codec.closing_notice(SessionFailure.BUSY, "closing"))
+    with eventlet.Timeout(10):
+        assert closed.wait() is connection
+    assert connection.is_lost()
+    listener.close()
