Refuse requests that follow the last answer of a session

What callers saw: a request sent right after an answer that ends its session (a lost owner, an error, the end of the stop), or sent in advance of it, and a connection that ended without an answer. Cause: only a session that was closing and had no request in progress sent a closing notice. Any other one shut down its side after its last answer and then read and dropped what arrived within 500 ms; messages decoded together with an earlier one were dropped too. In the other direction, a session whose start had been rejected sent a notice as well: an owner that rejects a start by silence, so that the relay tries another owner, answered it with BUSY. Now each session that was not rejected ends with the notice, after a refusal of each request that was sent in advance. Four tests that expected an answer and the end expect the notice in between.

--- a/packages/figcrank-transport/src/figcrank/transport/streams/_caller_connection.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_caller_connection.py
@@ -75,6 +75,7 @@
         self._receiving = False
         self._opened_ms = clock.now_ms()
         self._closing = False
+        self._rejected = False  # whether the start of the session was rejected or redirected
         self._caller_closed = False
         self._traffic: TrafficChannel | None = None  # of a relay's connection, once it is known
         self._uncounted_bytes = 0  # received before that
@@ -134,12 +135,22 @@
         connected = not self._caller_closed and self.is_connected()
         if self._outstanding is not None:
             self._answer_outstanding(failure, reason, connected)
-        elif self._closing and connected:
-            with contextlib.suppress(OSError):  # the caller has disconnected
-                self._send(self._codec.closing_notice(failure, CLOSING_DETAIL))
+            failure = SessionFailure.BUSY  # of what comes after it
         if connected:
+            if self._outstanding is None and not self._rejected:
+                self._refuse_later_requests(failure)
             self._await_close()
 
+    def _refuse_later_requests(self, failure: SessionFailure) -> None:
+        """Refuse the requests that were sent in advance or are on their way; they are not run."""
+        for message in self._pending_messages:
+            if isinstance(message, Request | MalformedMessage):
+                self._outstanding = message
+                self._answer_outstanding(failure, CLOSING_DETAIL, connected=True)
+        if self._outstanding is None:
+            with contextlib.suppress(OSError):  # the caller has disconnected
+                self._send(self._codec.closing_notice(failure, CLOSING_DETAIL))
+
     def _answer_outstanding(self, failure: SessionFailure, reason: str, connected: bool) -> None:
         """Answer the request in progress with a failure; log it if that is not possible."""
         if not connected or self._replying:
@@ -160,7 +171,12 @@
 
     def _reject_start(self, failure: SessionFailure, reason: str) -> None:
         """Reject the start of a session."""
-        self._send(self._codec.rejection(failure, reason))
+        self._send_rejection(failure, reason)
+
+    def _send_rejection(self, failure: SessionFailure, detail: str) -> None:
+        """Send the reply that rejects the start of the session."""
+        self._rejected = True
+        self._send(self._codec.rejection(failure, detail))
 
     def _await_close(self) -> None:
         """Wait until the caller closes the connection.
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_owner_session.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_owner_session.py
@@ -74,10 +74,11 @@
             )
         if not owners and refusal is not None:
             self._record_refusal("", SessionFailure.BUSY, refusal, RefusalReason.REGION)
-            self._send(self._codec.rejection(SessionFailure.BUSY, refusal))
+            self._send_rejection(SessionFailure.BUSY, refusal)
             return True
         if not owners or owners[0].address == view.itself.address:
             return False
+        self._rejected = True
         self._send(self._relay_codec.redirect(owners[:MAX_REDIRECTED_OWNERS]))
         services.metrics.count("session_redirected", group=group)
         services.log.event(
@@ -91,6 +92,7 @@
 
     def _reject_start(self, failure: SessionFailure, reason: str) -> None:
         """Send nothing: the relay tries another owner once the connection is closed."""
+        self._rejected = True
         self._outstanding = None
 
     def _reply_facts(self) -> tuple[int, int]:
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_relayed_session.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_relayed_session.py
@@ -144,20 +144,21 @@
         """Open the session at an owner; return whether it was accepted."""
         if self._lifetime.rejects_sessions(self._clock.now_ms()):
             self._record_refusal("", SessionFailure.BUSY, STOPPING_DETAIL, RefusalReason.STOPPING)
-            self._send(self._codec.rejection(SessionFailure.BUSY, STOPPING_DETAIL))
+            self._send_rejection(SessionFailure.BUSY, STOPPING_DETAIL)
             return False
         self._start = start
         opened = self._services.opener.open(start)
         if opened is not None:
             return self._accept(opened)
         self._record_refusal("", SessionFailure.BUSY, "no owner accepted the session")
-        self._send(self._codec.rejection(SessionFailure.BUSY, "no owner accepted the session"))
+        self._send_rejection(SessionFailure.BUSY, "no owner accepted the session")
         return False
 
     def _accept(self, opened: OpenedSession) -> bool:
         reply = opened.reply
         self._join_owner(opened)
         if reply.ended:
+            self._rejected = True
             self._send(reply.body)
             return False
         self._reply(reply.body)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
@@ -166,7 +166,7 @@
         failure = self._confirmed_access_failure()
         if failure is not None:
             self._record_refusal("", failure, f"during the handshake, {self._describe_catalog()}")
-            self._send(self._codec.rejection(failure, self._access_detail(failure)))
+            self._send_rejection(failure, self._access_detail(failure))
             return False
         if self._is_sent_away():
             return False
--- a/packages/figcrank-transport/tests/test_caller_connection.py
+++ b/packages/figcrank-transport/tests/test_caller_connection.py
@@ -117,6 +117,19 @@
     assert connection.released
 
 
+def read_line(caller):
+    """Return the next line, without its end; empty at the end of the connection."""
+    line = b""
+    while (byte := caller.recv(1)) not in (b"\n", b""):
+        line += byte
+    return line.decode()
+
+
+def read_to_end(caller):
+    """Return the lines up to the end of the connection."""
+    return list(iter(lambda: read_line(caller), ""))
+
+
 def serve_two_requests(connection_class, sockets, log):
     here, caller = sockets
     caller.sendall(b"first second\n")
@@ -131,7 +144,30 @@
 def test_error_in_a_session_answers_the_request_in_progress(sockets, log):
     """Guards against sessions that end with a request that was read and not answered."""
     assert serve_two_requests(FailingConnection, sockets, log) == []
-    assert sockets[1].recv(200) == b"answer\nABORTED IDLE\n"
+    assert read_to_end(sockets[1]) == ["answer", "ABORTED IDLE", "BUSY"]
+
+
+def test_request_that_crosses_the_failure_of_its_session_is_refused(sockets, log):
+    """Guards against a request that is read after the last answer, and dropped."""
+    sockets[1].sendall(b"first second\n")
+    connection = serve(FailingConnection, sockets[0], log)
+    running = eventlet.spawn(connection.run)
+    lines = read_line(sockets[1]), read_line(sockets[1])
+    assert lines == ("answer", "ABORTED IDLE")
+    sockets[1].sendall(b"crossing\n")
+    assert read_to_end(sockets[1]) == ["BUSY"]
+    sockets[1].close()
+    with eventlet.Timeout(10), pytest.raises(ValueError):
+        running.wait()
+
+
+def test_requests_sent_in_advance_are_refused_when_their_session_fails(sockets, log):
+    """Guards against requests that were read together with the one that is answered."""
+    sockets[1].sendall(b"first second third fourth\n")
+    with eventlet.Timeout(10), pytest.raises(ValueError):
+        serve(FailingConnection, sockets[0], log).run()
+    expected = ["answer", "ABORTED IDLE", "BUSY IDLE", "BUSY IDLE", "BUSY"]
+    assert read_to_end(sockets[1]) == expected
 
 
 def test_request_that_can_not_be_answered_is_logged_with_what_ended_its_session(sockets, log):
@@ -184,7 +220,7 @@
     eventlet.sleep(0)
     connection.close_when_idle(spare_new=True)
     caller.sendall(b"first\n")
-    assert caller.recv(200) == b"ABORTED IDLE\n"  # answered, not refused unread
+    assert read_line(caller) == "ABORTED IDLE"  # answered, not refused unread
     caller.close()
     with eventlet.Timeout(10):
         running.wait()
--- a/packages/figcrank-transport/tests/test_entry_session.py
+++ b/packages/figcrank-transport/tests/test_entry_session.py
@@ -279,7 +279,8 @@
     now_ms = scenario.clock.now_ms()
     scenario.monitor.check(now_ms + SLOW_REPLY_MS)
     scenario.monitor.check(now_ms + SLOW_REPLY_MS + SILENT_OWNER_MS)
-    assert caller.recv(200) == b"ABORTED IDLE\n"
+    assert read_line(caller) == "ABORTED IDLE"
+    assert_closed(caller)
 
 
 def test_owner_that_stops_ends_forwarded_sessions_between_operations(scenario):
--- a/packages/figcrank-transport/tests/test_owner_session.py
+++ b/packages/figcrank-transport/tests/test_owner_session.py
@@ -12,7 +12,7 @@
 from figcrank.coordination.fleet import FleetView
 from figcrank.coordination.owners import HostRole
 from figcrank.coordination.quotas import SharedLimit
-from figcrank.coordination.sessions import RefusalReason
+from figcrank.coordination.sessions import RefusalReason, StopPlan
 from figcrank.protocol.heartbeats import Heartbeat
 from figcrank.protocol.relays import encode_request, encode_start, relay_reply_decoder
 from figcrank.protocol.sessions import (
@@ -331,6 +331,17 @@
     assert {owner.availability_zone for owner in reply.redirect} == {"zone-b"}
 
 
+def test_relay_whose_start_is_rejected_by_a_stopping_owner_can_try_another_one(scenario):
+    """Guards against a relay that takes a closing notice for the answer to its start."""
+    now_ms = scenario.clock.now_ms()
+    scenario.services.lifetime.plan = StopPlan.from_grace(now_ms, 0, 0)
+    eventlet.sleep(0)
+    for session in scenario.services.sessions:
+        session.close_when_idle(spare_new=True)
+    scenario.sock.sendall(encode_start(SessionStart("db", "key"), 4))
+    assert scenario.sock.recv(200) == b""
+
+
 @pytest.mark.parametrize("wrongful", [True, False])
 def test_refusal_over_the_limit_is_counted_apart_and_judged(scenario, wrongful):
     """Guards against refusals that the limit demands being counted with those of overload."""
--- a/packages/figcrank-transport/tests/test_relayed_session.py
+++ b/packages/figcrank-transport/tests/test_relayed_session.py
@@ -330,8 +330,8 @@
     caller.sendall(last.encode() + b"\n")
     eventlet.sleep(0.05)
     owner.lose()
-    assert caller.recv(200).decode().split() == [failure.name, "IDLE"]
-    assert caller.recv(200) == b""
+    assert read_line(caller).split() == [failure.name, "IDLE"]
+    assert_closed(caller)
 
 
 HELD_STATE = ["SET:x", "PREPARE:r1", "PREPARE:w1", "WRITE", "EXECUTE:x"]
@@ -525,7 +525,8 @@
     eventlet.sleep(0)
     assert relay.tracker.choose("key db", set()) is not None
     relay.tracker.check_sessions(now_ms + SLOW_REPLY_MS + SILENT_OWNER_MS)
-    assert caller.recv(200) == b"ABORTED IDLE\n"
+    assert read_line(caller) == "ABORTED IDLE"
+    assert_closed(caller)
 
 
 def test_relay_that_stops_closes_sessions_between_operations_only(relay):
