Answer the request of a session that can't give back what it holds

Cause: an error in _release(), which comes before the answer, ended the session without one. The promise ABORTED holds all the same: nothing is sent on the session's connections any more, and a server rolls back what is not committed. Evidence: test_error_while_a_session_gives_back_what_it_holds_answers_the_request failed before.

--- a/packages/figcrank-transport/src/figcrank/transport/streams/_caller_connection.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_caller_connection.py
@@ -1,6 +1,7 @@
 """A caller's connection: reads messages, writes replies and closes between two operations."""
 
 import contextlib
+import traceback
 from abc import ABC, abstractmethod
 
 import eventlet
@@ -131,7 +132,11 @@
     def _end(self, reason: str) -> None:
         """Answer the request in progress, and free what the session holds on other hosts."""
         failure = self._unanswered_failure()
-        self._release()
+        try:
+            self._release()
+        except Exception:  # noqa: BLE001 - the request must be answered all the same
+            self._log.event("internal_error", trace=traceback.format_exc()[-1500:])
+            self._metrics.count("internal_errors")
         connected = not self._caller_closed and self.is_connected()
         if self._outstanding is not None:
             self._answer_outstanding(failure, reason, connected)
--- a/packages/figcrank-transport/tests/test_caller_connection.py
+++ b/packages/figcrank-transport/tests/test_caller_connection.py
@@ -170,6 +170,16 @@
     assert read_to_end(sockets[1]) == expected
 
 
+def test_error_while_a_session_gives_back_what_it_holds_answers_the_request(sockets, log):
+    class BrokenConnection(FailingConnection):
+        def _release(self):
+            raise KeyError("pool")
+
+    assert serve_two_requests(BrokenConnection, sockets, log) == []
+    assert read_to_end(sockets[1]) == ["answer", "ABORTED IDLE", "BUSY"]
+    assert any(b'"internal_error"' in data and b"pool" in data for data in log[1])
+
+
 def test_request_that_can_not_be_answered_is_logged_with_what_ended_its_session(sockets, log):
     class LeftConnection(FailingConnection):
         def _release(self):
