Plan a stop with the grace time that the settings file has now

What callers could see: a host that is killed with requests in progress (LOST), if its grace time had been shortened without a signal less than 5 s before it was stopped. Cause: the settings file is read every 5 s and on SIGHUP, not when a stop begins. Evidence: test_grace_time_that_was_shortened_right_before_the_stop_is_kept failed before, with the real programs: graceS 3 changed to 2, SIGTERM 0.6 s later, killed 2 s after that; the read in progress was cut. An error while the file is read is logged and does not prevent the stop.

--- a/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
@@ -423,6 +423,11 @@
     def _stop(self) -> None:
         """Close sessions gracefully within the grace time, then exit."""
         self._view.leaving = True
+        try:
+            self._reload()  # the grace time may have changed without a signal
+        except Exception:  # noqa: BLE001 - the host must stop all the same
+            self._log.event("internal_error", trace=traceback.format_exc()[-1500:])
+            self._metrics.count("internal_errors")
         self._stopper.begin(self._settings.grace_ms)
         eventlet.spawn_n(self._link.broadcast_heartbeat)
         self._stopper.run()
