Respond to requests that are in progress when the time of a stop of figcrankd is over

What callers could see: a connection that ends without a response, to a request that was in progress drain_ms after SIGTERM (timeouts of callers are up to 60 s, drain_ms is 30 s by default). The process closed whatever was in progress then, and only its exit status told of it. Found by reading. Now these requests get the failure of a timeout, with the outcome unknown, and the process waits up to 500 ms for the responses to be written.

--- a/packages/figcrank-transport/src/figcrank/transport/_caller_api.py
+++ b/packages/figcrank-transport/src/figcrank/transport/_caller_api.py
@@ -69,6 +69,10 @@
         """Set the state reported by ``/readyz``."""
         self._ready = ready
 
+    def give_up(self) -> None:
+        """Answer the requests in progress with what is known: they may have run."""
+        self._calls.give_up()
+
     def resolve(self, answer: Answer) -> None:
         """Pass an answer to the request that waits for it."""
         self._calls.resolve(answer.call_id, answer)
--- a/packages/figcrank-transport/src/figcrank/transport/_calls.py
+++ b/packages/figcrank-transport/src/figcrank/transport/_calls.py
@@ -34,8 +34,13 @@
         if event is not None and not event.ready():
             event.send(answer)
 
+    def give_up(self) -> None:
+        """Let each call that waits for its answer go on without one, as after its timeout."""
+        for call_id in list(self._waiting):
+            self.resolve(call_id, None)
+
     def wait(self, call_id: int, timeout_ms: int) -> Any | None:
-        """Wait for the answer of a call and return it, ``None`` after ``timeout_ms``."""
+        """Wait for the answer of a call and return it, ``None`` if it comes too late."""
         event = self._waiting[call_id]
         try:
             with eventlet.Timeout(timeout_ms / MS_PER_S, False):
--- a/packages/figcrank-transport/src/figcrank/transport/_operator_api.py
+++ b/packages/figcrank-transport/src/figcrank/transport/_operator_api.py
@@ -36,6 +36,10 @@
         self.app = new_app()
         self.app.add_route(OPERATOR_PATH, self)
 
+    def give_up(self) -> None:
+        """Answer the requests in progress with what is known: they may have run."""
+        self._calls.give_up()
+
     def resolve(self, action: RespondOperator) -> None:
         """Pass a reply to the request that waits for it."""
         self._calls.resolve(action.call_id, action.reply)
--- a/packages/figcrank-transport/src/figcrank/transport/_peer_api.py
+++ b/packages/figcrank-transport/src/figcrank/transport/_peer_api.py
@@ -42,6 +42,10 @@
         self.app = new_app()
         self.app.add_route(PEER_PATH, self)
 
+    def give_up(self) -> None:
+        """Answer the requests in progress with what is known: they may have run."""
+        self._calls.give_up()
+
     def resolve(self, action: RespondPeer) -> None:
         """Pass a reply to the request that waits for it."""
         self._calls.resolve(action.call_id, action.reply)
--- a/packages/figcrank-transport/src/figcrank/transport/_process.py
+++ b/packages/figcrank-transport/src/figcrank/transport/_process.py
@@ -49,6 +49,9 @@
 
 FLUSH_INTERVAL_MS = 500
 IN_FLIGHT_POLL_INTERVAL_MS = 10
+LAST_RESPONSES_MS = (
+    500  # beyond the maximum duration of a stop, for responses to what is unfinished
+)
 
 
 class HostProcess:
@@ -132,7 +135,11 @@
         """Wait until the host has shut down; return whether every request was answered."""
         finished = self._stopped.wait()
         if finished:
-            finished = self._wait_for_responses()
+            finished = self._wait_for_responses(self._settings.drain_ms)
+        if not finished:
+            for api in (self._caller_api, self._operator_api, self._peer_api):
+                api.give_up()
+            self._wait_for_responses(LAST_RESPONSES_MS)
         self._close()
         return finished
 
@@ -178,10 +185,10 @@
         if not self._stopped.ready():
             self._stopped.send(finished)
 
-    def _wait_for_responses(self) -> bool:
+    def _wait_for_responses(self, timeout_ms: int) -> bool:
         """Wait until every response is written; return whether this happened in time."""
         servers = (self._caller_server, self._operator_server, self._peer_server)
-        with eventlet.Timeout(self._settings.drain_ms / MS_PER_S, False):
+        with eventlet.Timeout(timeout_ms / MS_PER_S, False):
             while any(server.in_flight for server in servers):
                 eventlet.sleep(IN_FLIGHT_POLL_INTERVAL_MS / MS_PER_S)
             return True
