Answer the first statement after a rollback by the host with ABORTED

What callers saw: MALFORMED to a correct statement of an open transaction, about 3.4 s after their host was told to stop. Callers did not try these operations again.

Cause: a stopping host rolls back the transactions that are open at half of its grace time, and any host those that are idle for too long. The caller is not told then, but with its next request. For a COMMIT that was ABORTED; for a statement it was the answer to a statement after a known failure.

Two tests in test_owner_session.py fail without it.

--- a/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
@@ -144,7 +144,7 @@
         message = self._next_message(idle_ms)
         if message is None and transaction is not None and idle_ms and not self._caller_closed:
             self._services.log.event("transaction_idle", database=self._database, idle_ms=idle_ms)
-            self._abort_open_transaction()
+            self._abort_between_requests()
             return self._next_message(None)
         return message
 
@@ -315,6 +315,9 @@
             self._reply_failure(
                 SessionFailure.ABORTED, "the transaction failed earlier and was rolled back"
             )
+        elif not self._transaction.failure_is_reported:
+            self._transaction.failure_is_reported = True
+            self._reply_failure(SessionFailure.ABORTED, "the transaction was rolled back")
         else:
             self._reply_failure(SessionFailure.MALFORMED, "the transaction failed; roll it back")
 
@@ -511,6 +514,13 @@
         The caller receives the failure with its next request.
         """
         if self._receiving:
+            self._abort_between_requests()
+
+    def _abort_between_requests(self) -> None:
+        """Roll back the open transaction; the caller receives the failure with its next request."""
+        transaction = self._transaction
+        if transaction is not None and not transaction.failed:
+            transaction.failure_is_reported = False
             self._abort_open_transaction()
 
     def _release(self) -> None:
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_session_state.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_session_state.py
@@ -32,6 +32,7 @@
     :param connection: connection to that server.
     :param wrote: whether a statement that changes data was sent.
     :param failed: whether it can only be rolled back.
+    :param failure_is_reported: whether the caller has been told so.
     :param sent: whether any part of it was sent to a server.
     """
 
@@ -43,4 +44,5 @@
     connection: ServerConnection | None = None
     wrote: bool = False
     failed: bool = False
+    failure_is_reported: bool = True
     sent: bool = False
--- a/packages/figcrank-transport/tests/test_owner_session.py
+++ b/packages/figcrank-transport/tests/test_owner_session.py
@@ -4,6 +4,7 @@
 """
 
 import json
+from dataclasses import replace
 
 import eventlet
 import pytest
@@ -94,7 +95,8 @@
         self.sock.settimeout(10)
         accepted, _ = listener.accept()
         listener.close()
-        self.session = eventlet.spawn(OwnerSession(accepted, services).run)
+        self.owner_session = OwnerSession(accepted, services)
+        self.session = eventlet.spawn(self.owner_session.run)
         self.decoder = relay_reply_decoder()
 
     def _write(self, data):
@@ -222,6 +224,25 @@
     assert scenario.run(Verb.COMMIT, seen=5) == (b"ABORTED", TransactionState.IDLE)
 
 
+def test_statement_after_a_rollback_by_the_host_is_aborted_and_the_next_one_malformed(scenario):
+    """Guards against callers that are not told of the rollback and blame their statement."""
+    scenario.start(seen=4)
+    scenario.run(Verb.BEGIN, seen=4)
+    scenario.owner_session.abort_transaction()
+    assert scenario.run(Verb.READ, seen=4) == (b"ABORTED", TransactionState.FAILED)
+    assert scenario.run(Verb.READ, seen=4) == (b"MALFORMED", TransactionState.FAILED)
+    assert scenario.run(Verb.ROLLBACK, seen=4)[1] is TransactionState.IDLE
+
+
+def test_statement_in_a_transaction_that_was_idle_too_long_is_aborted(scenario):
+    scenario.view.adopt_catalog(replace(catalog(5), transaction_idle_ms=20), 0)
+    scenario.start(seen=5)
+    scenario.run(Verb.BEGIN, seen=5)
+    eventlet.sleep(0.1)
+    assert scenario.run(Verb.READ, seen=5) == (b"ABORTED", TransactionState.FAILED)
+    assert scenario.run(Verb.COMMIT, seen=5) == (b"ABORTED", TransactionState.IDLE)
+
+
 RELAY = StartOptions("zone-a")
 
 
