Replace a leaving primary as soon as a host that has just started knows of it

Cause: only the first reader of the store replaces primaries, and only once its registry is fresh, which takes 2.5 s after it first reached the store. That wait is for missing entries, which may not have been written again after an outage; a draining entry is what the server says of itself. The primary was draining from 15.0 s; kaduna-a-4 (started at 14.39, stopping at 16.60), kano-b-3 (17.55) and others were the first reader for less than 2.5 s each, until a host with a smaller name had started. kaduna-a-1 started at 19.48 and began the replacement 2.56 s later, at 21.88 s, 6.9 s after the server's report.

Now a recent registry is enough for a leaving primary. Missing primaries wait as before.

Three unit tests; test_draining_primary_is_replaced_by_a_host_that_has_just_started is the one that guards against it.

--- a/packages/figcrank-coordination/src/figcrank/coordination/primaries/_replacement.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/primaries/_replacement.py
@@ -60,7 +60,9 @@
     :param registry: the registered servers.
     :param missing_ms: time for which the primary has had no entry in the registry.
     :param record_age_ms: time since the group's record last changed.
-    :param registry_is_fresh: whether the registry is recent and the store had no recent outage.
+    :param registry_is_recent: whether the registry is recent, so that its entries hold.
+    :param registry_is_fresh: whether also the store had no recent outage, so that a missing entry
+        shows that its server is gone.
     :param own_report: this host's report that the primary fails, if any.
     :param peer_reports: the reports of the live peers, ``None`` for each peer without one.
     :param is_evacuated: whether the primary's availability zone is evacuated.
@@ -70,6 +72,7 @@
     registry: Registry
     missing_ms: int
     record_age_ms: int
+    registry_is_recent: bool
     registry_is_fresh: bool
     own_report: PrimaryFailure | None
     peer_reports: tuple[PrimaryFailure | None, ...]
@@ -79,7 +82,7 @@
 def reason_to_replace(evidence: Evidence) -> ReplacementReason | None:
     """Return the reason to replace the primary now, ``None`` to keep it."""
     entry = evidence.registry.servers.get(evidence.record.server_id)
-    if evidence.registry_is_fresh and entry is not None and entry.draining:
+    if evidence.registry_is_recent and entry is not None and entry.draining:
         return ReplacementReason.LEAVING
     reports = (evidence.own_report, *evidence.peer_reports)
     primary_id = evidence.record.server_id
--- a/packages/figcrank-coordination/tests/primaries/test_replacement.py
+++ b/packages/figcrank-coordination/tests/primaries/test_replacement.py
@@ -27,11 +27,17 @@
 
 
 def evidence(
-    own=None, peers=(None,) * 7, servers=None, missing_ms=0, fresh=True, record_age_ms=60_000
+    own=None,
+    peers=(None,) * 7,
+    servers=None,
+    missing_ms=0,
+    fresh=True,
+    record_age_ms=60_000,
+    recent=True,
 ):
     known = registry(entry("p"), entry("r")) if servers is None else servers
     record = PrimaryRecord(0, 1, "p")
-    return Evidence(record, known, missing_ms, record_age_ms, fresh, own, peers)
+    return Evidence(record, known, missing_ms, record_age_ms, recent, fresh, own, peers)
 
 
 SILENT = PrimaryFailure("p", 600, refused=False)
@@ -47,6 +53,17 @@
     assert reason_to_replace(evidence(servers=servers)) is ReplacementReason.LEAVING
 
 
+def test_draining_primary_is_replaced_by_a_host_that_has_just_started():
+    """Guards against a fleet whose hosts all restart, and each of which waits before it acts."""
+    servers = registry(entry("p", draining=True), entry("r"))
+    assert reason_to_replace(evidence(servers=servers, fresh=False)) is ReplacementReason.LEAVING
+
+
+def test_primary_that_was_draining_in_an_old_registry_is_kept():
+    servers = registry(entry("p", draining=True), entry("r"))
+    assert reason_to_replace(evidence(servers=servers, fresh=False, recent=False)) is None
+
+
 def test_report_of_a_single_host_is_not_enough():
     assert reason_to_replace(evidence(own=SILENT)) is None
 
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
@@ -147,6 +147,7 @@
             self._view.registry,
             now_ms - self._missing_since_ms.get(group, now_ms),
             self._view.primary_table.unchanged_for_ms(group, now_ms),
+            self._store.registry_is_recent(now_ms),
             self._store.registry_is_fresh(now_ms),
             self._view.primary_failures.get(group),
             tuple(peer.heartbeat.primary_failures.get(group) for peer in live if peer.heartbeat),
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_store_reader.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_store_reader.py
@@ -169,12 +169,16 @@
         index = min(max(self._failures, 1), len(BACKOFF_MS)) - 1
         return BACKOFF_MS[index]
 
+    def registry_is_recent(self, now_ms: int) -> bool:
+        """Return whether the entries of the registry show what their servers report."""
+        registry_ms = self._view.registry_ms
+        return registry_ms != NEVER_MS and now_ms - registry_ms <= STALE_REGISTRY_MS
+
     def registry_is_fresh(self, now_ms: int) -> bool:
         """Return whether a missing entry is evidence that a server is gone."""
-        view = self._view
-        if view.registry_ms == NEVER_MS or now_ms - view.registry_ms > STALE_REGISTRY_MS:
+        if not self.registry_is_recent(now_ms):
             return False
-        since_ms = max(self.reachable_since_ms, view.registry_era_ms)
+        since_ms = max(self.reachable_since_ms, self._view.registry_era_ms)
         return since_ms == NEVER_MS or now_ms - since_ms > RECOVERY_GRACE_MS
 
     def is_first_reader(self, now_ms: int) -> bool:
--- a/packages/figcrank-transport/tests/test_store_reader.py
+++ b/packages/figcrank-transport/tests/test_store_reader.py
@@ -96,6 +96,16 @@
     assert reader.registry_is_fresh(clock.now_ms() + 3_000)
 
 
+def test_registry_is_recent_as_soon_as_the_store_is_reached():
+    reader, view, clock, store = make_reader()
+    assert not reader.registry_is_recent(clock.now_ms())
+    store.refuses = False
+    reader.call("list_servers")
+    view.registry_ms = clock.now_ms()
+    assert reader.registry_is_recent(clock.now_ms())
+    assert not reader.registry_is_recent(clock.now_ms() + 3_001)
+
+
 class FakeRouter:
     def notify_primary_change(self):
         pass
