--- a/packages/figcrank-transport/src/figcrank/transport/streams/_caller_connection.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_caller_connection.py
@@ -1,6 +1,7 @@
 """A caller's connection: reads messages, writes replies and closes between two operations."""
 
 import contextlib
+import traceback
 from abc import ABC, abstractmethod
 
 import eventlet
@@ -75,6 +76,7 @@
         self._receiving = False
         self._opened_ms = clock.now_ms()
         self._closing = False
+        self._rejected = False  # whether the start of the session was rejected or redirected
         self._caller_closed = False
         self._traffic: TrafficChannel | None = None  # of a relay's connection, once it is known
         self._uncounted_bytes = 0  # received before that
@@ -130,16 +132,30 @@
     def _end(self, reason: str) -> None:
         """Answer the request in progress, and free what the session holds on other hosts."""
         failure = self._unanswered_failure()
-        self._release()
+        try:
+            self._release()
+        except Exception:  # noqa: BLE001 - the request must be answered all the same
+            self._log.event("internal_error", trace=traceback.format_exc()[-1500:])
+            self._metrics.count("internal_errors")
         connected = not self._caller_closed and self.is_connected()
         if self._outstanding is not None:
             self._answer_outstanding(failure, reason, connected)
-        elif self._closing and connected:
-            with contextlib.suppress(OSError):  # the caller has disconnected
-                self._send(self._codec.closing_notice(failure, CLOSING_DETAIL))
+            failure = SessionFailure.BUSY  # of what comes after it
         if connected:
+            if self._outstanding is None and not self._rejected:
+                self._refuse_later_requests(failure)
             self._await_close()
 
+    def _refuse_later_requests(self, failure: SessionFailure) -> None:
+        """Refuse the requests that were sent in advance or are on their way; they are not run."""
+        for message in self._pending_messages:
+            if isinstance(message, Request | MalformedMessage):
+                self._outstanding = message
+                self._answer_outstanding(failure, CLOSING_DETAIL, connected=True)
+        if self._outstanding is None:
+            with contextlib.suppress(OSError):  # the caller has disconnected
+                self._send(self._codec.closing_notice(failure, CLOSING_DETAIL))
+
     def _answer_outstanding(self, failure: SessionFailure, reason: str, connected: bool) -> None:
         """Answer the request in progress with a failure; log it if that is not possible."""
         if not connected or self._replying:
@@ -160,7 +176,12 @@
 
     def _reject_start(self, failure: SessionFailure, reason: str) -> None:
         """Reject the start of a session."""
-        self._send(self._codec.rejection(failure, reason))
+        self._send_rejection(failure, reason)
+
+    def _send_rejection(self, failure: SessionFailure, detail: str) -> None:
+        """Send the reply that rejects the start of the session."""
+        self._rejected = True
+        self._send(self._codec.rejection(failure, detail))
 
     def _await_close(self) -> None:
         """Wait until the caller closes the connection.
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_connection.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_connection.py
@@ -204,6 +204,10 @@
             with eventlet.Timeout(max(0.001, step_ms / 1_000), False):
                 return done.wait()
             if step_ms >= left_ms or not is_wanted():
+                if self.has_unread():  # arrived while this host was suspended or busy
+                    eventlet.sleep(0)
+                if done.ready():
+                    return done.wait()
                 self.close()
                 return None
 
@@ -229,6 +233,7 @@
         self._deliver(None)
 
     def _receive(self) -> None:
+        ended = False
         while not self.closed:
             try:
                 data = self._sock.recv(RECEIVE_BYTES)
@@ -242,7 +247,10 @@
                 break
             for reply in replies:
                 self.state = reply.state
+                ended = isinstance(reply, RelayReply) and reply.ended and not self.outstanding
                 self._deliver(reply)
+            if ended:  # nothing may be sent any more, also before the end of the input arrives
+                break
         was_idle = not self.closed and not self.outstanding
         self.close()
         if was_idle and self.on_idle_close:
--- a/packages/figcrank-transport/tests/test_owner_session.py
+++ b/packages/figcrank-transport/tests/test_owner_session.py
@@ -4,7 +4,6 @@
 """
 
 import json
-from dataclasses import replace
 
 import eventlet
 import pytest
@@ -13,7 +12,7 @@
 from figcrank.coordination.fleet import FleetView
 from figcrank.coordination.owners import HostRole
 from figcrank.coordination.quotas import SharedLimit
-from figcrank.coordination.sessions import RefusalReason
+from figcrank.coordination.sessions import RefusalReason, StopPlan
 from figcrank.protocol.heartbeats import Heartbeat
 from figcrank.protocol.relays import encode_request, encode_start, relay_reply_decoder
 from figcrank.protocol.sessions import (
@@ -99,8 +98,7 @@
         self.sock.settimeout(10)
         accepted, _ = listener.accept()
         listener.close()
-        self.owner_session = OwnerSession(accepted, services)
-        self.session = eventlet.spawn(self.owner_session.run)
+        self.session = eventlet.spawn(OwnerSession(accepted, services).run)
         self.decoder = relay_reply_decoder()
 
     def _write(self, data):
@@ -228,23 +226,58 @@
     assert scenario.run(Verb.COMMIT, seen=5) == (b"ABORTED", TransactionState.IDLE)
 
 
-def test_statement_after_a_rollback_by_the_host_is_aborted_and_the_next_one_malformed(scenario):
-    """Guards against callers that are not told of the rollback and blame their statement."""
-    scenario.start(seen=4)
-    scenario.run(Verb.BEGIN, seen=4)
-    scenario.owner_session.abort_transaction()
-    assert scenario.run(Verb.READ, seen=4) == (b"ABORTED", TransactionState.FAILED)
-    assert scenario.run(Verb.READ, seen=4) == (b"MALFORMED", TransactionState.FAILED)
-    assert scenario.run(Verb.ROLLBACK, seen=4)[1] is TransactionState.IDLE
+def session_of(scenario):
+    (session,) = scenario.services.sessions
+    return session
+
+
+def roll_back_as_a_stopping_host_does(scenario):
+    eventlet.sleep(0)  # the session waits for a request
+    session_of(scenario).abort_transaction()
 
 
-def test_statement_in_a_transaction_that_was_idle_too_long_is_aborted(scenario):
-    scenario.view.adopt_catalog(replace(catalog(5), transaction_idle_ms=20), 0)
+def roll_back_after_idle_time(scenario):
+    with eventlet.Timeout(10):
+        while session_of(scenario).transaction_state is TransactionState.OPEN:
+            eventlet.sleep(0.001)
+
+
+@pytest.fixture(params=[roll_back_as_a_stopping_host_does, roll_back_after_idle_time])
+def rolled_back(request, scenario):
+    """Return an owner that has rolled back a transaction between two requests."""
+    idle_ms = 20 if request.param is roll_back_after_idle_time else 60_000
+    scenario.view.adopt_catalog(Catalog(5, {"db": ROUTE}, {}, {"key": "w"}, {}, idle_ms), 0)
     scenario.start(seen=5)
-    scenario.run(Verb.BEGIN, seen=5)
-    eventlet.sleep(0.1)
-    assert scenario.run(Verb.READ, seen=5) == (b"ABORTED", TransactionState.FAILED)
-    assert scenario.run(Verb.COMMIT, seen=5) == (b"ABORTED", TransactionState.IDLE)
+    assert scenario.run(Verb.BEGIN, seen=5) == (b"done", TransactionState.OPEN)
+    request.param(scenario)
+    return scenario
+
+
+FIRST_REQUESTS = [Verb.READ, Verb.WRITE, Verb.EXECUTE, Verb.SET, Verb.PREPARE, Verb.BEGIN]
+
+
+@pytest.mark.parametrize("verb", FIRST_REQUESTS)
+def test_first_request_after_a_rollback_is_told_that_nothing_is_kept(rolled_back, verb):
+    """Guards against callers that give up, since MALFORMED does not tell that nothing is kept."""
+    assert rolled_back.run(verb, seen=5) == (b"ABORTED", TransactionState.FAILED)
+    assert rolled_back.run(verb, seen=5) == (b"MALFORMED", TransactionState.FAILED)
+    assert rolled_back.run(Verb.ROLLBACK, seen=5) == (b"done", TransactionState.IDLE)
+    rolled_back.log.flush()
+    refused = [e for e in rolled_back.lines if e["event"] == "refused"]
+    assert [e["failure"] for e in refused] == ["aborted"]
+
+
+@pytest.mark.parametrize(("verb", "body"), [(Verb.COMMIT, b"ABORTED"), (Verb.ROLLBACK, b"done")])
+def test_end_of_a_transaction_that_was_rolled_back_is_answered_at_once(rolled_back, verb, body):
+    assert rolled_back.run(verb, seen=5) == (body, TransactionState.IDLE)
+    assert rolled_back.run(Verb.SET, seen=5) == (b"done", TransactionState.IDLE)
+
+
+def test_refusal_tells_of_a_rollback_too(rolled_back):
+    """Guards against a caller that is told of the same failure twice."""
+    assert rolled_back.run(Verb.READ, seen=6) == (b"ABORTED", TransactionState.FAILED)
+    rolled_back.view.adopt_catalog(catalog(6), 0)
+    assert rolled_back.run(Verb.READ, seen=6) == (b"MALFORMED", TransactionState.FAILED)
 
 
 RELAY = StartOptions("zone-a")
@@ -298,6 +331,17 @@
     assert {owner.availability_zone for owner in reply.redirect} == {"zone-b"}
 
 
+def test_relay_whose_start_is_rejected_by_a_stopping_owner_can_try_another_one(scenario):
+    """Guards against a relay that takes a closing notice for the answer to its start."""
+    now_ms = scenario.clock.now_ms()
+    scenario.services.lifetime.plan = StopPlan.from_grace(now_ms, 0, 0)
+    eventlet.sleep(0)
+    for session in scenario.services.sessions:
+        session.close_when_idle(spare_new=True)
+    scenario.sock.sendall(encode_start(SessionStart("db", "key"), 4))
+    assert scenario.sock.recv(200) == b""
+
+
 @pytest.mark.parametrize("wrongful", [True, False])
 def test_refusal_over_the_limit_is_counted_apart_and_judged(scenario, wrongful):
     """Guards against refusals that the limit demands being counted with those of overload."""
--- a/packages/figcrank-transport/tests/test_server_connection.py
+++ b/packages/figcrank-transport/tests/test_server_connection.py
@@ -1,10 +1,13 @@
 import errno
+import time
 
 import eventlet
 import pytest
+from eventlet.event import Event
 from eventlet.green import socket
 
 from figcrank.coordination.sessions import RefusalReason
+from figcrank.protocol.relays import RelayCallerCodec, relay_reply_decoder
 from figcrank.protocol.sessions import Decoder, SessionFailure, StatementReply, TransactionState
 from figcrank.transport import MonotonicClock
 from figcrank.transport.streams import _connection
@@ -18,6 +21,13 @@
         return [StatementReply(b"", (), None, "", TransactionState.IDLE, None) for _ in data]
 
 
+class FailureNames:
+    """Wire format of callers in which a failure is its name."""
+
+    def failure(self, failure, detail):
+        return failure.name.encode()
+
+
 @pytest.fixture
 def pair():
     """Return an open connection and the socket of its server side."""
@@ -58,6 +68,19 @@
     assert connection.closed
 
 
+def test_reply_that_arrived_while_the_host_was_suspended_is_returned(pair):
+    """Guards against a host that wakes, finds the time over, and leaves the reply unread."""
+    connection, server_side = pair
+
+    def suspend():
+        server_side.sendall(b".")
+        time.sleep(0.1)
+
+    eventlet.spawn_after(0, suspend)
+    assert connection.send_and_wait(b"x", 50) is not None
+    assert not connection.closed
+
+
 class _RejectingDecoder(Decoder):
     """Wire format in which each byte is the same failure."""
 
@@ -97,3 +120,22 @@
     monkeypatch.setattr(_connection.socket, "socket", fail)
     with pytest.raises(OpenError, match="too many open files"):
         ServerConnection.open(("127.0.0.1", 1), None, b"", "", MonotonicClock())
+
+
+def test_connection_is_lost_once_the_owner_has_told_that_it_closes_the_session():
+    """Guards against a request that is sent between the notice and the end of the connection."""
+    codec = RelayCallerCodec(FailureNames(), lambda: (0, 0))
+    listener = eventlet.listen(("127.0.0.1", 0))
+    accepted = eventlet.spawn(listener.accept)
+    start = codec.reply(b"", TransactionState.IDLE)
+    eventlet.spawn(lambda: accepted.wait()[0].sendall(start))
+    connection, _ = ServerConnection.open(
+        listener.getsockname(), relay_reply_decoder(), b"hi", "", MonotonicClock()
+    )
+    closed = Event()
+    connection.on_idle_close = closed.send
+    accepted.wait()[0].sendall(codec.closing_notice(SessionFailure.BUSY, "closing"))
+    with eventlet.Timeout(10):
+        assert closed.wait() is connection
+    assert connection.is_lost()
+    listener.close()
