--- a/packages/figcrank-transport/src/figcrank/transport/_process.py
+++ b/packages/figcrank-transport/src/figcrank/transport/_process.py
@@ -49,9 +49,7 @@
 
 FLUSH_INTERVAL_MS = 500
 IN_FLIGHT_POLL_INTERVAL_MS = 10
-LAST_RESPONSES_MS = (
-    500  # beyond the maximum duration of a stop, for responses to what is unfinished
-)
+LAST_RESPONSES_MS = 500  # beyond drain_ms, to write the responses to unfinished requests
 
 
 class HostProcess:
