--- a/review/standins/database.py
+++ b/review/standins/database.py
@@ -185,7 +185,7 @@
             self.apply(length)
 
     async def commit(self, request_id: str, writes: tuple[tuple[str, str], ...]) -> bool:
-        """Commit; return once ``syncReplicas`` replicas have received it, ``False`` if it is lost."""
+        """Commit; return once enough replicas have received it, ``False`` if the lead is lost."""
         term = self.term
         self.append(Commit(term, request_id, writes))
         length = len(self.log)
@@ -207,7 +207,7 @@
             writer.close()
 
 
-class _Busy(Exception):
+class _BusyError(Exception):
     """The server's queue is full; nothing was run."""
 
 
@@ -262,7 +262,7 @@
             return False
         try:
             await self._occupy(HANDSHAKE_MS)
-        except _Busy:
+        except _BusyError:
             self._send("ERROR BUSY the queue is full")
             return False
         self._send(self._ready())
@@ -272,7 +272,7 @@
         """Hold a slot for some time, after waiting for one."""
         server = self._server
         if server.slots.locked() and server.waiting >= QUEUE:
-            raise _Busy
+            raise _BusyError
         server.waiting += 1
         try:
             await server.slots.acquire()
@@ -298,7 +298,7 @@
             word = self._prepared[name]
         try:
             return await getattr(self, f"_do_{word.lower()}")(request_id, rest, after)
-        except _Busy:
+        except _BusyError:
             return ["ERROR BUSY the queue is full"]
 
     def _is_behind(self, after: tuple[int, int] | None) -> bool:
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -1,6 +1,7 @@
-"""The platform's store: objects by kind and name, with revisions, conditional writes and watches."""
+"""The platform's store: objects with revisions, conditional writes and watches."""
 
 import asyncio
+import contextlib
 import copy
 import time
 
@@ -75,10 +76,8 @@
             left = deadline - time.monotonic()
             if events or left <= 0:
                 return 200, {"events": events, "at": self.revision}
-            try:
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._changed.wait(), left)
-            except TimeoutError:
-                pass
 
     def put(self, kind: str, name: str, spec: object) -> dict:
         """Write an object; an unchanged one keeps its revision."""
