Review case 1: two primaries in a partition that resets connections

A host that is refused by the old primary promotes another server without waiting for the leases of the hosts on the other side of the partition. Writes are committed and acknowledged at both (ONE), reads miss commits (STALE), and the old primary's commits are rolled back when the cut ends.

--- a/review/standins/database.py
+++ b/review/standins/database.py
@@ -88,6 +88,7 @@
         self.applied = 0
         self.items: dict[str, str] = {}
         self.alive = False
+        self.dark = False  # down, and silent: neither answers nor refuses anything
         self.deaf = False  # receives no commits
         self.held_term = 0  # of a PAUSE; receives no commits until a RESUME
         self.slow_x = 1.0
@@ -98,6 +99,7 @@
         self.received = asyncio.Event()
         self.sequence = 0
         self._born_ms = 0
+        self._light = asyncio.Event()
         self._listener: asyncio.Server | None = None
 
     @property
@@ -128,12 +130,32 @@
         """Reset every connection and stop listening; the log is kept."""
         self.alive = False
         self._listener.close()
-        for writer in list(self.writers):
+        self._reset_connections()
+
+    def _reset_connections(self) -> None:
+        writers, self.writers = list(self.writers), set()
+        for writer in writers:
             sock = writer.get_extra_info("socket")
             if sock is not None:
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             writer.transport.abort()
 
+    def go_dark(self) -> None:
+        """Crash without a sign to the far ends of its connections."""
+        self.dark, self._light = True, asyncio.Event()
+
+    async def wait_in_dark(self) -> None:
+        """Leave a connection unanswered until the server is back, which resets it."""
+        await self._light.wait()
+        raise ConnectionResetError
+
+    def return_from_dark(self) -> None:
+        """Come back with the log; what the far ends still have open is reset."""
+        self.dark = False
+        self._light.set()
+        self._reset_connections()
+        self.register()
+
     def register(self) -> None:
         """Write the entry of this server to the store."""
         self.sequence += 1
@@ -199,6 +221,8 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.add(writer)
         try:
+            if self.dark:
+                await self.wait_in_dark()
             await _Connection(self, reader, writer).run()
         except (OSError, EOFError, asyncio.LimitOverrunError, ValueError):
             pass  # the far end has closed the connection; an open transaction is rolled back
@@ -239,6 +263,8 @@
             answer = await self._query(request_id, text)
             if not self._server.alive:
                 return
+            if self._server.dark:
+                await self._server.wait_in_dark()
             self._send(*answer, self._ready())
             await self._writer.drain()
 
@@ -454,7 +480,8 @@
 
     def replicas_of(self, primary: Server) -> list[Server]:
         """Return the running servers that follow a primary."""
-        return [s for s in self.servers if s is not primary and s.alive and s.role == "replica"]
+        running = [s for s in self.servers if s.alive and not s.dark]
+        return [s for s in running if s is not primary and s.role == "replica"]
 
     def on_run(self, server: Server, caller: str, request_id: str) -> None:
         """Record a statement that was run."""
@@ -469,7 +496,7 @@
         while True:
             await asyncio.sleep(HEARTBEAT_MS / 1_000)
             for server in self.servers:
-                if server.alive:
+                if server.alive and not server.dark:
                     silent_since.pop(server.server_id, None)
                     server.register()
                     continue
@@ -493,8 +520,8 @@
 
     async def promote(self, server_id: str) -> bool:
         """Order a promotion; return whether the server runs."""
-        server = next((s for s in self.servers if s.server_id == server_id and s.alive), None)
-        if server is None:
+        server = next((s for s in self.servers if s.server_id == server_id), None)
+        if server is None or not server.alive or server.dark:
             return False
         if server is not self.primary or server.role != "primary":
             asyncio.create_task(self._lead_later(server))
@@ -502,7 +529,7 @@
 
     async def _lead_later(self, server: Server) -> None:
         await asyncio.sleep(self.size.promote_ms / 1_000)
-        if not server.alive or (server is self.primary and server.role == "primary"):
+        if not server.alive or server.dark or (server is self.primary and server.role == "primary"):
             return
         old = self.primary
         server.term = max(s.term for s in self.servers) + 1
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -144,24 +144,36 @@
         self.recorder.event("configured", version=self._version, keys=keys)
         return self._version
 
-    async def start(self) -> None:
-        """Start everything and wait until all hosts are ready.
-
-        :raises CaseError: if that takes too long.
-        """
+    async def start_platform(self) -> None:
+        """Start the store, the failover API and the servers, and write the configuration."""
         await self.store.start()
         await self.failover.start()
         await self.group.start(self._server_addresses, ZONES)
         self.configure()
+
+    def start_hosts(self) -> None:
+        """Start the hosts and the platform's readiness checks."""
         for host in self.hosts:
             host.start()
+            asyncio.create_task(host.check_forever())
+
+    def hosts_for_clients(self) -> list[Host]:
+        """Return the hosts in rotation; all of them if there are none."""
+        return [host for host in self.hosts if host.in_rotation] or self.hosts
+
+    async def start(self) -> None:
+        """Start everything and wait until all hosts are ready.
+
+        :raises CaseError: if that takes too long.
+        """
+        await self.start_platform()
+        self.start_hosts()
         deadline = time.monotonic() + START_TIMEOUT_S
         for host in self.hosts:
             while not await host.is_ready():
                 if time.monotonic() > deadline or not host.is_running:
                     raise CaseError(f"{host.name} is not ready")
                 await asyncio.sleep(0.1)
-            asyncio.create_task(host.check_forever())
         await asyncio.sleep(2.0)
 
     def stop(self) -> None:
--- a/review/standins/hosts.py
+++ b/review/standins/hosts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import re
 import signal
 import subprocess
 import sys
@@ -135,6 +136,13 @@
             encoding="utf-8",
         )
 
+    def change_settings(self, grace_s: int) -> None:
+        """Write the settings with another grace time, at once as a whole."""
+        text = re.sub(r"graceS = \d+", f"graceS = {grace_s}", self._settings_file.read_text())
+        new = self._settings_file.with_suffix(".new")
+        new.write_text(text, encoding="utf-8")
+        new.replace(self._settings_file)
+
     def start(self) -> None:
         """Start the process as the deploy file says."""
         deploy = tomllib.loads((REPOSITORY / "deploy/system.toml").read_text(encoding="utf-8"))
--- a/review/standins/load.py
+++ b/review/standins/load.py
@@ -20,7 +20,8 @@
 
     def __init__(self, deployment: Deployment) -> None:
         self.acknowledged: dict[str, tuple[float, str, str]] = {}  # time, item, data by id
-        self.reads = 0
+        self.reads_served = 0
+        self.refused = 0
         self._deployment = deployment
         self._record = deployment.recorder.event
 
@@ -39,9 +40,7 @@
             await asyncio.sleep(pause_s * random.uniform(0.5, 1.5))
             try:
                 if session is None:
-                    hosts = [host for host in self._deployment.hosts if host.in_rotation]
-                    if not hosts:
-                        continue
+                    hosts = self._deployment.hosts_for_clients()
                     turn += 1
                     session = await Session.open(hosts[turn % len(hosts)], database, key)
                 await operation(session)
@@ -58,12 +57,14 @@
         code = answer.code
         if code == "OK":
             self.acknowledged[request_id] = (time.monotonic(), item, data)
+        self.refused += code != "OK"
         self._record("write", id=request_id, answer=code, promise=int(code in PROMISES))
 
     async def _read(self, session: Session) -> None:
         request_id = new_id()
         answer = await session.query("READ item-any", request_id, QUERY_TIMEOUT_S)
-        self.reads += 1
+        self.reads_served += answer.code == "OK"
+        self.refused += answer.code != "OK"
         self._record("read", id=request_id, answer=answer.code)
 
     def lost_commits(self) -> list[str]:
@@ -80,12 +81,12 @@
                     f"LOST: {len(lost)} commits that clients saw acknowledged aren't in the log"
                     f" of {promotion.server_id}, promoted to term {promotion.term}"
                 )
-        self._record("acknowledged", commits=len(self.acknowledged), reads=self.reads)
+        self._record("acknowledged", commits=len(self.acknowledged), reads=self.reads_served)
         return broken
 
     async def read_back(self) -> None:
         """Record how many of the acknowledged items a client no longer finds at the primary."""
-        hosts = [host for host in self._deployment.hosts if host.in_rotation]
+        hosts = self._deployment.hosts_for_clients()
         pending, missing = list(self.acknowledged.values()), 0
 
         async def read_some() -> None:
@@ -97,8 +98,12 @@
                 missing += answer.code == "OK" and answer.rows != [data]
             session.close()
 
-        await asyncio.gather(*(read_some() for _ in range(READ_BACK_SESSIONS)))
-        self._record("read_back", items=len(self.acknowledged), missing=missing)
+        try:
+            await asyncio.gather(*(read_some() for _ in range(READ_BACK_SESSIONS)))
+        except SessionError as error:
+            self._record("not_read_back", reason=str(error))
+        else:
+            self._record("read_back", items=len(self.acknowledged), missing=missing)
 
 
 async def sleep_until(at: float) -> None:
