--- a/review/earlier/4/case.py
+++ b/review/3/case.py
@@ -21,6 +21,7 @@
 
 
 async def scenario(deployment: Deployment, trouble: bool) -> list[str]:
+    """Move the key while transactions are open; count what then runs for the former tenant."""
     acked = {"at": float("inf")}
     tasks = [
         asyncio.create_task(run_transaction(deployment, host, number))
@@ -46,9 +47,7 @@
     ]
 
 
-async def run_transaction(
-    deployment: Deployment, host, number: int
-) -> dict[str, float]:  # noqa: ANN001
+async def run_transaction(deployment: Deployment, host, number: int) -> dict[str, float]:  # noqa: ANN001
     """Run one transaction with pauses; return when each request was sent."""
     record, sent = deployment.recorder.event, {}
     session = await Session.open(host, "lookup", "key-one")
