Promote only a server that has every acknowledged commit, with synchronous replicas

Cause: syncReplicas was decoded and read by nothing. rank_candidates put servers that leave last, whatever their position, and a server that did not answer one status query was left out.

Ruled out: that positions were asked for before the fence; the queries run after it, and with both replicas answering and staying the best had every commit.

A commit is in the logs of syncReplicas + 1 of N members. Any N - syncReplicas of them include one, so a promotion now waits for so many final answers (PAUSE, after the fence) and takes one of the servers with the newest position. Members whose entries expire go on counting until the others have their commits, and are kept in the store beside the record of primaries, for a host that takes over or starts later. A planned switch waits until a server that stays has received every commit. The old primary counts too, once it has returned and is demoted. Without syncReplicas nothing is asked or awaited.

The old test of candidates in evacuated zones called a method that has moved; its check is the same.

--- a/packages/figcrank-cli/src/figcrank/cli/_ctl_logs.py
+++ b/packages/figcrank-cli/src/figcrank/cli/_ctl_logs.py
@@ -33,6 +33,8 @@
     "promotion_ordered",
     "primary_demoted",
     "fence_incomplete",
+    "complete_log_unproven",
+    "members_departed",
     "replacement_ended",
     "server_unreachable",
     "server_changed",
--- a/packages/figcrank-coordination/src/figcrank/coordination/primaries/__init__.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/primaries/__init__.py
@@ -14,6 +14,8 @@
 from figcrank.coordination.primaries._holder import TAKEOVER_WAIT_MS as TAKEOVER_WAIT_MS
 from figcrank.coordination.primaries._holder import PromotionRight as PromotionRight
 from figcrank.coordination.primaries._holder import RecordHolder as RecordHolder
+from figcrank.coordination.primaries._members import GroupMembers as GroupMembers
+from figcrank.coordination.primaries._members import complete_position as complete_position
 from figcrank.coordination.primaries._proof import proven_position as proven_position
 from figcrank.coordination.primaries._proof import proven_primary as proven_primary
 from figcrank.coordination.primaries._replacement import SILENT_THRESHOLD_MS as SILENT_THRESHOLD_MS
--- a/packages/figcrank-coordination/src/figcrank/coordination/primaries/_holder.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/primaries/_holder.py
@@ -16,7 +16,7 @@
 such a claim takes it over like any other.
 """
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Set
 from dataclasses import dataclass, replace
 
 from figcrank.protocol.heartbeats import PrimaryRecord, StoredPrimaries
@@ -87,7 +87,12 @@
         return stored.revision == tenure.revision or stored.token == tenure.token
 
     def claim(
-        self, stored: StoredPrimaries, group: str, record: PrimaryRecord, renews: bool
+        self,
+        stored: StoredPrimaries,
+        group: str,
+        record: PrimaryRecord,
+        renews: bool,
+        members: Set[str] = frozenset(),
     ) -> StoredPrimaries | None:
         """Return what to write to the store, ``None`` if another host runs the replacement.
 
@@ -98,6 +103,8 @@
         :param stored: the current content of the store.
         :param record: the record to write for the group.
         :param renews: whether the host has already written the group's record and only confirms it.
+        :param members: the group's members that this host knows. During a replacement they are
+            added to those in the store, which the next replacement after an interruption needs.
         """
         if renews and not self.holds(stored):
             return None
@@ -107,7 +114,23 @@
         is_own_write = known == record and stored.holder == self._host
         if known is not None and known.version == record.version and not is_own_write:
             return None
-        return replace(self.take_over(stored), records={**stored.records, group: record})
+        records = {**stored.records, group: record}
+        wanted = replace(self.take_over(stored), records=records)
+        if record.moving:
+            members = members | stored.members.get(group, frozenset())
+        return _with_members(wanted, group, members) if members else wanted
+
+    def record_members(
+        self, stored: StoredPrimaries, group: str, members: Set[str]
+    ) -> StoredPrimaries | None:
+        """Return what to write to the store to record a group's members, ``None`` if it must wait.
+
+        Members are not written while any primary is being replaced, as that would end the
+        replacement of a host that is the holder.
+        """
+        if any(record.moving for record in stored.records.values()):
+            return None
+        return _with_members(self.take_over(stored), group, members)
 
     def settle(
         self, stored: StoredPrimaries, records: Mapping[str, PrimaryRecord]
@@ -153,3 +176,7 @@
             not_before_ms = now_ms + TAKEOVER_WAIT_MS
             self._tenure = _Tenure(written.revision, token, not_before_ms)
         return PromotionRight(self._host, self._tenure.token, sent_ms, self._tenure.not_before_ms)
+
+
+def _with_members(stored: StoredPrimaries, group: str, members: Set[str]) -> StoredPrimaries:
+    return replace(stored, members={**stored.members, group: frozenset(members)})
--- a/packages/figcrank-protocol/src/figcrank/protocol/heartbeats.py
+++ b/packages/figcrank-protocol/src/figcrank/protocol/heartbeats.py
@@ -70,12 +70,15 @@
     :param holder: host that may promote servers.
     :param token: fencing token, which increases whenever the holder changes.
     :param records: primary records by group.
+    :param members: by group with synchronous replicas, the ids of the servers whose logs may hold
+        an acknowledged commit that another one lacks.
     """
 
     revision: int = 0
     holder: str = ""
     token: int = 0
     records: dict[str, PrimaryRecord] = field(default_factory=dict)
+    members: dict[str, frozenset[str]] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/figcrank-protocol/src/figcrank/protocol/sessions.py
+++ b/packages/figcrank-protocol/src/figcrank/protocol/sessions.py
@@ -264,6 +264,13 @@
     def demote(self, term: int) -> str:
         """Return the statement that demotes a primary whose term is below ``term`` to a replica."""
 
+    @abstractmethod
+    def pause(self, term: int) -> str:
+        """Return the statement that stops a replica from receiving commits of earlier terms.
+
+        It receives again after the next promotion in its group.
+        """
+
     @abstractmethod
     def read_status(self, reply: StatementReply) -> "ServerReport | None":
         """Return the report in a reply to :meth:`status`, ``None`` if it can't be decoded."""
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_primary_record_writer.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_primary_record_writer.py
@@ -1,6 +1,6 @@
 """Writes the record of primaries on behalf of all groups that this host replaces."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Set
 from typing import NoReturn
 
 from eventlet.semaphore import Semaphore
@@ -73,21 +73,47 @@
         self._write(claim, settled=sorted(records))
         return self._stored
 
-    def write(self, group: str, record: PrimaryRecord, renews: bool = False) -> PromotionRight:
+    def write(
+        self,
+        group: str,
+        record: PrimaryRecord,
+        renews: bool = False,
+        members: Set[str] = frozenset(),
+    ) -> PromotionRight:
         """Write a group's record as the holder and return the right that this confirms.
 
         :param renews: whether this host has already written the record and only confirms it.
+        :param members: the group's members that this host knows, in a group with synchronous
+            replicas.
         :raises StoreError: if another host is the holder or the record can't be written.
         """
 
         def claim(stored: StoredPrimaries) -> StoredPrimaries:
-            wanted = self._holder.claim(stored, group, record, renews)
+            wanted = self._holder.claim(stored, group, record, renews, members)
             if wanted is None:
                 self._yield_to_holder(group)
             return wanted
 
         return self._write(claim, group=group, version=record.version, moving=record.moving)
 
+    def members(self, group: str) -> frozenset[str]:
+        """Return a group's members as last read from the store or written there."""
+        return self._stored.members.get(group, frozenset())
+
+    def write_members(self, group: str, members: Set[str]) -> None:
+        """Write a group's members to the store, unless a primary is being replaced.
+
+        :raises StoreError: if they can't be written.
+        """
+
+        def claim(stored: StoredPrimaries) -> StoredPrimaries:
+            wanted = self._holder.record_members(stored, group, members)
+            if wanted is None:
+                raise StoreError(StoreErrorKind.CONFLICT, "a primary is being replaced")
+            return wanted
+
+        self._write(claim, group=group, members=len(members))
+
     def _write(
         self, claim: Callable[[StoredPrimaries], StoredPrimaries], **fields: object
     ) -> PromotionRight:
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
@@ -4,6 +4,7 @@
 only the holder orders promotions, for a limited time after each write that confirms it.
 """
 
+from collections.abc import Callable
 from dataclasses import replace
 
 import eventlet
@@ -20,7 +21,6 @@
     is_settled,
     may_promote,
     moving_record,
-    rank_candidates,
     reason_to_replace,
 )
 from figcrank.protocol.heartbeats import NEVER_MS, PrimaryRecord
@@ -37,6 +37,7 @@
 from figcrank.transport.streams._metrics import Metrics
 from figcrank.transport.streams._peer_link import PeerLink
 from figcrank.transport.streams._primary_record_writer import PrimaryRecordWriter
+from figcrank.transport.streams._promotion_candidates import Candidate, PromotionCandidates, Reports
 from figcrank.transport.streams._record_settler import RecordSettler
 from figcrank.transport.streams._router import Router
 from figcrank.transport.streams._server_commands import ServerCommands
@@ -54,6 +55,9 @@
 DEMOTE_RETRY_MS = 400
 RECORD_RETRY_MS = 3_000  # between attempts to record primaries that were never replaced
 MAX_PROMOTION_ATTEMPTS = 5  # per server, if the call is refused or its response is lost
+# A server that was silent for a moment answers by then; after that the replacement begins again.
+PROOF_TIMEOUT_MS = 10_000
+SWITCH_RETRY_MS = 1_000  # until a planned switch is tried again that waits for a replica
 PROMOTION_RETRY_MS = 100  # after a refused order; the call is limited to 50/s
 
 
@@ -94,6 +98,9 @@
         self._metrics = metrics
         self._replacing: set[str] = set()
         self._writer = PrimaryRecordWriter(view.host, store, self._merge_record, clock, log)
+        self._candidates = PromotionCandidates(
+            view, router, self._query_servers, self._stop_servers, self._writer, clock, log
+        )
         self._settler = RecordSettler(
             view,
             store,
@@ -107,6 +114,7 @@
         )
         self._next_record_attempt_ms = 0
         self._missing_since_ms: dict[str, int] = {}
+        self._next_switch_ms: dict[str, int] = {}  # by group, of a planned one
 
     def run(self) -> None:
         """Check every group periodically, until the process ends."""
@@ -120,13 +128,18 @@
 
     def _check_group(self, group: str, record: PrimaryRecord, now_ms: int) -> None:
         self._track_registration(group, record, now_ms)
-        if not self._store.is_first_reader(now_ms):
+        is_first_reader = self._store.is_first_reader(now_ms)
+        if not record.moving:
+            self._candidates.track(group, record, is_first_reader)
+        if not is_first_reader:
             return
         if record.moving:
             if self._view.primary_table.moving_for_ms(group, now_ms) > TAKEOVER_TIMEOUT_MS:
                 self._start_replacement(group, record, None)
             return
         reason = reason_to_replace(self._evidence(group, record, now_ms))
+        if reason is not None and reason.is_planned and now_ms < self._next_switch_ms.get(group, 0):
+            return
         if reason is not None:
             self._start_replacement(group, record, reason)
         elif not record.version and record.term and now_ms >= self._next_record_attempt_ms:
@@ -151,7 +164,7 @@
             self._store.registry_is_fresh(now_ms),
             self._view.primary_failures.get(group),
             tuple(peer.heartbeat.primary_failures.get(group) for peer in live if peer.heartbeat),
-            self._is_evacuated(record.server_id),
+            self._candidates.is_evacuated(record.server_id),
         )
 
     def _start_replacement(
@@ -196,19 +209,29 @@
         self, group: str, record: PrimaryRecord, reason: ReplacementReason | None
     ) -> str:
         planned = reason is not None and reason.is_planned
+        sync_replicas = self._candidates.sync_replicas(group)
+        if planned and sync_replicas:
+            caught_up = self._await_sync_replica(group, record)
+            if caught_up is False:
+                self._next_switch_ms[group] = self._clock.now_ms() + SWITCH_RETRY_MS
+                return "no server that could take over has every commit"
+            planned = bool(caught_up)  # a primary that does not answer has nothing left to finish
         if planned:  # the primary goes on serving while this host becomes the holder
             self._sleep_until(self._writer.hold().not_before_ms)
         era = self._store.era
         # What an interrupted replacement, or one that the store has lost, has done is not known.
         takes_over = record.moving or not is_settled(record, era)
         moving = moving_record(record, planned, era)
-        right = self._writer.write(group, moving)
+        right = self._writer.write(group, moving, members=self._candidates.members(group))
+        self._candidates.adopt_stored_members(group)
         if self._store.era != era:
             return "the store came back from an older copy"
         stored_ms = self._clock.now_ms()
         self._merge_record(group, moving)
         if self._view.primary_table.get(group) != moving:
             return "a newer primary record was merged first"
+        if sync_replicas and self._prepare_sync_replica(group, moving, planned) is False:
+            return self._keep_primary(group, moving)
         demoted = self._stop_old_primary(group, moving, planned)
         promoted = self._find_promoted(group, moving, not takes_over)
         if promoted is None:
@@ -228,9 +251,18 @@
         done = completed_record(moving, server_id, term, self._address_of(server_id))
         self._merge_record(group, done)
         eventlet.spawn_n(self._demote_later, record.server_id, group, term)
-        self._writer.write(group, done, renews=True)
+        self._writer.write(group, done, renews=True, members=self._candidates.members(group))
         return "done"
 
+    def _keep_primary(self, group: str, moving: PrimaryRecord) -> str:
+        """End a planned switch before the primary was demoted; it is used again."""
+        address = moving.address or self._address_of(moving.server_id)
+        kept = completed_record(moving, moving.server_id, moving.term, address)
+        self._merge_record(group, kept)
+        self._writer.write(group, kept, renews=True, members=self._candidates.members(group))
+        self._next_switch_ms[group] = self._clock.now_ms() + SWITCH_RETRY_MS
+        return "no server that could take over has every commit; the primary is kept"
+
     def _store_initial_records(self) -> None:
         """Record primaries that were never replaced, for hosts that start later.
 
@@ -263,7 +295,7 @@
         entry = self._entry(record.server_id)
         if entry is None:
             return False
-        if planned:
+        if planned and not self._candidates.sync_replicas(group):
             self._await_quiesced(group, QUIESCE_TIMEOUT_MS)
             self._await_catch_up(group, entry)
         return self._demote(entry, record.term + 1)
@@ -272,11 +304,6 @@
         entry = self._entry(server_id)
         return entry.address if entry else ""
 
-    def _is_evacuated(self, server_id: str) -> bool:
-        """Return whether a server is in an availability zone that is evacuated."""
-        entry = self._entry(server_id)
-        return entry is not None and not self._router.guard.is_open(entry)
-
     def _entry(self, server_id: str) -> ServerEntry | None:
         pool = self._router.pool(server_id)
         return pool.entry if pool else None
@@ -324,11 +351,42 @@
             return
         deadline_ms = self._clock.now_ms() + CATCH_UP_TIMEOUT_MS
         while self._clock.now_ms() < deadline_ms:
-            candidates = self._candidates(group, old.server_id)
-            if candidates and (candidates[0][1].position or target) >= target:
+            if self._candidates.best_has_reached(group, old.server_id, target):
                 return
             eventlet.sleep(POLL_INTERVAL_MS / 1_000)
 
+    def _await_sync_replica(self, group: str, record: PrimaryRecord) -> bool | None:
+        """Wait until a replica that could take over has received every commit of the primary.
+
+        :returns: whether one has; ``None`` if the primary does not answer.
+        """
+        entry = self._entry(record.server_id)
+        report = self._commands.status(entry) if entry else None
+        if report is None or report.position is None:
+            return None
+        deadline_ms = self._clock.now_ms() + CATCH_UP_TIMEOUT_MS
+        while True:
+            if self._candidates.has_caught_up(group, record.server_id, report.position):
+                return True
+            if self._clock.now_ms() >= deadline_ms:
+                return False
+            eventlet.sleep(POLL_INTERVAL_MS / 1_000)
+
+    def _prepare_sync_replica(
+        self, group: str, record: PrimaryRecord, planned: bool
+    ) -> bool | None:
+        """Let a replica receive the last commits of a primary that answers, before its demotion.
+
+        A demoted primary sends no commits, so that only it could be promoted again.
+
+        :returns: false if the switch can wait and no replica has received them.
+        """
+        if not planned and group in self._view.primary_failures:
+            return None
+        self._await_quiesced(group, QUIESCE_TIMEOUT_MS)
+        caught_up = self._await_sync_replica(group, record)
+        return caught_up if planned else None
+
     def _observed_position(self, group: str, old: ServerEntry) -> Position | None:
         """Return the newest position of a primary that must not be queried, if hosts know it."""
         newest = self._view.position_history(group).newest()
@@ -425,12 +483,26 @@
     def _promote(
         self, group: str, record: PrimaryRecord, right: PromotionRight
     ) -> tuple[str, int] | None:
-        for server_id, report in self._candidates(group, record.server_id):
+        for server_id, report in self._await_candidates(group, record):
             promoted = self._promote_one(group, record, right, server_id, report)
             if promoted is not None:
                 return promoted
         return None
 
+    def _await_candidates(self, group: str, record: PrimaryRecord) -> list[Candidate]:
+        """Return the servers that may be promoted, best first.
+
+        With synchronous replicas, wait until enough servers answer to prove which ones have every
+        acknowledged commit. Promoting another one would lose some.
+        """
+        deadline_ms = self._clock.now_ms() + PROOF_TIMEOUT_MS
+        while True:
+            candidates = self._candidates.find(group, record)
+            is_final = bool(candidates) or not self._candidates.sync_replicas(group)
+            if is_final or self._clock.now_ms() >= deadline_ms:
+                return candidates
+            eventlet.sleep(PROMOTION_RETRY_MS / 1_000)
+
     def _promote_one(
         self,
         group: str,
@@ -441,7 +513,7 @@
     ) -> tuple[str, int] | None:
         """Order one server's promotion, with retries, and return it once it is primary."""
         for _ in range(MAX_PROMOTION_ATTEMPTS):
-            if self._is_evacuated(server_id):
+            if self._candidates.is_evacuated(server_id):
                 return None  # evacuated since it was chosen
             if right.needs_renewal(self._clock.now_ms()):
                 right = self._writer.write(group, record, renews=True)
@@ -462,7 +534,7 @@
     ) -> PromoteOutcome:
         def may_send() -> bool:
             now_ms = self._clock.now_ms()
-            permitted = right.permits(now_ms) and not self._is_evacuated(server_id)
+            permitted = right.permits(now_ms) and not self._candidates.is_evacuated(server_id)
             self._log.event(
                 "promotion_sent" if permitted else "promotion_not_sent",
                 group=group,
@@ -506,20 +578,38 @@
             eventlet.sleep(POLL_INTERVAL_MS / 1_000)
         return None
 
-    def _candidates(self, group: str, old_id: str) -> list[tuple[str, ServerReport]]:
-        """Return the servers that can become primary, best first."""
-        leaving = {e.server_id for e in self._router.entries_of(group) if e.draining}
-        reports = self._collect_reports(group, old_id)
-        open_reports = [item for item in reports if not self._is_evacuated(item[0])]
-        return rank_candidates(open_reports, leaving, self._router.cold.server_ids())
-
     def _collect_reports(self, group: str, old_id: str) -> list[tuple[str, ServerReport]]:
         """Return the status reports of the group's other servers."""
         reports = self._query_servers(group, old_id)
         return [(server_id, report) for server_id, report in reports.items() if report is not None]
 
-    def _query_servers(self, group: str, except_id: str = "") -> dict[str, ServerReport | None]:
+    def _query_servers(self, group: str, except_id: str = "") -> Reports:
         """Return the status report of each server of a group, ``None`` if it does not answer."""
+        return self._ask_servers(group, self._commands.status, except_id)
+
+    def _stop_servers(self, group: str, except_id: str, term: int) -> Reports:
+        """Return the reports of a group's servers after they stopped receiving earlier commits.
+
+        A primary is demoted; it counts as silent if it goes on.
+
+        :param except_id: id of a server that is not asked.
+        :param term: the first term from which commits may be received.
+        """
+
+        def stop(entry: ServerEntry) -> ServerReport | None:
+            report = self._commands.pause(entry, term)
+            if report is not None and report.is_primary:
+                report = self._commands.demote(entry, term)
+            return None if report is None or report.is_primary else report
+
+        return self._ask_servers(group, stop, except_id)
+
+    def _ask_servers(
+        self,
+        group: str,
+        ask: Callable[[ServerEntry], ServerReport | None],
+        except_id: str = "",
+    ) -> Reports:
         entries = [e for e in self._router.entries_of(group) if e.server_id != except_id]
-        threads = {e.server_id: eventlet.spawn(self._commands.status, e) for e in entries}
+        threads = {e.server_id: eventlet.spawn(ask, e) for e in entries}
         return {server_id: thread.wait() for server_id, thread in threads.items()}
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_server_commands.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_server_commands.py
@@ -34,6 +34,13 @@
         """
         return self._run(entry, self._codec.demote(term))
 
+    def pause(self, entry: ServerEntry, term: int) -> ServerReport | None:
+        """Stop a replica from receiving commits of the terms before ``term``.
+
+        :returns: status of the server afterwards, ``None`` if it does not reply.
+        """
+        return self._run(entry, self._codec.pause(term))
+
     def status(self, entry: ServerEntry) -> ServerReport | None:
         """Return the status of a server, ``None`` if it does not reply."""
         return self._run(entry, self._codec.status())
--- a/packages/figcrank-transport/tests/test_replacer.py
+++ b/packages/figcrank-transport/tests/test_replacer.py
@@ -23,7 +23,7 @@
 from figcrank.protocol.sessions import ServerReport
 from figcrank.standins.virtual_time import HubClock, in_virtual_time
 from figcrank.state import Position, era_of, number_of, revision_of
-from figcrank.state._catalog import Registry, ServerEntry
+from figcrank.state._catalog import Catalog, GroupPolicy, Registry, ServerEntry
 from figcrank.transport.streams._interfaces import PromoteOutcome, StoreError, StoreErrorKind
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._metrics import Metrics
@@ -122,16 +122,18 @@
     is_primary: bool = False
     term: int = 1
     zone: str = "zone-a"
+    draining: bool = False
+    position: Position = Position(1, 5)
 
     @property
     def entry(self):
         return ServerEntry(
-            self.server_id, self.group, "10.0.0.1:80", self.zone, 4, False, self.is_primary
+            self.server_id, self.group, "10.0.0.1:80", self.zone, 4, self.draining, self.is_primary
         )
 
     @property
     def report(self):
-        return ServerReport(self.is_primary, self.term, Position(1, 5))
+        return ServerReport(self.is_primary, self.term, self.position)
 
 
 class Servers:
@@ -150,6 +152,7 @@
         }
         self.silent = {f"{group}-0" for group in GROUPS}
         self.refusing = set(self.silent)
+        self.promoted = []
 
     def of(self, group):
         return [server for server in self.by_id.values() if server.group == group]
@@ -159,6 +162,7 @@
         leader = max(self.of(server.group), key=lambda other: (other.term, other.is_primary))
         if server is not leader or not server.is_primary:
             server.is_primary, server.term = True, leader.term + 1
+            self.promoted.append(server_id)
 
 
 class Commands:
@@ -175,8 +179,15 @@
             return None
         return self._servers.by_id[entry.server_id].report
 
-    def demote(self, entry, _term):
-        self.status(entry)  # no test has a primary that can be demoted
+    def pause(self, entry, _term):
+        return self.status(entry)
+
+    def demote(self, entry, term):
+        report = self.status(entry)
+        if report is None or report.term >= term:
+            return report
+        self._servers.by_id[entry.server_id].is_primary = False
+        return self.status(entry)
 
 
 @dataclass
@@ -237,6 +248,7 @@
         log.event = lambda event, **fields: self.lines.append((event, fields))
         metrics = Metrics()
         router = QuietRouter(self.view, None, self.clock, "zone-a", log, metrics)
+        router._prober.probe_if_suspect = lambda *_: None
         for group in records:
             router.pool(f"{group}-0").health.record_failure(0, refused=True)
         self.store = StoreOfHost(fleet.store)
@@ -741,7 +753,255 @@
 
     def scenario(fleet):
         fleet.a.evacuate("zone-2")
-        found.extend(fleet.a.replacer._candidates("g1", "g1-0"))
+        record = fleet.a.view.primary_table.get("g1")
+        found.extend(fleet.a.replacer._candidates.find("g1", record))
 
     run(scenario)
     assert [server_id for server_id, _ in found] == ["g1-1"]
+
+
+BEHIND = Position(1, 5)
+COMPLETE = Position(1, 9)
+
+
+def require_sync_replicas(fleet, count=1):
+    """Let commits of ``g1`` be acknowledged once so many replicas have them; ``g1-2`` has all."""
+    fleet.servers.by_id["g1-0"].position = COMPLETE
+    fleet.servers.by_id["g1-2"].position = COMPLETE
+    for host in (fleet.a, fleet.b):
+        host.view.catalog = Catalog(1, groups={"g1": GroupPolicy("g1", 30, count)})
+        record = host.view.primary_table.get("g1")
+        host.replacer._candidates.track("g1", record, is_first_reader=host is fleet.a)
+
+
+def bring_back(fleet, server_id):
+    """Let a server answer again."""
+    fleet.servers.silent.discard(server_id)
+    fleet.servers.refusing.discard(server_id)
+    for host in (fleet.a, fleet.b):
+        host.router.pool(server_id).health.record_answer(host.clock.now_ms(), None)
+
+
+def list_servers(fleet, *server_ids):
+    """Let both hosts read a list with these servers of ``g1`` alone."""
+    entries = {server_id: fleet.servers.by_id[server_id].entry for server_id in server_ids}
+    for host in (fleet.a, fleet.b):
+        host.view.registry = Registry(host.view.registry.revision + 1, entries)
+        host.router.tick()
+
+
+def test_replica_with_every_acknowledged_commit_is_promoted_although_it_is_leaving(run):
+    """The one that lacked them was promoted, as a server that leaves came last."""
+
+    def scenario(fleet):
+        fleet.servers.by_id["g1-2"].draining = True
+        list_servers(fleet, "g1-0", "g1-1", "g1-2")
+        require_sync_replicas(fleet)
+        fleet.a.replace("g1")
+        sleep_ms(6_000)
+
+    assert run(scenario).servers.promoted == ["g1-2"]
+
+
+def test_no_replica_is_promoted_while_one_that_may_have_more_commits_is_silent(run):
+    """The only one that answered was promoted, and lacked commits that callers were told of."""
+
+    def scenario(fleet):
+        require_sync_replicas(fleet)
+        fleet.servers.silent.add("g1-2")
+        fleet.a.replace("g1")
+        sleep_ms(4_000)
+        assert not fleet.failover.arrived
+        fleet.servers.silent.discard("g1-2")
+        sleep_ms(2_000)
+
+    assert run(scenario).servers.promoted == ["g1-2"]
+
+
+def test_promotion_with_all_replicas_well_takes_no_longer_with_synchronous_ones(run):
+    def measure(count):
+        def scenario(fleet):
+            fleet.a.replacer._writer.hold()
+            require_sync_replicas(fleet, count)
+            sleep_ms(2_000)
+            began_ms.append(fleet.a.clock.now_ms())
+            fleet.a.replace("g1")
+            sleep_ms(6_000)
+
+        began_ms = []
+        fleet = run(scenario)
+        assert fleet.servers.promoted == ["g1-2"]
+        return fleet.failover.arrived[0][0] - began_ms[0]
+
+    assert measure(1) <= measure(0)
+
+
+def test_without_synchronous_replicas_a_silent_replica_is_not_waited_for(run):
+    def scenario(fleet):
+        require_sync_replicas(fleet, 0)
+        fleet.servers.silent.add("g1-2")
+        fleet.a.replace("g1")
+        sleep_ms(3_000)
+
+    assert run(scenario).servers.promoted == ["g1-1"]
+
+
+def test_replica_whose_entry_expires_during_a_replacement_still_counts(run):
+    """Guards against a promotion once the entry of the only complete replica is removed."""
+
+    def scenario(fleet):
+        require_sync_replicas(fleet)
+        fleet.servers.silent.add("g1-2")
+        fleet.a.replace("g1")
+        sleep_ms(1_000)
+        list_servers(fleet, "g1-1")
+        for _ in range(40):
+            sleep_ms(500)
+            fleet.a.router.tick()
+            fleet.a.check("g1")
+        assert not fleet.failover.arrived
+        fleet.servers.silent.discard("g1-2")
+        list_servers(fleet, "g1-1", "g1-2")
+        for _ in range(30):
+            sleep_ms(500)
+            fleet.a.check("g1")
+
+    assert run(scenario).servers.promoted == ["g1-2"]
+
+
+def test_host_that_takes_over_knows_the_members_of_the_interrupted_replacement(run):
+    """Guards against a new host that never saw the entry of the only complete replica."""
+
+    def scenario(fleet):
+        require_sync_replicas(fleet)
+        fleet.servers.silent.add("g1-2")
+        fleet.a.replace("g1")
+        sleep_ms(1_000)
+        fleet.b.replacer._candidates._members.clear()
+        list_servers(fleet, "g1-1")
+        fleet.b.router._pools.pop("g1-2", None)
+        fleet.b.view.merge_primary("g1", fleet.store.record.records["g1"], 0)
+        fleet.b.replace("g1")
+        sleep_ms(20_000)
+
+    assert not run(scenario).failover.arrived
+
+
+def test_host_that_starts_after_an_entry_expired_knows_the_member_from_the_store(run):
+    """Guards against hosts that all start again while the only complete replica is silent."""
+
+    def scenario(fleet):
+        require_sync_replicas(fleet)
+        sleep_ms(100)
+        assert fleet.store.record.members["g1"] == {"g1-0", "g1-1", "g1-2"}
+        fleet.servers.silent.add("g1-2")
+        fleet.b.replacer._candidates._members.clear()
+        list_servers(fleet, "g1-1")
+        fleet.b.router._pools.pop("g1-2", None)
+        fleet.b.replace("g1")
+        sleep_ms(20_000)
+
+    assert not run(scenario).failover.arrived
+
+
+def test_old_primary_that_returns_with_its_log_is_promoted_if_no_other_has_every_commit(run):
+    """A primary that was replaced was never a candidate again."""
+
+    def scenario(fleet):
+        require_sync_replicas(fleet)
+        fleet.servers.silent.add("g1-2")
+        fleet.a.replace("g1")
+        sleep_ms(3_000)
+        bring_back(fleet, "g1-0")
+        sleep_ms(3_000)
+
+    assert run(scenario).servers.promoted == ["g1-0"]
+
+
+def test_refused_order_does_not_promote_a_server_that_lacks_commits(run):
+    """The next server was tried, whatever its log."""
+
+    def scenario(fleet):
+        require_sync_replicas(fleet)
+
+        def reject(_group, server_id, *_arguments):
+            ordered.append(server_id)
+            return PromoteOutcome.REJECTED
+
+        fleet.failover.promote = reject
+        fleet.a.replace("g1")
+        sleep_ms(6_000)
+
+    ordered = []
+    run(scenario)
+    assert set(ordered) == {"g1-2"}
+
+
+@pytest.mark.parametrize("caught_up", [True, False])
+def test_departed_replica_is_forgotten_once_the_others_have_its_commits(run, caught_up):
+    """Guards against a group without a primary because of a server that left long ago."""
+
+    def scenario(fleet):
+        bring_back(fleet, "g1-0")
+        require_sync_replicas(fleet)
+        sleep_ms(100)
+        fleet.servers.silent.add("g1-2")
+        list_servers(fleet, "g1-0", "g1-1")
+        if caught_up:
+            fleet.servers.by_id["g1-1"].position = COMPLETE
+        for _ in range(20):
+            sleep_ms(500)
+            fleet.a.router.tick()
+            fleet.a.check("g1")
+        fleet.servers.silent.add("g1-0")
+        fleet.servers.refusing.add("g1-0")
+        fleet.a.replace("g1")
+        sleep_ms(4_000)
+
+    assert run(scenario).servers.promoted == (["g1-1"] if caught_up else [])
+
+
+def test_planned_switch_waits_for_a_replica_that_has_every_commit(run):
+    """The primary was demoted after 600 ms, and a replica that lacked commits was promoted."""
+
+    def scenario(fleet):
+        bring_back(fleet, "g1-0")
+        fleet.servers.by_id["g1-0"].draining = True
+        list_servers(fleet, "g1-0", "g1-1", "g1-2")
+        require_sync_replicas(fleet)
+        fleet.servers.by_id["g1-2"].position = BEHIND
+        record = fleet.a.view.primary_table.get("g1")
+        outcomes.append(fleet.a.replacer._run_replacement("g1", record, ReplacementReason.LEAVING))
+        assert fleet.servers.by_id["g1-0"].is_primary
+        assert not fleet.a.view.primary_table.get("g1").moving
+        fleet.servers.by_id["g1-1"].position = COMPLETE
+        outcomes.append(fleet.a.replacer._run_replacement("g1", record, ReplacementReason.LEAVING))
+
+    outcomes = []
+    assert run(scenario).servers.promoted == ["g1-1"]
+    assert outcomes == ["no server that could take over has every commit", "done"]
+
+
+def test_planned_switch_is_ended_if_the_replica_falls_behind_after_its_begin(run):
+    """Guards against a demotion while no other server has every commit."""
+
+    def scenario(fleet):
+        bring_back(fleet, "g1-0")
+        list_servers(fleet, "g1-0", "g1-1", "g1-2")
+        require_sync_replicas(fleet)
+        record = fleet.a.view.primary_table.get("g1")
+        write = fleet.a.replacer._writer.write
+
+        def write_and_lag(*arguments, **options):
+            fleet.servers.by_id["g1-2"].position = BEHIND
+            return write(*arguments, **options)
+
+        fleet.a.replacer._writer.write = write_and_lag
+        outcome = fleet.a.replacer._run_replacement("g1", record, ReplacementReason.LEAVING)
+        assert outcome.endswith("the primary is kept")
+
+    fleet = run(scenario)
+    assert not fleet.servers.promoted
+    assert fleet.servers.by_id["g1-0"].is_primary
+    kept = fleet.store.record.records["g1"]
+    assert (kept.server_id, kept.moving, kept.term) == ("g1-0", False, 1)
