End a transaction whose key has moved to another workspace

Cause: the session asked whether any workspace holds the key, not whether the transaction's does. A statement that waited for a connection kept the workspace of its arrival in the same way.

Ruled out: an old configuration at the host (a statement outside a transaction was right at once) and connections of another workspace (they are kept apart by workspace).

CallerSession.acts_for is asked when a request of a transaction arrives and right before anything is sent. The caller gets ABORTED, or BUSY if nothing of the operation was sent; a connection with an open transaction is closed, an unused one goes back. A rollback is no longer sent for the former workspace.

--- a/packages/figcrank-coordination/src/figcrank/coordination/admission/_demand.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/admission/_demand.py
@@ -6,7 +6,7 @@
 from figcrank.coordination.admission._stages import StageTimes
 
 
-def _always_connected() -> bool:
+def _always() -> bool:
     return True
 
 
@@ -21,6 +21,8 @@
     :param target_ms: time until which the operation is in time.
     :param deadline_ms: time after which the caller no longer waits for the result.
     :param connected: tells whether the caller is still connected.
+    :param acts_for_workspace: tells whether the caller still acts for the workspace; a newer
+        configuration may have given its key to another one.
     :param is_hedge: whether another server is already running the statement. Its rejection is not
         reported to the caller.
     :param stages: collects where the time of the operation goes.
@@ -32,6 +34,7 @@
     arrived_ms: int
     target_ms: int
     deadline_ms: int
-    connected: Callable[[], bool] = field(default=_always_connected, compare=False)
+    connected: Callable[[], bool] = field(default=_always, compare=False)
+    acts_for_workspace: Callable[[], bool] = field(default=_always, compare=False)
     is_hedge: bool = False
     stages: StageTimes = field(default_factory=StageTimes, compare=False, repr=False)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_acquirer.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_acquirer.py
@@ -77,6 +77,7 @@
             now_ms + route.target_latency_ms,
             self._lifetime.limit_ms(now_ms + route.timeout_ms - ANSWER_MARGIN_MS),
             session.is_connected,
+            lambda: session.acts_for(workspace),
         )
 
     def hedge(self, demand: Demand) -> Demand:
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_read_runner.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_read_runner.py
@@ -16,7 +16,7 @@
 from figcrank.transport.streams._preparer import ConnectionPreparer
 from figcrank.transport.streams._replies import ReplyObserver, release_or_discard
 from figcrank.transport.streams._router import Router
-from figcrank.transport.streams._statements import Answer, Statement
+from figcrank.transport.streams._statements import WORKSPACE_LEFT, Answer, Statement
 
 if TYPE_CHECKING:
     from figcrank.transport.streams._session import CallerSession
@@ -104,6 +104,14 @@
                     attempt.pool.discard(attempt.connection)
                     tries -= 1
                     continue
+                if not demand.acts_for_workspace():
+                    release_or_discard(attempt.pool, attempt.connection)
+                    tries -= 1
+                    attempt = None
+                    if not running:
+                        not_run, refusal = _not_run(unanswered), RefusalReason.CONFIGURATION
+                        return Answer(b"", not_run, WORKSPACE_LEFT, tries, refusal=refusal)
+            if attempt is not None:
                 running += 1
                 attempt.pool.extend_use(attempt.connection, deadline_ms)
                 session.statement_sent = True
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_runner.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_runner.py
@@ -22,7 +22,7 @@
 from figcrank.transport.streams._read_runner import ReadRunner
 from figcrank.transport.streams._replies import ReplyObserver, release_or_discard
 from figcrank.transport.streams._router import Router
-from figcrank.transport.streams._statements import Answer, Statement
+from figcrank.transport.streams._statements import WORKSPACE_LEFT, Answer, Statement
 
 if TYPE_CHECKING:
     from figcrank.transport.streams._session import CallerSession
@@ -94,12 +94,15 @@
         """Return why a statement that would take effect is no longer sent, ``None`` to send it.
 
         Its caller may have given up while this host was suspended, with the request unread or
-        waiting, and may have written something newer since.
+        waiting, and may have written something newer since. Its key may belong to another
+        workspace since it arrived.
         """
         if not demand.connected():
             detail, reason = "the caller has disconnected", RefusalReason.DISCONNECTED
         elif self._clock.now_ms() >= demand.deadline_ms:
             detail, reason = "its time was over before it was sent", RefusalReason.DEADLINE
+        elif not demand.acts_for_workspace():
+            detail, reason = WORKSPACE_LEFT, RefusalReason.CONFIGURATION
         else:
             return None
         return OpenError(SessionFailure.BUSY, detail, reason=reason)
@@ -235,6 +238,11 @@
                     failure = SessionFailure.ABORTED if tries else SessionFailure.BUSY
                     return replace(refused, failure=failure, tries=tries)
             pool, connection = transaction.pool, transaction.connection
+            if not demand.acts_for_workspace():
+                transaction.failed = True
+                self.abort(transaction)
+                failure = SessionFailure.ABORTED
+                return Answer(b"", failure, WORKSPACE_LEFT, tries, pool.entry.server_id)
             if not self._router.may_run(pool, transaction.route, transaction.workspace):
                 transaction.failed = True
                 self.abort(transaction)
@@ -312,6 +320,10 @@
             except OpenError as error:
                 detail = f"the transaction could not be started: {error}"
                 return Answer(b"", SessionFailure.BUSY, detail, refusal=error.reason)
+            if not demand.acts_for_workspace():
+                release_or_discard(attempt.pool, attempt.connection)
+                failure, reason = SessionFailure.BUSY, RefusalReason.CONFIGURATION
+                return Answer(b"", failure, WORKSPACE_LEFT, refusal=reason)
             text = self._codec.begin(transaction.read_only)
             data = self._codec.query(transaction.begin.request_id, text, attempt.min_position)
             if not self._router.may_send_to(attempt.pool.entry):
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_session.py
@@ -32,7 +32,7 @@
 from figcrank.transport.streams._router import Router
 from figcrank.transport.streams._runner import StatementRunner
 from figcrank.transport.streams._session_state import PreparedStatement, Transaction
-from figcrank.transport.streams._statements import Answer, Statement
+from figcrank.transport.streams._statements import WORKSPACE_LEFT, Answer, Statement
 
 CATALOG_WAIT_MS = 2_000  # callers don't wait longer for the handshake reply
 CATALOG_POLL_MS = 20
@@ -408,18 +408,14 @@
         return Statement(request, prepared.is_write, prepared.definition)
 
     def _handle_in_transaction(self, request: Request, transaction: Transaction) -> None:
-        if request.verb is Verb.ROLLBACK:
-            self._roll_back(request, transaction)
-            return
         if request.verb in (Verb.BEGIN, Verb.BEGIN_READ):
             self._reply_failure(SessionFailure.MALFORMED, "a transaction is already open")
             return
-        if not self._key_is_accepted():
-            self._abort_open_transaction()
-            self._record_refusal(
-                request.request_id, SessionFailure.ABORTED, "the key was withdrawn"
-            )
-            self._reply_failure(SessionFailure.ABORTED, "the key was withdrawn")
+        if not self.acts_for(transaction.workspace):
+            self._end_foreign_transaction(request)
+            return
+        if request.verb is Verb.ROLLBACK:
+            self._roll_back(request, transaction)
             return
         if request.verb is Verb.COMMIT:
             self._commit(request, transaction)
@@ -432,10 +428,28 @@
             self._refund_limit(transaction.workspace)
         self._send_answer(request, transaction.route, transaction.workspace, answer)
 
-    def _key_is_accepted(self) -> bool:
+    def acts_for(self, workspace: str) -> bool:
+        """Return whether the session acts for a workspace, by the configuration in force.
+
+        A newer configuration may have withdrawn the session's key or given it to another workspace.
+        Whatever has kept a workspace since it arrived is checked with this before it is sent.
+
+        :param workspace: name of the workspace; empty for callers without a known key.
+        """
         catalog = self._services.router.view.catalog
-        route = self._transaction.route
-        return route.allows_anonymous or self._key in catalog.workspace_by_key
+        return catalog.workspace_by_key.get(self._key, "") == workspace
+
+    def _end_foreign_transaction(self, request: Request) -> None:
+        """End a transaction for whose workspace the session no longer acts; send nothing for it.
+
+        Closing its connection rolls it back.
+        """
+        if request.verb is Verb.ROLLBACK:
+            self._abort_open_transaction()
+            self._transaction = None
+            self._reply(self._codec.completion())
+        else:
+            self._refuse(request, WORKSPACE_LEFT)
 
     def _commit(self, request: Request, transaction: Transaction) -> None:
         answer = self._services.runner.commit(self, Statement(request, False), transaction)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_statements.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_statements.py
@@ -7,6 +7,9 @@
 from figcrank.protocol.sessions import Request, SessionFailure
 from figcrank.state._positions import Position
 
+# Told to a statement or transaction that arrived under a workspace which no longer holds its key.
+WORKSPACE_LEFT = "the key no longer belongs to the workspace"
+
 
 @dataclass(frozen=True, slots=True)
 class Statement:
--- a/packages/figcrank-transport/tests/test_owner_session.py
+++ b/packages/figcrank-transport/tests/test_owner_session.py
@@ -65,16 +65,27 @@
 class FakeRunner:
     def __init__(self):
         self.answer = None
+        self.aborted = []
+        self.workspaces = []  # of single statements
+        self.rolled_back = 0
 
-    def run_single(self, _session, _statement, _route, _workspace):
+    def run_single(self, _session, _statement, _route, workspace):
+        self.workspaces.append(workspace)
         return self.answer
 
     def commit(self, session, _statement, transaction):
         transaction.wrote = session.statement_sent = True
         return self.answer
 
+    def run_in_transaction(self, _session, _statement, transaction):
+        transaction.sent = True
+        return self.answer
+
+    def roll_back(self, _request_id, _transaction):
+        self.rolled_back += 1
+
     def abort(self, transaction):
-        pass
+        self.aborted.append(transaction.workspace)
 
 
 class Scenario:
@@ -396,3 +407,46 @@
     with pytest.raises(ValueError, match="unexpected"):
         scenario.session.wait()
     scenario.session = eventlet.spawn(int)  # for the fixture, which waits for it
+
+
+@pytest.fixture
+def moved_key(scenario):
+    """Return a scenario whose caller's key moves to another workspace in a transaction."""
+    scenario.runner.answer = Answer(b"ran", None, "", 1, "s1")
+    scenario.start(4)
+    scenario.run(Verb.BEGIN, 4)
+    assert scenario.run(Verb.WRITE, 4) == (b"ran", TransactionState.OPEN)
+    moved = Catalog(5, {"db": ROUTE}, {}, {"key": "other"}, {}, 3_000)
+    scenario.view.adopt_catalog(moved, scenario.clock.now_ms())
+    return scenario
+
+
+@pytest.mark.parametrize(
+    ("verb", "state"),
+    [
+        (Verb.READ, TransactionState.FAILED),
+        (Verb.WRITE, TransactionState.FAILED),
+        (Verb.COMMIT, TransactionState.IDLE),
+    ],
+)
+def test_transaction_ends_when_its_key_moves_to_another_workspace(moved_key, verb, state):
+    """Statements and commits went on under the workspace that no longer held the key."""
+    assert moved_key.run(verb, 5) == (SessionFailure.ABORTED.name.encode(), state)
+    assert moved_key.runner.aborted == ["w"]
+
+
+def test_rollback_is_not_sent_for_a_workspace_that_no_longer_holds_the_key(moved_key):
+    assert moved_key.run(Verb.ROLLBACK, 5) == (b"done", TransactionState.IDLE)
+    assert moved_key.runner.aborted == ["w"]
+    assert not moved_key.runner.rolled_back
+
+
+def test_key_that_has_come_back_to_its_workspace_goes_on(moved_key):
+    moved_key.view.adopt_catalog(catalog(6), moved_key.clock.now_ms())
+    assert moved_key.run(Verb.WRITE, 6) == (b"ran", TransactionState.OPEN)
+
+
+def test_next_operation_after_a_moved_transaction_acts_for_the_new_workspace(moved_key):
+    moved_key.run(Verb.COMMIT, 5)
+    moved_key.run(Verb.WRITE, 5)
+    assert moved_key.runner.workspaces == ["other"]
--- a/packages/figcrank-transport/tests/test_region_routing.py
+++ b/packages/figcrank-transport/tests/test_region_routing.py
@@ -32,6 +32,9 @@
         self.last_commit = {}
         self.prepared = {}
 
+    def acts_for(self, _workspace):
+        return True
+
     def is_connected(self):
         return True
 
--- a/packages/figcrank-transport/tests/test_statement_runner.py
+++ b/packages/figcrank-transport/tests/test_statement_runner.py
@@ -186,10 +186,14 @@
         self.last_commit = {}
         self.prepared = {}
         self.connected = connected
+        self.workspace = "w"
 
     def is_connected(self):
         return self.connected
 
+    def acts_for(self, workspace):
+        return workspace == self.workspace
+
 
 class Scenario:
     """Runner of a host with a lease on the primary."""
@@ -477,3 +481,52 @@
     assert answer.detail == "the server is in a region that is no longer allowed"
     assert connection.sent == []
     assert connection.closed
+
+
+def run_statement(scenario, session):
+    return scenario.runner.run_single(session, WRITE, ROUTE, "w")
+
+
+def run_read(scenario, session):
+    statement = Statement(Request("1", Verb.READ, "READ 1", "", "1"), False)
+    return scenario.runner.run_single(session, statement, ROUTE, "w")
+
+
+def run_first_of_transaction(scenario, session):
+    transaction = Transaction(WRITE.request, False, ROUTE, "w")
+    return scenario.runner.run_in_transaction(session, WRITE, transaction)
+
+
+def run_next_of_transaction(scenario, session):
+    session.workspace = "other"
+    transaction = Transaction(WRITE.request, False, ROUTE, "w", scenario.pool, scenario.connection)
+    return scenario.runner.run_in_transaction(session, WRITE, transaction)
+
+
+def run_commit(scenario, session):
+    session.workspace = "other"
+    transaction = Transaction(WRITE.request, False, ROUTE, "w", scenario.pool, scenario.connection)
+    return scenario.runner.commit(session, COMMIT, transaction)
+
+
+@pytest.mark.parametrize(
+    ("run", "failure"),
+    [
+        (run_statement, SessionFailure.BUSY),
+        (run_read, SessionFailure.BUSY),
+        (run_first_of_transaction, SessionFailure.BUSY),
+        (run_next_of_transaction, SessionFailure.ABORTED),
+        (run_commit, SessionFailure.ABORTED),
+    ],
+)
+def test_nothing_is_sent_for_a_workspace_that_lost_the_key_meanwhile(scenario, run, failure):
+    """Guards against a statement that waits for a connection while its key moves."""
+    session = Session()
+
+    def move_key():
+        session.workspace = "other"
+
+    scenario.connection.on_set = move_key
+    answer = run(scenario, session)
+    assert answer.failure is failure
+    assert set(scenario.connection.sent) <= {"SET v 1"}
