End queued requests and transactions of a key that is edited to another workspace

The HTTP interface ended what a withdrawn key had begun. A key whose object was edited to name another workspace was not counted as withdrawn, so its queued reads, writes and steps ran for the former one.

Such a key is now returned by VersionedConfig.apply like a withdrawn one, and the same listeners end its requests. test_key_that_moves_to_another_workspace_is_returned fails without the change.

--- a/packages/figcrank-coordination/src/figcrank/coordination/configuration/_versioned_config.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/configuration/_versioned_config.py
@@ -43,7 +43,7 @@
 
         :param from_store: whether it comes from the store itself; only the store may send an empty
             configuration at revision 0.
-        :returns: ids of the keys that were withdrawn or deleted.
+        :returns: ids of the keys that were withdrawn, deleted or given to another workspace.
         """
         before = self._snapshot
         objects = push.objects
@@ -72,7 +72,7 @@
         old = before.objects.get(entry.object_id)
         if old is None or old.version >= entry.version or not _is_active_key(old):
             return False
-        return not _is_active_key(entry)
+        return not _is_active_key(entry) or entry.value.workspace != old.value.workspace
 
 
 def _is_active_key(entry: ConfigObject) -> bool:
--- a/packages/figcrank-coordination/tests/configuration/test_versioned_config.py
+++ b/packages/figcrank-coordination/tests/configuration/test_versioned_config.py
@@ -9,8 +9,8 @@
     return ConfigObject(ObjectId("workspace", "crews"), version, Workspace("crews", rate, 5))
 
 
-def key(version, withdrawn=False):
-    value = Key("k1", "crews", "salt", "0" * 64, withdrawn)
+def key(version, withdrawn=False, workspace="crews"):
+    value = Key("k1", workspace, "salt", "0" * 64, withdrawn)
     return ConfigObject(ObjectId("key", "k1"), version, value)
 
 
@@ -54,6 +54,12 @@
     assert config.apply(push) == ()
 
 
+def test_key_that_moves_to_another_workspace_is_returned(config):
+    """Queued requests and open transactions of the key went on under its former workspace."""
+    assert config.apply(ConfigPush(50, 51, (key(51, workspace="fleet"),))) == ("k1",)
+    assert config.apply(ConfigPush(51, 52, (key(52, workspace="fleet"),))) == ()
+
+
 def test_only_the_store_can_be_empty():
     config = VersionedConfig()
     config.apply(ConfigPush(0, 0, ()))
