--- a/packages/figcrank-transport/src/figcrank/transport/streams/_settings.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_settings.py
@@ -22,7 +22,6 @@
     :param seeds: heartbeat addresses of hosts to contact first; some may be down.
     :param grace_ms: time from ``SIGTERM`` until the process is killed.
     :param limit_headroom: operations by which a workspace may exceed its limit in any period.
-    :param limit_window_ms: period over which a workspace's limit is judged; 0 if it is not stated.
     :param configuration_bound_ms: time after the acknowledgement of a configuration from which on
         it has to be in force at every host.
     :param regions: region of each availability zone.
@@ -31,7 +30,6 @@
     :param cold_overage: factor by which the load of a cold server may exceed its group's
         :attr:`~figcrank.state._catalog.GroupPolicy.cold_per_s`; ``None`` if it is not limited.
     :param cold_headroom: statements per second allowed to a cold server besides.
-    :param cpu_cores: processor cores that the host may use; 0 if they are not stated.
     """
 
     host: str
@@ -45,10 +43,8 @@
     seeds: tuple[tuple[str, int], ...] = ()
     grace_ms: int = 6_000
     limit_headroom: float = 0.0
-    limit_window_ms: int = 0
     configuration_bound_ms: int = DEFAULT_BOUND_MS
     regions: Mapping[str, str] = field(default_factory=dict)
     evacuation_ms: int = 0
     cold_overage: float | None = None
     cold_headroom: float = 0.0
-    cpu_cores: float = 0.0
