--- a/packages/figcrank-transport/src/figcrank/transport/streams/_interfaces.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_interfaces.py
@@ -11,6 +11,9 @@
 from figcrank.state._catalog import Catalog, Registry
 from figcrank.transport.streams._traffic import TrafficChannel
 
+# Takes the kind, name and revision of an object that can't be read, and the reason.
+UnreadableHandler = Callable[[str, str, int, str], None]
+
 
 class StoreErrorKind(Enum):
     """Kinds of failed store calls."""
@@ -60,6 +63,12 @@
     def count_traffic(self, traffic: TrafficChannel) -> None:
         """Count the bytes of the calls made from now on."""
 
+    def on_unreadable(self, handler: UnreadableHandler) -> None:  # noqa: B027
+        """Call a handler for each object that a listing leaves out because it can't be read.
+
+        A store whose documents can all be read has nothing to call it for.
+        """
+
     @property
     @abstractmethod
     def lost_connections(self) -> int:
