Run a host's loop again after an unexpected error, and log unreadable objects

An exception that is not a StoreError or OSError ended the thread of a loop for good: the one that lists the servers after a document that was nested too deeply, the one that receives heartbeats after an infinite number. The host went on with what it knew by then, and no line in the log said so.

Each loop now runs under InternalErrors.spawn_loop, which logs internal_error with the loop's name, counts it and runs the loop again after 0.5 s.

--- a/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_host.py
@@ -4,7 +4,6 @@
 import os
 import random
 import signal
-import traceback
 from collections.abc import Callable
 
 import eventlet
@@ -25,6 +24,7 @@
 from figcrank.transport.streams._group_owner_monitor import GroupOwnerMonitor
 from figcrank.transport.streams._http import serve_http
 from figcrank.transport.streams._interfaces import FailoverService, Store
+from figcrank.transport.streams._internal_errors import InternalErrors
 from figcrank.transport.streams._isolation import IsolationMonitor
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._membership import Membership
@@ -46,6 +46,7 @@
 from figcrank.transport.streams._stopper import HostStopper
 from figcrank.transport.streams._store_reader import StoreReader
 from figcrank.transport.streams._traffic import MessageKind, TrafficMeter
+from figcrank.transport.streams._unreadable_objects import UnreadableObjects
 from figcrank.transport.streams._view_fetcher import VIEW_PATH
 
 BACKLOG = 512  # callers reconnect at the same time after a restart
@@ -83,6 +84,9 @@
         self._metrics = Metrics()
         regions = RegionMap(settings.availability_zone, settings.regions)
         traffic = TrafficMeter(regions, self._metrics)
+        self._errors = InternalErrors(self._log, self._metrics)
+        self._runs_as_owner = False
+        store.on_unreadable(UnreadableObjects(self._log, self._metrics).record)
         store.count_traffic(traffic.channel(MessageKind.STORE, ""))  # its zone is not known
         boot_id = random.SystemRandom().getrandbits(48)
         self._view = FleetView(
@@ -230,7 +234,7 @@
             self._run_membership,
             self._run_reloads,
         ):
-            eventlet.spawn_n(loop)
+            self._errors.spawn_loop(loop)
         self._listen(settings.readiness_address, self._serve_readiness)
         self._listen(settings.peer_address, self._serve_peer)
         self._listen(settings.metrics_address, self._serve_metrics)
@@ -242,24 +246,27 @@
         self._membership.run([ip for ip, _ in self._settings.seeds if ip != own_ip])
 
     def _run_as_owner(self) -> None:
-        """Start the loops that only owners run."""
+        """Start the loops that only owners run, once."""
+        if self._runs_as_owner:
+            return
+        self._runs_as_owner = True
         for loop in (
             self._link.run_heartbeats,
-            self._run_store_reads,
+            self._configuration_reader.run_watch,
+            self._configuration_reader.run_checks,
+            self._store.run_server_reads,
+            self._run_confirmations,
             self._run_ticks,
             self._replacer.run,
             self._prober.run,
             self._isolation.run,
         ):
-            eventlet.spawn_n(loop)
-
-    def _run_store_reads(self) -> None:
-        """Run the loops that read the store and keep this host registered."""
-        eventlet.spawn_n(self._configuration_reader.run_watch)
-        eventlet.spawn_n(self._configuration_reader.run_checks)
-        eventlet.spawn_n(self._store.run_server_reads)
+            self._errors.spawn_loop(loop)
         if self._view.evacuation.enabled:
-            eventlet.spawn_n(self._evacuation_reader.run)
+            self._errors.spawn_loop(self._evacuation_reader.run)
+
+    def _run_confirmations(self) -> None:
+        """Confirm the primaries once, and then while heartbeats can't confirm them."""
         while not self._store.confirm_primaries():
             pass  # a failed attempt sleeps before it returns
         self._store.run_confirmations()
@@ -318,8 +325,7 @@
         except RelayProtocolError as error:
             self._log.event("relay_message_unreadable", reason=str(error))
         except Exception:  # noqa: BLE001 - an error in one session must not end the others
-            self._log.event("internal_error", trace=traceback.format_exc()[-1500:])
-            self._metrics.count("internal_errors")
+            self._errors.record()
 
     def _serve_readiness(self, sock: socket.socket) -> None:
         serve_http(sock, {READINESS_PATH: self._readiness})
@@ -426,8 +432,7 @@
         try:
             self._reload()  # the grace time may have changed without a signal
         except Exception:  # noqa: BLE001 - the host must stop all the same
-            self._log.event("internal_error", trace=traceback.format_exc()[-1500:])
-            self._metrics.count("internal_errors")
+            self._errors.record()
         self._stopper.begin(self._settings.grace_ms)
         eventlet.spawn_n(self._link.broadcast_heartbeat)
         self._stopper.run()
