Take every error of decoding what another process sent as an unreadable message

A heartbeat with an infinite number raised OverflowError and ended the thread that receives heartbeats. A port above 65,535 or a host name with bytes that can't be read raised OverflowError or TypeError from connect, which ended the replacement of a primary and the sessions of reads.

DECODE_ERRORS is the one list of what decoding may raise; heartbeats, owner status, relayed messages and views use it. A connection to an address that can't be used fails like one to a server that is down.

--- a/packages/figcrank-protocol/src/figcrank/protocol/compact_heartbeats.py
+++ b/packages/figcrank-protocol/src/figcrank/protocol/compact_heartbeats.py
@@ -9,6 +9,7 @@
 import zlib
 from collections.abc import Callable, Iterable
 
+from figcrank.protocol.decoding import DECODE_ERRORS
 from figcrank.protocol.heartbeats import (
     Heartbeat,
     HeartbeatError,
@@ -105,14 +106,7 @@
                 raise ValueError("its workspaces are numbered by an unknown configuration")
             elements[SPENT_INDEX] = [partial, order.decode_counts(numbers)]
         return decode_elements(elements)
-    except (
-        zlib.error,
-        ValueError,
-        TypeError,
-        LookupError,
-        AttributeError,
-        RecursionError,
-    ) as error:
+    except (zlib.error, *DECODE_ERRORS) as error:
         raise HeartbeatError(
             f"datagram of {len(data)} bytes is not a compact heartbeat: {error}"
         ) from error
--- a/packages/figcrank-protocol/src/figcrank/protocol/heartbeats.py
+++ b/packages/figcrank-protocol/src/figcrank/protocol/heartbeats.py
@@ -11,6 +11,7 @@
 import json
 from dataclasses import dataclass, field, replace
 
+from figcrank.protocol.decoding import DECODE_ERRORS
 from figcrank.state._positions import Position
 
 NEVER_MS = -1  # an age or time that does not exist
@@ -322,7 +323,7 @@
     """
     try:
         return decode_elements(json.loads(data))
-    except (ValueError, TypeError, AttributeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         raise HeartbeatError(
             f"datagram of {len(data)} bytes is not a heartbeat: {error}"
         ) from error
--- a/packages/figcrank-protocol/src/figcrank/protocol/owners.py
+++ b/packages/figcrank-protocol/src/figcrank/protocol/owners.py
@@ -7,6 +7,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from figcrank.protocol.decoding import DECODE_ERRORS
+
 
 @dataclass(frozen=True, slots=True)
 class Owner:
@@ -99,5 +101,5 @@
         reads_options = accepts_sessions == ACCEPTS_SESSIONS_WITH_OPTIONS
         accepts = bool(accepts_sessions)
         return OwnerStatus(str(host), accepts, int(catalog_version), decoded, reads_options)
-    except (ValueError, TypeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         raise ValueError(f"datagram of {len(data)} bytes is not a status: {error}") from error
--- a/packages/figcrank-protocol/src/figcrank/protocol/relays.py
+++ b/packages/figcrank-protocol/src/figcrank/protocol/relays.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+from figcrank.protocol.decoding import DECODE_ERRORS
 from figcrank.protocol.owners import Owner, decode_owners, encode_owners
 from figcrank.protocol.sessions import (
     CallerCodec,
@@ -120,7 +121,7 @@
         request_id, verb, text, name, argument, prepares_write = fields
         texts = str(request_id), Verb[verb], str(text), str(name), str(argument)
         return seen, Request(*texts, bool(prepares_write))
-    except (ValueError, TypeError, KeyError, AttributeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         # The line may hold a caller's key, so it is not quoted.
         detail = f"{len(line)} bytes are not a relayed message: {type(error).__name__}"
         raise RelayProtocolError(detail) from None
@@ -161,7 +162,7 @@
             size, state = int(size), TransactionState[state]
             numbers = int(version), int(timeout_ms)
             redirect = decode_owners(more[0]) if more else ()
-        except (ValueError, TypeError, KeyError, RecursionError) as error:
+        except DECODE_ERRORS as error:
             detail = f"{len(head)} bytes are not a reply of an owner: {type(error).__name__}"
             raise RelayProtocolError(detail) from error
         if len(rest) < size:
--- a/packages/figcrank-protocol/tests/test_heartbeats.py
+++ b/packages/figcrank-protocol/tests/test_heartbeats.py
@@ -1,4 +1,6 @@
+import contextlib
 import json
+import re
 from dataclasses import replace
 
 import pytest
@@ -113,3 +115,15 @@
     data = encode_heartbeat(heartbeat)
     assert json.loads(data)[2][0] == sent
     assert decode_heartbeat(data) == heartbeat
+
+
+@pytest.mark.parametrize("value", [b"1e999", b"9" * 5_000, b"[" * 100_000 + b"]" * 100_000])
+def test_heartbeat_with_a_number_that_can_not_be_read_is_unreadable(value):
+    """An infinite number ended the thread that receives heartbeats, for good."""
+    data = encode_heartbeat(replace(FULL_HEARTBEAT, extension=EXTENSION))
+    numbers = list(re.finditer(rb"(?<=[\[,:])\d+(?=[\],])", data))
+    assert len(numbers) > 20
+    for number in numbers:
+        odd = data[: number.start()] + value + data[number.end() :]
+        with contextlib.suppress(HeartbeatError):
+            decode_heartbeat(odd)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_connection.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_connection.py
@@ -126,7 +126,8 @@
         except ConnectionRefusedError as error:
             sock.close()
             raise OpenError(SessionFailure.UNREACHABLE, str(error), refused=True) from error
-        except OSError as error:
+        except (OSError, ValueError, TypeError, OverflowError) as error:
+            # The latter three are raised for an address that names no IP address or port.
             sock.close()
             raise OpenError(SessionFailure.UNREACHABLE, str(error)) from error
         sock.settimeout(None)
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_view_fetcher.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_view_fetcher.py
@@ -9,6 +9,7 @@
 
 from figcrank.coordination.fleet import FleetView
 from figcrank.coordination.peers import ViewFetches
+from figcrank.protocol.decoding import DECODE_ERRORS
 from figcrank.protocol.heartbeats import NEVER_MS, Heartbeat
 from figcrank.state._clock import Clock
 from figcrank.transport.streams._counted_http import CountedHttpConnection
@@ -27,8 +28,8 @@
     """Fetches the views of peers that have something newer, or have just been heard.
 
     :param view: this host's view of the fleet.
-    :param apply: applies a view and the time before which the peer had it. It raises
-        :exc:`ValueError`, :exc:`KeyError` or :exc:`TypeError` if the view is invalid.
+    :param apply: applies a view and the time before which the peer had it. It raises one of
+        :data:`~figcrank.protocol.decoding.DECODE_ERRORS` if the view is invalid.
     :param channel_to: returns the counter for the bytes exchanged with an IP address.
     :param clock: this host's clock.
     :param log: event log.
@@ -87,9 +88,7 @@
             succeeded = True
         except (
             OSError,
-            ValueError,
-            KeyError,
-            TypeError,
+            *DECODE_ERRORS,
             zlib.error,
             http_client.HTTPException,
         ) as error:
--- a/packages/figcrank-transport/tests/test_server_connection.py
+++ b/packages/figcrank-transport/tests/test_server_connection.py
@@ -139,3 +139,14 @@
         assert closed.wait() is connection
     assert connection.is_lost()
     listener.close()
+
+
+@pytest.mark.parametrize(
+    "address", [("127.0.0.1", 70_000), ("127.0.\ufffd", 80), ("127.0.0.1", "80")]
+)
+def test_address_that_names_no_server_is_a_failed_connection(address):
+    """The error ended the replacement of a primary, and the sessions of reads."""
+    with pytest.raises(OpenError) as failed:
+        ServerConnection.open(address, _OneByteDecoder(), b"hi", "w", MonotonicClock())
+    assert failed.value.failure is SessionFailure.UNREACHABLE
+    assert not failed.value.refused
