Settle the first primary of a group whose entries name none or several

An error in a replacement that is not a StoreError is now logged as internal_error. Three cases of test_replacer.py fail without the change.

--- a/packages/figcrank-coordination/src/figcrank/coordination/primaries/__init__.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/primaries/__init__.py
@@ -16,6 +16,7 @@
 from figcrank.coordination.primaries._holder import RecordHolder as RecordHolder
 from figcrank.coordination.primaries._members import GroupMembers as GroupMembers
 from figcrank.coordination.primaries._members import complete_position as complete_position
+from figcrank.coordination.primaries._proof import newest_primary as newest_primary
 from figcrank.coordination.primaries._proof import proven_position as proven_position
 from figcrank.coordination.primaries._proof import proven_primary as proven_primary
 from figcrank.coordination.primaries._replacement import SILENT_THRESHOLD_MS as SILENT_THRESHOLD_MS
--- a/packages/figcrank-coordination/src/figcrank/coordination/primaries/_proof.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/primaries/_proof.py
@@ -52,10 +52,22 @@
     """
     if not reports or None in reports.values():
         return None
-    newest_term = max(report.term for report in reports.values())
+    return newest_primary(reports)
+
+
+def newest_primary(
+    reports: Mapping[Server, ServerReport | None],
+) -> tuple[Server, ServerReport] | None:
+    """Return the primary of the newest term, of the servers that answered.
+
+    :param reports: by server, ``None`` for one that did not answer.
+    :returns: the server and its report, ``None`` unless the newest term has exactly one primary.
+    """
+    answered = {server: report for server, report in reports.items() if report is not None}
+    newest_term = max((report.term for report in answered.values()), default=0)
     newest = [
         (server, report)
-        for server, report in reports.items()
+        for server, report in answered.items()
         if report.is_primary and report.term == newest_term
     ]
     return newest[0] if len(newest) == 1 else None
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
@@ -28,11 +28,13 @@
 from figcrank.state._catalog import ServerEntry
 from figcrank.state._clock import Clock
 from figcrank.state._positions import Position
+from figcrank.transport.streams._initial_primaries import InitialPrimaries
 from figcrank.transport.streams._interfaces import (
     FailoverService,
     PromoteOutcome,
     StoreError,
 )
+from figcrank.transport.streams._internal_errors import InternalErrors
 from figcrank.transport.streams._log import EventLog
 from figcrank.transport.streams._metrics import Metrics
 from figcrank.transport.streams._peer_link import PeerLink
@@ -96,6 +98,7 @@
         self._clock = clock
         self._log = log
         self._metrics = metrics
+        self._errors = InternalErrors(log, metrics)
         self._replacing: set[str] = set()
         self._writer = PrimaryRecordWriter(view.host, store, self._merge_record, clock, log)
         self._candidates = PromotionCandidates(
@@ -112,6 +115,19 @@
             clock,
             log,
         )
+        self._initial = InitialPrimaries(
+            view,
+            store,
+            self._writer,
+            self._query_servers,
+            self._address_of,
+            self._merge_record,
+            lambda group, record: self._start_replacement(
+                group, record, ReplacementReason.UNREACHABLE
+            ),
+            clock,
+            log,
+        )
         self._next_record_attempt_ms = 0
         self._missing_since_ms: dict[str, int] = {}
         self._next_switch_ms: dict[str, int] = {}  # by group, of a planned one
@@ -122,6 +138,7 @@
             eventlet.sleep(CHECK_INTERVAL_MS / 1_000)
             now_ms = self._clock.now_ms()
             self._settler.check(now_ms)
+            self._initial.check(now_ms)
             for group, record in self._view.primary_table.all().items():
                 if group not in self._replacing:
                     self._check_group(group, record, now_ms)
@@ -195,6 +212,8 @@
         except StoreError as error:
             outcome = str(error)
             eventlet.sleep(self._store.backoff_ms() / 1_000)
+        except Exception:  # noqa: BLE001 - it would end the thread without a line in the log
+            self._errors.record(group=group)
         finally:
             self._replacing.discard(group)
             self._metrics.count("replacements", outcome="done" if outcome == "done" else "failed")
--- a/packages/figcrank-transport/tests/test_replacer.py
+++ b/packages/figcrank-transport/tests/test_replacer.py
@@ -1005,3 +1005,54 @@
     assert fleet.servers.by_id["g1-0"].is_primary
     kept = fleet.store.record.records["g1"]
     assert (kept.server_id, kept.moving, kept.term) == ("g1-0", False, 1)
+
+
+def start_without_records(fleet, claims):
+    """Let host ``a`` start for the first time, with entries of ``g1`` that claim to be primary."""
+    fleet.store.record = StoredPrimaries()
+    entries = {s.server_id: s.entry for s in fleet.servers.of("g1")}
+    entries["odd"] = ServerEntry("odd", "g1", "10.0.0.7:80", "zone-a", 5, False, False)
+    for server_id, entry in entries.items():
+        entries[server_id] = replace(entry, claims_primary=server_id in claims)
+    fleet.servers.silent.add("odd")
+    fleet.servers.refusing.add("odd")
+    view = fleet.a.view
+    view.primary_table._records.clear()
+    view.registry = Registry(view.registry.revision + 1, entries)
+    view.primary_table.adopt_registry(view.registry, 0)
+
+    def confirm():
+        while True:
+            view.registry_ms = fleet.a.clock.now_ms()
+            sleep_ms(200)
+
+    eventlet.spawn(confirm)
+    eventlet.spawn(fleet.a.replacer.run)
+
+
+def test_primary_is_found_beside_an_entry_that_claims_to_be_it_too(run):
+    """The group had no primary for as long as the entry of another writer was there."""
+
+    def scenario(fleet):
+        bring_back(fleet, "g1-0")
+        start_without_records(fleet, {"g1-0", "odd"})
+        assert fleet.a.view.primary_table.get("g1") is None
+        sleep_ms(3_000)
+
+    fleet = run(scenario)
+    assert fleet.a.view.primary_table.get("g1").server_id == "g1-0"
+    assert fleet.store.record.records["g1"].server_id == "g1-0"
+    assert not fleet.servers.promoted
+
+
+@pytest.mark.parametrize("claims", [set(), {"g1-0", "odd"}])
+def test_group_whose_primary_is_gone_at_the_first_start_gets_another_one(run, claims):
+    """Nothing was served, as no record named a primary to replace."""
+
+    def scenario(fleet):
+        start_without_records(fleet, claims)
+        sleep_ms(12_000)
+
+    fleet = run(scenario)
+    assert fleet.servers.promoted == ["g1-2"]
+    assert fleet.a.view.primary_table.get("g1").server_id == "g1-2"
