Wait for the hosts' leases also when the old primary is demoted

Cause: may_promote permitted a promotion as soon as the old primary reported that it is a replica. That keeps writes out, but not reads.

The condition is gone, and with it the exception for replacements that are taken over: hosts alone decide, by their reports or by the end of their leases. The forecast names its field planned, which is all that it means.

Evidence: test_demoted_primary_is_replaced_only_after_the_leases_of_silent_hosts fails on the commit before and passes now.

The cases of test_replacement.py that asked for a promotion by a demotion asked for the fault; the new tests ask that it waits, and that seven reports of eight hosts are not enough.

--- a/packages/figcrank-coordination/src/figcrank/coordination/primaries/_forecast.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/primaries/_forecast.py
@@ -29,14 +29,14 @@
 
     :param version: version of the record that began it.
     :param began_ms: time at which the host learned of it.
-    :param proven: whether the old primary can't be in use any more, as it left by plan.
+    :param planned: whether the old primary leaves by plan, so that hosts end their work there.
     :param host_count: number of hosts in the fleet, including recently removed ones.
     :param quiesced_count: number of hosts that have reported that they no longer use it.
     """
 
     version: int
     began_ms: int
-    proven: bool
+    planned: bool
     host_count: int
     quiesced_count: int
 
@@ -70,7 +70,7 @@
             self._half_ms = now_ms
         if self._third_ms is None and 3 * view.quiesced_count >= view.host_count:
             self._third_ms = now_ms
-        is_proven = view.proven or view.quiesced_count >= view.host_count
+        is_proven = view.planned or view.quiesced_count >= view.host_count
         if self._proven_ms is None and (is_proven or now_ms >= self._leases_end_ms(now_ms)):
             self._proven_ms = now_ms
 
--- a/packages/figcrank-coordination/src/figcrank/coordination/primaries/_replacement.py
+++ b/packages/figcrank-coordination/src/figcrank/coordination/primaries/_replacement.py
@@ -1,17 +1,15 @@
 """When a primary is replaced, by which server, and when the promotion is safe.
 
-A server is promoted only when the old primary can no longer acknowledge a write from any host.
-This is the case as soon as one of these conditions holds:
+A server is promoted only when no host uses the old primary any more, neither for writes nor for
+reads that must include every commit. This is the case as soon as one of these conditions holds:
 
-* The old primary has reported that it is now a replica.
 * Every host has reported that it no longer uses the old primary.
 * The leases of all hosts that have not reported this must have expired.
 
-A refused connection proves nothing: it shows one host's path, and others may still use a primary
-that runs.
-
-An interrupted replacement may have promoted a server that some hosts use already. A replacement
-that takes it over relies on the hosts alone, whatever the state of the old primary.
+The state of the old primary proves nothing. A refused connection shows one host's path. A primary
+that was demoted commits nothing, but a host that still has its lease reads there what lacks the
+commits of the new one. An interrupted replacement may also have promoted a server that some hosts
+use already.
 """
 
 from collections.abc import Iterable, Set
@@ -113,13 +111,11 @@
 
 @dataclass(frozen=True, slots=True)
 class FencingState:
-    """Observations that decide whether a group's old primary can still acknowledge a write.
+    """Observations that decide whether a host may still use a group's old primary.
 
     A host is quiesced once it no longer uses the old primary.
 
     :param stored_ms: time at which the replacement was written to the store.
-    :param takes_over: whether it takes over an interrupted replacement.
-    :param demoted: whether the old primary reported that it is now a replica.
     :param host_count: number of hosts in the fleet, including this one and recently removed ones.
     :param quiesced_host_count: number of quiesced hosts, including this one.
     :param half_quiesced_since_ms: time since which at least half of the hosts are quiesced, so that
@@ -129,8 +125,6 @@
     """
 
     stored_ms: int
-    takes_over: bool
-    demoted: bool
     host_count: int
     quiesced_host_count: int
     half_quiesced_since_ms: int
@@ -139,8 +133,6 @@
 
 def may_promote(state: FencingState, now_ms: int) -> bool:
     """Return whether it is safe to promote another server now."""
-    if state.demoted and not state.takes_over:
-        return True
     if state.quiesced_host_count >= state.host_count:
         return True
     majority_lease_expired = now_ms - state.stored_ms >= MAJORITY_LEASE_MS + LEASE_MARGIN_MS
--- a/packages/figcrank-coordination/tests/fleet/test_removed_hosts.py
+++ b/packages/figcrank-coordination/tests/fleet/test_removed_hosts.py
@@ -124,8 +124,6 @@
             self._third_ms = now_ms
         fence = FencingState(
             stored_ms=self._stored_ms,
-            takes_over=False,
-            demoted=False,
             host_count=hosts,
             quiesced_host_count=len(names),
             half_quiesced_since_ms=self._half_ms,
--- a/packages/figcrank-coordination/tests/primaries/test_forecast.py
+++ b/packages/figcrank-coordination/tests/primaries/test_forecast.py
@@ -12,8 +12,8 @@
 TICK_MS = 100
 
 
-def running(quiesced, proven=False, version=3, began_ms=0):
-    return ReplacementView(version, began_ms, proven, HOSTS, quiesced)
+def running(quiesced, planned=False, version=3, began_ms=0):
+    return ReplacementView(version, began_ms, planned, HOSTS, quiesced)
 
 
 def forecast_at(now_ms, quiesced_at):
@@ -47,7 +47,7 @@
 
 def test_statements_wait_for_a_primary_whose_process_is_gone():
     forecast = ReplacementForecast()
-    forecast.update(running(1, proven=True), 0)
+    forecast.update(running(1, planned=True), 0)
     assert forecast.earliest_end_ms(0) <= TIMEOUT_MS
 
 
--- a/packages/figcrank-coordination/tests/primaries/test_replacement.py
+++ b/packages/figcrank-coordination/tests/primaries/test_replacement.py
@@ -116,8 +116,6 @@
 def fence(**changes):
     fields = {
         "stored_ms": 1_000,
-        "takes_over": False,
-        "demoted": False,
         "host_count": 8,
         "quiesced_host_count": 3,
         "half_quiesced_since_ms": NEVER_MS,
@@ -131,15 +129,6 @@
     assert may_promote(fence(), 1_100 + MAJORITY_LEASE_MS)
 
 
-def test_demoted_old_primary_permits_only_a_replacement_that_takes_nothing_over():
-    """Guards against promoting a second server while hosts use the one that an interrupted
-    replacement promoted.
-    """
-    assert may_promote(fence(demoted=True), 1_000)
-    assert not may_promote(fence(demoted=True, takes_over=True), 1_000)
-    assert may_promote(fence(quiesced_host_count=8, takes_over=True), 1_000)
-
-
 def test_fewer_than_a_third_of_the_hosts_never_promote():
     """The remaining hosts keep their lease on the primary during a store outage of any length."""
     assert not may_promote(fence(quiesced_host_count=2, third_quiesced_since_ms=NEVER_MS), 900_000)
@@ -151,9 +140,9 @@
     assert may_promote(case, 60_000 + LEASE_MS)
 
 
-@pytest.mark.parametrize("change", [{"demoted": True}, {"quiesced_host_count": 8}])
-def test_promotion_is_safe_once_the_old_primary_cannot_acknowledge(change):
-    assert may_promote(fence(**change), 1_000)
+def test_promotion_is_safe_once_no_host_uses_the_old_primary():
+    assert not may_promote(fence(quiesced_host_count=7), 1_000)
+    assert may_promote(fence(quiesced_host_count=8), 1_000)
 
 
 def test_leases_of_silent_hosts_expire_before_the_promotion():
--- a/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_replacer.py
@@ -251,10 +251,10 @@
             return "a newer primary record was merged first"
         if sync_replicas and self._prepare_sync_replica(group, moving, planned) is False:
             return self._keep_primary(group, moving)
-        demoted = self._stop_old_primary(group, moving, planned)
+        self._stop_old_primary(group, moving, planned)
         promoted = self._find_promoted(group, moving, not takes_over)
         if promoted is None:
-            if not self._await_fencing(group, moving, stored_ms, takes_over, demoted):
+            if not self._await_fencing(group, moving, stored_ms):
                 return "the old primary may still be in use"
             self._sleep_until(right.not_before_ms)
             # The previous holder's promotions have arrived by now.
@@ -309,15 +309,15 @@
         self._router.notify_primary_change()
         self._link.broadcast_heartbeat()
 
-    def _stop_old_primary(self, group: str, record: PrimaryRecord, planned: bool) -> bool:
-        """Stop the old primary from acknowledging commits; return whether it is demoted."""
+    def _stop_old_primary(self, group: str, record: PrimaryRecord, planned: bool) -> None:
+        """Stop the old primary from acknowledging commits, if it can be reached."""
         entry = self._entry(record.server_id)
         if entry is None:
-            return False
+            return
         if planned and not self._candidates.sync_replicas(group):
             self._await_quiesced(group, QUIESCE_TIMEOUT_MS)
             self._await_catch_up(group, entry)
-        return self._demote(entry, record.term + 1)
+        self._demote(entry, record.term + 1)
 
     def _address_of(self, server_id: str) -> str:
         entry = self._entry(server_id)
@@ -411,13 +411,8 @@
         newest = self._view.position_history(group).newest()
         return newest[1] if newest and self._router.is_evacuated(old) else None
 
-    def _await_fencing(
-        self, group: str, record: PrimaryRecord, stored_ms: int, takes_over: bool, demoted: bool
-    ) -> bool:
-        """Wait until it is safe to promote another server; return whether that was reached.
-
-        :param takes_over: whether an earlier replacement may have promoted a server.
-        """
+    def _await_fencing(self, group: str, record: PrimaryRecord, stored_ms: int) -> bool:
+        """Wait until it is safe to promote another server; return whether that was reached."""
         half_quiesced_ms = third_quiesced_ms = NEVER_MS
         stored_hosts: set[str] = set()
         store_read_ms = stored_ms
@@ -435,8 +430,6 @@
                 third_quiesced_ms = now_ms
             fence = FencingState(
                 stored_ms,
-                takes_over,
-                demoted,
                 hosts,
                 quiesced,
                 half_quiesced_ms,
--- a/packages/figcrank-transport/tests/test_replacer.py
+++ b/packages/figcrank-transport/tests/test_replacer.py
@@ -428,6 +428,21 @@
     assert fleet.failover.arrived[0][0] >= LEASE_MS
 
 
+def test_demoted_primary_is_replaced_only_after_the_leases_of_silent_hosts(run):
+    """Hosts with a lease went on to read there what lacked the commits of the new primary."""
+
+    def scenario(fleet):
+        bring_back(fleet, "g1-0")
+        fleet.a.view.peers.register("c", ("c", 7000), 0)
+        fleet.a.replace("g1")
+        sleep_ms(1_000)
+        assert not fleet.servers.by_id["g1-0"].is_primary
+        sleep_ms(6_000)
+
+    fleet = run(scenario)
+    assert fleet.failover.arrived[0][0] >= LEASE_MS
+
+
 def test_taken_over_replacement_waits_for_leases_although_the_old_primary_is_gone(run):
     """Hosts may use the server that the interrupted replacement promoted."""
 
