Promote an old primary again if no other server answers

If no other server can be promoted, the old one is asked too. With synchronous replicas this was so already, by the proof that such groups need. Both cases of test_old_primary_that_returns_leads_again_if_no_other_server_answers fail without the change.

--- a/packages/figcrank-transport/src/figcrank/transport/streams/_promotion_candidates.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_promotion_candidates.py
@@ -128,15 +128,15 @@
 
         In a group with synchronous replicas these are the ones that have every acknowledged
         commit; none while the servers that answer do not prove which ones that are. The old
-        primary is one of them, once it is demoted.
+        primary is one of them once it is demoted, and otherwise if no other server answers.
 
         :param record: record of the replacement, which fences the old primary.
         """
         leaving = {e.server_id for e in self._router.entries_of(group) if e.draining}
         sync_replicas = self.sync_replicas(group)
         if not sync_replicas:
-            reports = self._query(group, record.server_id)
-            return self._rank(reports, leaving)
+            candidates = self._rank(self._query(group, record.server_id), leaving)
+            return candidates or self._rank(self._query(group, ""), leaving)
         members = self._members.setdefault(group, GroupMembers())
         members.observe(self._router.entries_of(group))
         reports = self._stop_all(group, record.server_id, record.term + 1)
--- a/packages/figcrank-transport/tests/test_replacer.py
+++ b/packages/figcrank-transport/tests/test_replacer.py
@@ -1083,3 +1083,22 @@
     fleet = run(scenario)
     assert fleet.servers.promoted == ["g1-2"]
     assert fleet.a.view.primary_table.get("g1").server_id == "g1-2"
+
+
+@pytest.mark.parametrize("is_demoted", [True, False])
+def test_old_primary_that_returns_leads_again_if_no_other_server_answers(run, is_demoted):
+    """Guards against a group without a primary while one of its servers runs."""
+
+    def scenario(fleet):
+        fleet.servers.silent |= {"g1-1", "g1-2"}
+        fleet.a.replace("g1")
+        sleep_ms(3_000)
+        bring_back(fleet, "g1-0")
+        fleet.servers.by_id["g1-0"].is_primary = not is_demoted
+        for _ in range(30):
+            sleep_ms(500)
+            fleet.a.check("g1")
+
+    fleet = run(scenario)
+    record = fleet.a.view.primary_table.get("g1")
+    assert (record.server_id, record.moving) == ("g1-0", False)
