--- a/packages/figcrank-transport/src/figcrank/transport/streams/_initial_primaries.py
+++ b/packages/figcrank-transport/src/figcrank/transport/streams/_initial_primaries.py
@@ -64,12 +64,12 @@
 
     def check(self, now_ms: int) -> None:
         """Query the servers of each group that has had no record for a moment."""
+        known = self._view.primary_table.all()
+        groups = {entry.group for entry in self._view.registry.servers.values()} - known.keys()
         # A store with eras has a record from the first settlement on.
-        if self._store.era or not self._store.is_first_reader(now_ms):
+        if not groups or self._store.era or not self._store.is_first_reader(now_ms):
             self._since_ms.clear()
             return
-        known = self._view.primary_table.all()
-        groups = {entry.group for entry in self._view.registry.servers.values()} - known.keys()
         for group in self._since_ms.keys() - groups:
             del self._since_ms[group]
         for group in groups:
