--- a/review/kit-2/standins.py
+++ b/review/kit-2/standins.py
@@ -242,6 +242,7 @@
         self.slots = asyncio.Semaphore(group.slots)
         self.alive = True
         self.draining = False
+        self.dark = False  # runs nothing and answers nothing
         self.deaf = False  # receives nothing from the primary
         self.lag_s = group.lag_s
         self.held_term = 0
@@ -276,6 +277,16 @@
             "born": self.born,
         }
 
+    @property
+    def reachable(self):
+        return self.alive and not self.dark
+
+    def wake(self):
+        """Answer again; connections from before have been dropped."""
+        self.dark = False
+        for connection in list(self.connections):
+            connection.abort()
+
     def crash(self):
         self.alive = False
         self._server.close()
@@ -307,7 +318,7 @@
 
     def receive(self, source):
         """Take what a primary has that this replica lacks."""
-        if not (self.alive and source.alive) or self.deaf:
+        if not (self.reachable and source.reachable) or self.deaf:
             return
         if self.role == "primary" or source.role != "primary":
             return
@@ -353,7 +364,9 @@
         server = self.server
         while True:
             line = (await self.reader.readuntil(b"\r\n"))[:-2].decode("latin-1")
-            if not server.alive:
+            while server.dark:
+                await asyncio.sleep(0.05)
+            if not server.alive or self.writer.is_closing():
                 return
             word, _, fields = line.partition(" ")
             if word == "START":
@@ -567,18 +580,24 @@
 
     @staticmethod
     def _step_down(old, new):
-        if old.role == "primary" and old.term < new.term and not old.deaf:
+        if not (old.reachable and new.reachable) or old.deaf:
+            return
+        if old.role == "primary" and old.term < new.term:
             old.role = "replica"
         old.receive(new)
 
     async def register_forever(self, store):
         for sequence in itertools.count(1):
             for server in list(self.servers.values()):
+                if server.dark:
+                    continue
                 if server.alive and server.registered:
                     store.put("servers", server.server_id, server.entry(sequence))
                 elif not server.alive or not server.registered:
                     store.delete("servers", server.server_id)
                 primary = self.primary
+                if server.role == "primary" and server.term < primary.term and primary.reachable:
+                    self._step_down(server, primary)
                 server.receive(primary)
             await asyncio.sleep(0.3)
 
