--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,7 +5,7 @@
 python3 - <<'PY'
 import pathlib
 
-for folder in ("kit-2", "6", "7", "8", "9", "10"):
+for folder in ("kit-2", "6", "7"):
     for path in sorted(pathlib.Path(folder).glob("*.py")):
         compile(path.read_text(encoding="utf-8"), str(path), "exec")
 PY
